--- /dev/null
+++ b/cmd/kingcuprill/main.go
@@ -0,0 +1,20 @@
+// Command kingcuprill is the operators' client.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"kingcuprill/io/cli/factory"
+	"kingcuprill/io/cli/root"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	info, err := os.Stdout.Stat()
+	terminal := err == nil && info.Mode()&os.ModeCharDevice != 0
+	streams := factory.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Terminal: terminal}
+	os.Exit(root.Main(ctx, os.Args[1:], streams))
+}
--- /dev/null
+++ b/core/access/access.go
@@ -0,0 +1,63 @@
+// Package access decides which organisation a request runs for, and whether it
+// may use a route.
+package access
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/catalogue"
+	"kingcuprill/core/fault"
+)
+
+// HashSecret returns the form in which the secret of a key is kept.
+func HashSecret(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// Authenticate returns the key that belongs to a secret.
+func Authenticate(b *board.Board, secret string) (key catalogue.Key, err error) {
+	if secret == "" {
+		return key, fault.New(fault.Unauthenticated, "the request has no key; send it as 'Authorization: Bearer KEY'")
+	}
+	key, found := b.Catalogue.Read().KeyBySecretHash(HashSecret(secret))
+	if !found {
+		return key, fault.New(fault.Unauthenticated, "the key is not known")
+	}
+	if b.KeyDead(key.ID) {
+		return key, fault.New(fault.Unauthenticated, "the key is withdrawn")
+	}
+	return key, nil
+}
+
+// CheckRoute tells whether an organisation may use a route.
+func CheckRoute(route catalogue.Route, organisation string) error {
+	if route.Open {
+		return nil
+	}
+	if organisation == "" {
+		return fault.New(fault.Unauthenticated, "route %q needs a key", route.Name)
+	}
+	if len(route.Organisations) > 0 && !slices.Contains(route.Organisations, organisation) {
+		return fault.New(fault.Forbidden, "route %q is not open to organisation %q", route.Name, organisation)
+	}
+	return nil
+}
+
+// CheckForwarded checks again what another VM says of a request: that the key
+// is alive, belongs to the organisation, and may use the route.
+func CheckForwarded(b *board.Board, route catalogue.Route, organisation, keyID string) error {
+	if route.Open && keyID == "" {
+		return nil
+	}
+	if b.KeyDead(keyID) {
+		return fault.New(fault.Unauthenticated, "the key is withdrawn")
+	}
+	if key := b.Catalogue.Read().Keys[keyID]; key.Organisation != organisation {
+		return fault.New(fault.Forbidden, "key %q does not belong to organisation %q", keyID, organisation)
+	}
+	return CheckRoute(route, organisation)
+}
--- /dev/null
+++ b/core/catalogue/catalogue.go
@@ -0,0 +1,331 @@
+// Package catalogue holds what operators configure: organisations, keys,
+// routes, residency rules and the VM set. A catalogue is immutable; each
+// change makes a new one with the next revision.
+package catalogue
+
+import (
+	"maps"
+	"slices"
+	"sort"
+
+	"kingcuprill/core/fault"
+)
+
+// Catalogue is one revision of the configuration.
+type Catalogue struct {
+	Revision      uint64
+	VMRevision    uint64 // revision of the newest change of the VM set
+	Organisations map[string]Organisation
+	Keys          map[string]Key // by id
+	Routes        map[string]Route
+	Residencies   map[string]Residency
+	VMs           map[string]VM
+
+	keyBySecret  map[string]string // secret hash to key id
+	routeByModel map[string]string
+}
+
+// New returns the empty catalogue at revision 0.
+func New() *Catalogue {
+	c := &Catalogue{
+		Organisations: map[string]Organisation{},
+		Keys:          map[string]Key{},
+		Routes:        map[string]Route{},
+		Residencies:   map[string]Residency{},
+		VMs:           map[string]VM{},
+	}
+	c.Index()
+	return c
+}
+
+// Index rebuilds the look-up tables after the rows were filled in directly.
+func (c *Catalogue) Index() {
+	c.indexKeys()
+	c.indexRoutes()
+}
+
+func (c *Catalogue) indexKeys() {
+	c.keyBySecret = make(map[string]string, len(c.Keys))
+	for id, key := range c.Keys {
+		c.keyBySecret[key.SecretHash] = id
+	}
+}
+
+func (c *Catalogue) indexRoutes() {
+	c.routeByModel = map[string]string{}
+	for _, name := range SortedNames(c.Routes) {
+		for _, model := range c.Routes[name].Models {
+			if _, taken := c.routeByModel[model]; !taken {
+				c.routeByModel[model] = name
+			}
+		}
+	}
+}
+
+// KeyBySecretHash finds a key by the hash of its secret.
+func (c *Catalogue) KeyBySecretHash(hash string) (key Key, found bool) {
+	id, found := c.keyBySecret[hash]
+	if !found {
+		return Key{}, false
+	}
+	return c.Keys[id], true
+}
+
+// RouteByModel finds the route that serves a model.
+func (c *Catalogue) RouteByModel(model string) (route Route, found bool) {
+	name, found := c.routeByModel[model]
+	if !found {
+		return Route{}, false
+	}
+	return c.Routes[name], true
+}
+
+// With returns the catalogue after one change, at the next revision. The
+// change applies whole or, with an error that names the field, not at all.
+func (c *Catalogue) With(change Change) (next *Catalogue, err error) {
+	if err := change.Validate(); err != nil {
+		return nil, err
+	}
+	copied := *c
+	next = &copied
+	next.Revision++
+	if err := next.apply(change); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func (c *Catalogue) apply(change Change) error {
+	switch {
+	case change.PutOrganisation != nil:
+		c.Organisations = put(c.Organisations, change.PutOrganisation.Name, *change.PutOrganisation)
+	case change.RemoveOrganisation != "":
+		return c.removeOrganisation(change.RemoveOrganisation)
+	case change.GrantKey != nil:
+		return c.grantKey(*change.GrantKey)
+	case change.WithdrawKey != "":
+		return c.withdrawKey(change.WithdrawKey)
+	case change.PutRoute != nil:
+		return c.putRoute(*change.PutRoute)
+	case change.RemoveRoute != "":
+		return c.removeRoute(change.RemoveRoute)
+	case change.PutResidency != nil:
+		return c.putResidency(*change.PutResidency)
+	case change.RemoveResidency != "":
+		return c.removeResidency(change.RemoveResidency)
+	case change.PutVM != nil:
+		return c.putVM(*change.PutVM)
+	case change.RemoveVM != "":
+		return c.removeVM(change.RemoveVM)
+	case change.ConfirmStoppedVM != "":
+		return c.confirmStoppedVM(change.ConfirmStoppedVM)
+	case change.ApplyConfig != nil:
+		return c.applyConfig(*change.ApplyConfig)
+	case change.SettleVMs != 0:
+		return c.settleVMs(change.SettleVMs)
+	}
+	return nil
+}
+
+func (c *Catalogue) removeOrganisation(name string) error {
+	if _, found := c.Organisations[name]; !found {
+		return fault.New(fault.NotFound, "organisation %q does not exist", name)
+	}
+	c.Organisations = without(c.Organisations, name)
+	c.Keys = maps.Clone(c.Keys)
+	maps.DeleteFunc(c.Keys, func(_ string, key Key) bool { return key.Organisation == name })
+	c.indexKeys()
+	return nil
+}
+
+func (c *Catalogue) grantKey(key Key) error {
+	if _, found := c.Organisations[key.Organisation]; !found {
+		return fault.New(fault.NotFound, "key.organisation %q does not exist", key.Organisation)
+	}
+	if _, found := c.Keys[key.ID]; found {
+		return fault.New(fault.Conflict, "key.id %q exists already", key.ID)
+	}
+	if _, found := c.keyBySecret[key.SecretHash]; found {
+		return fault.New(fault.Conflict, "key.secret_hash belongs to another key")
+	}
+	c.Keys = put(c.Keys, key.ID, key)
+	c.keyBySecret = put(c.keyBySecret, key.SecretHash, key.ID)
+	return nil
+}
+
+func (c *Catalogue) withdrawKey(id string) error {
+	key, found := c.Keys[id]
+	if !found {
+		return fault.New(fault.NotFound, "key %q does not exist", id)
+	}
+	key.Withdrawn = true
+	c.Keys = put(c.Keys, id, key)
+	return nil
+}
+
+func (c *Catalogue) putRoute(route Route) error {
+	for _, name := range route.Organisations {
+		if _, found := c.Organisations[name]; !found {
+			return fault.New(fault.NotFound, "route.organisations: %q does not exist", name)
+		}
+	}
+	for _, model := range route.Models {
+		if other, taken := c.routeByModel[model]; taken && other != route.Name {
+			return fault.New(fault.Conflict, "route.models: %q is served by route %q already", model, other)
+		}
+	}
+	c.Routes = put(c.Routes, route.Name, route)
+	c.indexRoutes()
+	return nil
+}
+
+func (c *Catalogue) removeRoute(name string) error {
+	if _, found := c.Routes[name]; !found {
+		return fault.New(fault.NotFound, "route %q does not exist", name)
+	}
+	c.Routes = without(c.Routes, name)
+	c.indexRoutes()
+	return nil
+}
+
+func (c *Catalogue) putResidency(rule Residency) error {
+	if _, found := c.Organisations[rule.Organisation]; rule.Organisation != "" && !found {
+		return fault.New(fault.NotFound, "residency.organisation %q does not exist", rule.Organisation)
+	}
+	if _, found := c.Routes[rule.Route]; rule.Route != "" && !found {
+		return fault.New(fault.NotFound, "residency.route %q does not exist", rule.Route)
+	}
+	c.Residencies = put(c.Residencies, rule.Name, rule)
+	return nil
+}
+
+func (c *Catalogue) removeResidency(name string) error {
+	if _, found := c.Residencies[name]; !found {
+		return fault.New(fault.NotFound, "residency rule %q does not exist", name)
+	}
+	c.Residencies = without(c.Residencies, name)
+	return nil
+}
+
+// putVM adds a VM as joining. A VM that is in the set already keeps its state.
+// Region and data centre decide the limit shares and may not change in place.
+func (c *Catalogue) putVM(vm VM) error {
+	old, found := c.VMs[vm.ID]
+	if found && (old.Region != vm.Region || old.DataCentre != vm.DataCentre) {
+		return fault.New(fault.Conflict, "vm %q is in data centre %q of region %q; remove it before it moves to %q of %q",
+			vm.ID, old.DataCentre, old.Region, vm.DataCentre, vm.Region)
+	}
+	if found && (old.State == VMLeaving || old.State == VMStopped) {
+		return fault.New(fault.Conflict, "vm %q is leaving; add it again once it has left the set", vm.ID)
+	}
+	vm.State = VMJoining
+	if found {
+		vm.State = old.State
+	}
+	c.VMs = put(c.VMs, vm.ID, vm)
+	if !found {
+		c.VMRevision = c.Revision
+	}
+	return nil
+}
+
+func (c *Catalogue) removeVM(id string) error {
+	vm, found := c.VMs[id]
+	if !found {
+		return fault.New(fault.NotFound, "vm %q does not exist", id)
+	}
+	vm.State = VMLeaving
+	c.VMs = put(c.VMs, id, vm)
+	c.VMRevision = c.Revision
+	return nil
+}
+
+// confirmStoppedVM notes that a leaving VM doesn't run, so that its share can
+// move without its acknowledgement.
+func (c *Catalogue) confirmStoppedVM(id string) error {
+	vm, found := c.VMs[id]
+	if !found {
+		return fault.New(fault.NotFound, "vm %q does not exist", id)
+	}
+	if vm.State != VMLeaving {
+		return fault.New(fault.Conflict, "vm %q is %s; remove it first", id, vm.State)
+	}
+	vm.State = VMStopped
+	c.VMs = put(c.VMs, id, vm)
+	return nil
+}
+
+// settleVMs ends a change of the VM set that every VM has acknowledged.
+func (c *Catalogue) settleVMs(vmRevision uint64) error {
+	if vmRevision != c.VMRevision {
+		return fault.New(fault.StaleRevision, "the VM set changed at revision %d, not %d", c.VMRevision, vmRevision)
+	}
+	settled := make(map[string]VM, len(c.VMs))
+	for id, vm := range c.VMs {
+		if vm.State == VMLeaving || vm.State == VMStopped {
+			continue
+		}
+		vm.State = VMActive
+		settled[id] = vm
+	}
+	c.VMs = settled
+	return nil
+}
+
+func (c *Catalogue) applyConfig(config Config) error {
+	fresh := New()
+	fresh.Revision = c.Revision
+	for _, organisation := range config.Organisations {
+		fresh.Organisations[organisation.Name] = organisation
+	}
+	for _, route := range config.Routes {
+		if err := fresh.putRoute(route); err != nil {
+			return err
+		}
+	}
+	for _, rule := range config.Residencies {
+		if err := fresh.putResidency(rule); err != nil {
+			return err
+		}
+	}
+	for _, id := range SortedNames(c.Keys) {
+		if _, found := fresh.Organisations[c.Keys[id].Organisation]; !found {
+			return fault.New(fault.Conflict, "organisations: %q is missing but key %q belongs to it; remove the organisation first", c.Keys[id].Organisation, id)
+		}
+	}
+	c.Organisations = fresh.Organisations
+	c.Routes = fresh.Routes
+	c.Residencies = fresh.Residencies
+	c.indexRoutes()
+	return nil
+}
+
+// Unsettled tells whether a change of the VM set waits for acknowledgements.
+func (c *Catalogue) Unsettled() bool {
+	for _, vm := range c.VMs {
+		if vm.State != VMActive {
+			return true
+		}
+	}
+	return false
+}
+
+// SortedNames returns the names of rows in order.
+func SortedNames[T any](rows map[string]T) []string {
+	names := slices.Collect(maps.Keys(rows))
+	sort.Strings(names)
+	return names
+}
+
+func put[T any](rows map[string]T, name string, row T) map[string]T {
+	next := make(map[string]T, len(rows)+1)
+	maps.Copy(next, rows)
+	next[name] = row
+	return next
+}
+
+func without[T any](rows map[string]T, name string) map[string]T {
+	next := maps.Clone(rows)
+	delete(next, name)
+	return next
+}
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,105 @@
+// Package quarantine finds requests that crash the targets that run them. A
+// fingerprint that was in flight at two crashes is refused everywhere.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"sync"
+	"time"
+)
+
+const (
+	strikesToQuarantine = 2
+	strikeKept          = 10 * time.Minute
+	// Duration is how long a fingerprint is refused.
+	Duration = time.Hour
+)
+
+// Fingerprint identifies the content of a request.
+func Fingerprint(organisation, route, content string) string {
+	sum := sha256.Sum256([]byte(organisation + "\x00" + route + "\x00" + content))
+	return hex.EncodeToString(sum[:16])
+}
+
+type strikes struct {
+	crashes map[string]bool // target and boot id of each crash
+	until   time.Time
+}
+
+// List holds the fingerprints that were in flight at crashes.
+type List struct {
+	mu       sync.Mutex
+	suspects map[string]strikes
+	refused  map[string]time.Time // until when
+}
+
+// NewList returns an empty list.
+func NewList() *List {
+	return &List{suspects: map[string]strikes{}, refused: map[string]time.Time{}}
+}
+
+// Struck notes that a fingerprint was in flight when a boot of a target
+// crashed. It tells whether the fingerprint is now refused.
+func (l *List) Struck(fingerprint, boot string) (refused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	s := l.suspects[fingerprint]
+	if s.crashes == nil || !now.Before(s.until) {
+		s.crashes = map[string]bool{}
+	}
+	s.crashes[boot] = true
+	s.until = now.Add(strikeKept)
+	l.suspects[fingerprint] = s
+	if len(s.crashes) >= strikesToQuarantine {
+		l.refused[fingerprint] = now.Add(Duration)
+		return true
+	}
+	return false
+}
+
+// Cleared notes that a request with the fingerprint ran to its end.
+func (l *List) Cleared(fingerprint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.suspects, fingerprint)
+}
+
+// Refuse takes in fingerprints that another VM refuses.
+func (l *List) Refuse(fingerprints []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until := time.Now().Add(Duration)
+	for _, fingerprint := range fingerprints {
+		if _, known := l.refused[fingerprint]; !known {
+			l.refused[fingerprint] = until
+		}
+	}
+}
+
+// Refused tells whether a fingerprint is refused.
+func (l *List) Refused(fingerprint string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until, found := l.refused[fingerprint]
+	return found && time.Now().Before(until)
+}
+
+// IsSuspect tells whether a fingerprint was in flight at a crash.
+func (l *List) IsSuspect(fingerprint string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, found := l.suspects[fingerprint]
+	return found && time.Now().Before(s.until)
+}
+
+// Expire forgets what is past its time.
+func (l *List) Expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(l.suspects, func(_ string, s strikes) bool { return !now.Before(s.until) })
+	maps.DeleteFunc(l.refused, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
--- /dev/null
+++ b/core/raft/election.go
@@ -0,0 +1,166 @@
+package raft
+
+// campaign starts a round of pre-votes or votes.
+func (n *Node) campaign(role Role, transfer bool) {
+	n.role = role
+	n.leader = ""
+	n.granted = map[string]bool{n.config.ID: true}
+	n.resetElection()
+	kind, term := PreVote, n.term+1
+	if role == Candidate {
+		n.term++
+		n.vote = n.config.ID
+		kind, term = Vote, n.term
+	}
+	if n.wonVote() {
+		n.voteWon()
+		return
+	}
+	request := Message{Kind: kind, Term: term, LogIndex: n.log.lastIndex(), LogTerm: n.log.lastTerm()}
+	if transfer {
+		request.Context = 1
+	}
+	for _, id := range n.Membership().Voters {
+		if id != n.config.ID {
+			request.To = id
+			n.send(request)
+		}
+	}
+}
+
+func (n *Node) handleVoteRequest(m Message) {
+	reply := Message{Kind: VoteReply, To: m.From, Term: m.Term}
+	if m.Kind == PreVote {
+		reply.Kind = PreVoteReply
+	}
+	if n.mayVoteFor(m) {
+		if m.Kind == Vote {
+			n.vote = m.From
+			n.resetElection()
+		}
+		n.send(reply)
+		return
+	}
+	reply.Reject = true
+	reply.Term = n.term
+	n.send(reply)
+}
+
+func (n *Node) mayVoteFor(m Message) bool {
+	if !n.upToDate(m.LogIndex, m.LogTerm) {
+		return false
+	}
+	if m.Kind == PreVote {
+		return m.Term > n.term && !n.hasLiveLeader() && n.role != Leader
+	}
+	return n.vote == m.From || (n.vote == "" && n.leader == "")
+}
+
+// upToDate tells whether a candidate's log holds at least what this one does.
+func (n *Node) upToDate(index, term uint64) bool {
+	own := n.log.lastTerm()
+	return term > own || (term == own && index >= n.log.lastIndex())
+}
+
+func (n *Node) handleVoteReply(m Message) {
+	wanted := Candidate
+	if m.Kind == PreVoteReply {
+		wanted = PreCandidate
+	}
+	if n.role != wanted || m.Reject {
+		return
+	}
+	if m.Kind == PreVoteReply && m.Term != n.term+1 {
+		return // of an earlier round
+	}
+	n.granted[m.From] = true
+	if n.wonVote() {
+		n.voteWon()
+	}
+}
+
+func (n *Node) wonVote() bool {
+	return n.countVoters(func(id string) bool { return n.granted[id] }) >= n.Membership().quorum()
+}
+
+func (n *Node) voteWon() {
+	if n.role == PreCandidate {
+		n.campaign(Candidate, false)
+		return
+	}
+	n.becomeLeader()
+}
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.config.ID
+	n.electionElapsed = 0
+	n.heartbeatElapsed = 0
+	n.reads = readQueue{}
+	n.progress = map[string]*progress{}
+	n.syncProgress()
+	n.appendOwn(Entry{Kind: EntryNoop})
+}
+
+func (n *Node) countVoters(counts func(id string) bool) int {
+	total := 0
+	for _, id := range n.Membership().Voters {
+		if counts(id) {
+			total++
+		}
+	}
+	return total
+}
+
+// heardFromQuorum tells whether a majority has answered since the last call.
+func (n *Node) heardFromQuorum() bool {
+	heard := n.countVoters(func(id string) bool {
+		return id == n.config.ID || n.progress[id].active
+	})
+	for _, p := range n.progress {
+		p.active = false
+	}
+	return heard >= n.Membership().quorum()
+}
+
+// Transfer hands leadership to a voter that is caught up, for a planned stop.
+// An empty id chooses the one with the longest log.
+func (n *Node) Transfer(to string) bool {
+	if n.role != Leader {
+		return false
+	}
+	if to == "" {
+		to = n.bestSuccessor()
+	}
+	if to == "" || to == n.config.ID || !n.Membership().IsVoter(to) {
+		return false
+	}
+	n.transferee = to
+	n.electionElapsed = 0
+	n.sendAppend(to)
+	n.tryTransfer()
+	return true
+}
+
+func (n *Node) bestSuccessor() string {
+	best := ""
+	for _, id := range n.Membership().Voters {
+		if id == n.config.ID {
+			continue
+		}
+		if best == "" || n.progress[id].match > n.progress[best].match {
+			best = id
+		}
+	}
+	return best
+}
+
+func (n *Node) tryTransfer() {
+	if n.transferee == "" {
+		return
+	}
+	p, found := n.progress[n.transferee]
+	if found && p.match == n.log.lastIndex() {
+		n.send(Message{Kind: TimeoutNow, To: n.transferee})
+	}
+}
--- /dev/null
+++ b/core/raft/membership.go
@@ -0,0 +1,144 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// MembershipAction is one step of a change of the replicas.
+type MembershipAction string
+
+// Actions on the membership.
+const (
+	AddLearner MembershipAction = "add"
+	Promote    MembershipAction = "promote"
+	Remove     MembershipAction = "remove"
+)
+
+// ErrChangePending tells that an earlier change is not committed yet.
+var ErrChangePending = errors.New("an earlier change of the replicas is not committed yet")
+
+// maxPromotionLag is how many entries a learner may lack when it is promoted.
+const maxPromotionLag = 16
+
+// ChangeMembership appends one change on the leader.
+func (n *Node) ChangeMembership(action MembershipAction, id string) (index, term uint64, err error) {
+	if n.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	if n.transferee != "" {
+		return 0, 0, ErrHandingOver
+	}
+	if n.memberships[len(n.memberships)-1].index > n.commit || !n.committedInTerm() {
+		return 0, 0, ErrChangePending
+	}
+	next, err := n.changed(action, id)
+	if err != nil {
+		return 0, 0, err
+	}
+	index = n.appendOwn(Entry{Kind: EntryMembership, Membership: &next})
+	return index, n.term, nil
+}
+
+func (n *Node) changed(action MembershipAction, id string) (next Membership, err error) {
+	next = Membership{
+		Voters:   slices.Clone(n.Membership().Voters),
+		Learners: slices.Clone(n.Membership().Learners),
+	}
+	switch action {
+	case AddLearner:
+		if next.Has(id) {
+			return next, fmt.Errorf("replica %q is a member already", id)
+		}
+		next.Learners = append(next.Learners, id)
+	case Promote:
+		if !slices.Contains(next.Learners, id) {
+			return next, fmt.Errorf("replica %q is not a learner", id)
+		}
+		if p := n.progress[id]; p.match+maxPromotionLag < n.log.lastIndex() {
+			return next, fmt.Errorf("replica %q lacks %d entries and can't count yet; try again when it has caught up", id, n.log.lastIndex()-p.match)
+		}
+		next.Learners = drop(next.Learners, id)
+		next.Voters = append(next.Voters, id)
+	case Remove:
+		if !next.Has(id) {
+			return next, fmt.Errorf("replica %q is not a member", id)
+		}
+		if id == n.config.ID {
+			return next, fmt.Errorf("replica %q is the leader; stop it or hand over before it is removed", id)
+		}
+		next.Voters = drop(next.Voters, id)
+		next.Learners = drop(next.Learners, id)
+	default:
+		return next, fmt.Errorf("action %q must be %q, %q or %q", action, AddLearner, Promote, Remove)
+	}
+	return next, nil
+}
+
+func drop(ids []string, id string) []string {
+	return slices.DeleteFunc(ids, func(other string) bool { return other == id })
+}
+
+// committedInTerm tells whether the leader has committed an entry of its own
+// term. Before that, a change of the membership isn't safe.
+func (n *Node) committedInTerm() bool {
+	term, _ := n.log.term(n.commit)
+	return term == n.term
+}
+
+// noteMemberships puts memberships in force as soon as they are in the log.
+func (n *Node) noteMemberships(entries []Entry) {
+	changed := false
+	for _, entry := range entries {
+		if entry.Kind == EntryMembership {
+			n.memberships = append(n.memberships, membershipAt{index: entry.Index, membership: *entry.Membership})
+			changed = true
+		}
+	}
+	if changed && n.role == Leader {
+		n.syncProgress()
+	}
+}
+
+func (n *Node) forgetMembershipsAfter(index uint64) {
+	for n.memberships[len(n.memberships)-1].index > index {
+		n.memberships = n.memberships[:len(n.memberships)-1]
+	}
+}
+
+func (n *Node) membershipAt(index uint64) Membership {
+	found := n.memberships[0].membership
+	for _, at := range n.memberships {
+		if at.index <= index {
+			found = at.membership
+		}
+	}
+	return found
+}
+
+func (n *Node) dropMembershipsBefore(index uint64) {
+	kept := []membershipAt{{index: index, membership: n.membershipAt(index)}}
+	for _, at := range n.memberships {
+		if at.index > index {
+			kept = append(kept, at)
+		}
+	}
+	n.memberships = kept
+}
+
+// syncProgress keeps one progress for each member.
+func (n *Node) syncProgress() {
+	members := append(slices.Clone(n.Membership().Voters), n.Membership().Learners...)
+	for _, id := range members {
+		if n.progress[id] == nil {
+			n.progress[id] = &progress{next: n.log.lastIndex() + 1, probing: true, active: true}
+		}
+	}
+	n.progress[n.config.ID].match = n.log.stable
+	for id := range n.progress {
+		if !slices.Contains(members, id) {
+			delete(n.progress, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/raft/replication.go
@@ -0,0 +1,264 @@
+package raft
+
+import (
+	"errors"
+	"slices"
+)
+
+// ErrNotLeader tells that another replica must be asked.
+var ErrNotLeader = errors.New("this replica is not the leader of the control log")
+
+// ErrHandingOver tells that the leader is about to hand over.
+var ErrHandingOver = errors.New("the leader of the control log is handing over")
+
+// progress is what the leader knows of one replica.
+type progress struct {
+	match    uint64 // last entry known to be on its disk
+	next     uint64 // next entry to send
+	inFlight int    // append messages without an answer
+	probing  bool   // one message at a time until a match is found
+	quiet    int    // heartbeats since the last answer to an append
+	active   bool   // answered since the last check of the quorum
+	snapshot uint64 // index of the snapshot on its way, 0 for none
+}
+
+// heartbeatsToResend is the number of heartbeat answers without progress after
+// which messages on their way count as lost.
+const heartbeatsToResend = 2
+
+// heartbeatsToResendSnapshot is the same for a snapshot.
+const heartbeatsToResendSnapshot = 20
+
+// Propose appends a command on the leader and returns its place in the log.
+func (n *Node) Propose(data []byte) (index, term uint64, err error) {
+	if n.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	if n.transferee != "" {
+		return 0, 0, ErrHandingOver
+	}
+	index = n.appendOwn(Entry{Kind: EntryCommand, Data: data})
+	return index, n.term, nil
+}
+
+func (n *Node) appendOwn(entry Entry) (index uint64) {
+	entry.Index = n.log.lastIndex() + 1
+	entry.Term = n.term
+	n.log.append(entry)
+	n.noteMemberships([]Entry{entry})
+	for id := range n.progress {
+		n.sendAppend(id)
+	}
+	return entry.Index
+}
+
+// sendAppend sends what a replica lacks, within its flow control.
+func (n *Node) sendAppend(id string) {
+	p := n.progress[id]
+	if id == n.config.ID || p == nil || p.snapshot != 0 {
+		return
+	}
+	for p.inFlight < n.window(p) && (p.next <= n.log.lastIndex() || p.probing) {
+		before, known := n.log.term(p.next - 1)
+		if !known {
+			n.sendSnapshot(id, p)
+			return
+		}
+		last := min(n.log.lastIndex(), p.next+uint64(n.config.MaxBatchEntries)-1)
+		entries := slices.Clone(n.log.slice(p.next, last))
+		n.send(Message{Kind: Append, To: id, LogIndex: p.next - 1, LogTerm: before, Commit: n.commit, Entries: entries})
+		p.inFlight++
+		if !p.probing {
+			p.next = last + 1
+		}
+	}
+}
+
+func (n *Node) window(p *progress) int {
+	if p.probing {
+		return 1
+	}
+	return n.config.MaxInFlight
+}
+
+func (n *Node) sendSnapshot(id string, p *progress) {
+	p.snapshot = n.log.snapshot.Index
+	p.quiet = 0
+	snapshot := n.log.snapshot
+	n.send(Message{Kind: InstallSnapshot, To: id, Snapshot: &snapshot, Commit: n.commit})
+}
+
+func (n *Node) handleAppend(m Message) {
+	n.followLeader(m.From)
+	reply := Message{Kind: AppendReply, To: m.From}
+	if m.LogIndex < n.commit {
+		reply.LogIndex = n.commit
+		n.send(reply)
+		return
+	}
+	if !n.log.matches(m.LogIndex, m.LogTerm) {
+		reply.Reject = true
+		reply.LogIndex = m.LogIndex
+		reply.Hint = n.matchHint(m.LogIndex)
+		n.send(reply)
+		return
+	}
+	n.appendFromLeader(m.Entries)
+	last := m.LogIndex + uint64(len(m.Entries))
+	n.commit = max(n.commit, min(m.Commit, last))
+	reply.LogIndex = last
+	n.send(reply)
+}
+
+// matchHint returns the highest index at which the logs may still match.
+func (n *Node) matchHint(index uint64) uint64 {
+	if index > n.log.lastIndex() {
+		return n.log.lastIndex()
+	}
+	return max(n.log.firstOfTerm(index)-1, n.commit)
+}
+
+func (n *Node) appendFromLeader(entries []Entry) {
+	for i, entry := range entries {
+		if n.log.matches(entry.Index, entry.Term) {
+			continue
+		}
+		if entry.Index <= n.log.lastIndex() {
+			n.log.truncateAfter(entry.Index-1, n.commit)
+			n.handed = min(n.handed, entry.Index-1)
+			n.forgetMembershipsAfter(entry.Index - 1)
+		}
+		n.log.append(entries[i:]...)
+		n.noteMemberships(entries[i:])
+		return
+	}
+}
+
+func (n *Node) followLeader(leader string) {
+	if n.role != Follower {
+		n.becomeFollower(n.term, leader)
+	}
+	n.leader = leader
+	n.electionElapsed = 0
+}
+
+func (n *Node) handleAppendReply(m Message) {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	p.quiet = 0
+	p.inFlight = max(0, p.inFlight-1)
+	if m.Reject {
+		if m.LogIndex > p.match {
+			p.next = max(p.match+1, min(m.Hint+1, p.next))
+			p.probing = true
+			p.inFlight = 0
+		}
+		n.sendAppend(m.From)
+		return
+	}
+	p.match = max(p.match, min(m.LogIndex, n.log.lastIndex()))
+	p.next = max(p.next, p.match+1)
+	p.probing = false
+	if p.snapshot != 0 && p.match >= p.snapshot {
+		p.snapshot = 0
+		p.inFlight = 0
+	}
+	n.advanceCommit()
+	n.sendAppend(m.From)
+	if m.From == n.transferee {
+		n.tryTransfer()
+	}
+}
+
+// advanceCommit commits what a majority has on disk. Entries of earlier terms
+// are committed only through one of the own term.
+func (n *Node) advanceCommit() {
+	matches := make([]uint64, 0, len(n.Membership().Voters))
+	for _, id := range n.Membership().Voters {
+		matches = append(matches, n.progress[id].match)
+	}
+	slices.Sort(matches)
+	candidate := matches[len(matches)-n.Membership().quorum()]
+	term, _ := n.log.term(candidate)
+	if candidate <= n.commit || term != n.term {
+		return
+	}
+	n.commit = candidate
+	n.releaseReads()
+	for id := range n.progress {
+		n.sendCommit(id)
+	}
+}
+
+// sendCommit tells a replica at once that entries it holds are committed.
+func (n *Node) sendCommit(id string) {
+	p := n.progress[id]
+	if id != n.config.ID && p.snapshot == 0 && p.match > 0 {
+		n.send(Message{Kind: Heartbeat, To: id, Commit: min(n.commit, p.match), Context: n.reads.round})
+	}
+}
+
+func (n *Node) broadcastHeartbeat() {
+	for id, p := range n.progress {
+		if id != n.config.ID {
+			n.send(Message{Kind: Heartbeat, To: id, Commit: min(n.commit, p.match), Context: n.reads.round})
+		}
+	}
+}
+
+func (n *Node) handleHeartbeat(m Message) {
+	n.followLeader(m.From)
+	n.commit = max(n.commit, min(m.Commit, n.log.lastIndex()))
+	n.send(Message{Kind: HeartbeatReply, To: m.From, Context: m.Context})
+}
+
+func (n *Node) handleHeartbeatReply(m Message) {
+	p := n.progress[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	n.reads.acknowledge(m.From, m.Context)
+	n.releaseReads()
+	if p.match >= n.log.lastIndex() {
+		return
+	}
+	p.quiet++
+	limit := heartbeatsToResend
+	if p.snapshot != 0 {
+		limit = heartbeatsToResendSnapshot
+	}
+	if p.quiet > limit {
+		p.quiet = 0
+		p.snapshot = 0
+		p.inFlight = 0
+		p.probing = true
+		p.next = p.match + 1
+	}
+	n.sendAppend(m.From)
+}
+
+func (n *Node) handleSnapshot(m Message) {
+	n.followLeader(m.From)
+	reply := Message{Kind: AppendReply, To: m.From, LogIndex: n.commit}
+	snapshot := *m.Snapshot
+	switch {
+	case snapshot.Index <= n.commit:
+	case n.log.matches(snapshot.Index, snapshot.Term):
+		n.commit = snapshot.Index
+		reply.LogIndex = snapshot.Index
+	default:
+		n.log.restore(snapshot)
+		n.memberships = []membershipAt{{index: snapshot.Index, membership: snapshot.Membership}}
+		n.commit = snapshot.Index
+		n.applied = snapshot.Index
+		n.applying = snapshot.Index
+		n.handed = snapshot.Index
+		n.installed = &snapshot
+		reply.LogIndex = snapshot.Index
+	}
+	n.send(reply)
+}
--- /dev/null
+++ b/core/rendezvous/rendezvous.go
@@ -0,0 +1,36 @@
+// Package rendezvous orders VMs for a name by highest random weight, so that a
+// change of the VM set moves as few names as possible.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is a VM with its rank for a name.
+type Candidate struct {
+	ID     string
+	weight uint64
+}
+
+// Order returns the ids, highest weight for the name first.
+func Order(name string, ids []string) []string {
+	candidates := make([]Candidate, 0, len(ids))
+	for _, id := range ids {
+		candidates = append(candidates, Candidate{ID: id, weight: weight(name, id)})
+	}
+	slices.SortFunc(candidates, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.ID, b.ID))
+	})
+	ordered := make([]string, 0, len(ids))
+	for _, c := range candidates {
+		ordered = append(ordered, c.ID)
+	}
+	return ordered
+}
+
+func weight(name, id string) uint64 {
+	return xxhash.Sum64String(name + "\x00" + id)
+}
--- /dev/null
+++ b/core/residency/residency.go
@@ -0,0 +1,48 @@
+// Package residency decides in which regions a request may be served.
+package residency
+
+import (
+	"slices"
+
+	"kingcuprill/core/catalogue"
+)
+
+// Permitted is the set of regions that all matching rules allow.
+type Permitted struct {
+	all     bool
+	regions []string
+}
+
+// Of returns where requests of an organisation on a route may be served. With
+// no matching rule every region is permitted.
+func Of(c *catalogue.Catalogue, organisation, route string) Permitted {
+	p := Permitted{all: true}
+	for _, rule := range c.Residencies {
+		if rule.Organisation != "" && rule.Organisation != organisation {
+			continue
+		}
+		if rule.Route != "" && rule.Route != route {
+			continue
+		}
+		p = p.intersect(rule.Regions)
+	}
+	return p
+}
+
+// Allows tells whether a region is permitted.
+func (p Permitted) Allows(region string) bool {
+	return p.all || slices.Contains(p.regions, region)
+}
+
+func (p Permitted) intersect(regions []string) Permitted {
+	if p.all {
+		return Permitted{regions: regions}
+	}
+	kept := []string{}
+	for _, region := range p.regions {
+		if slices.Contains(regions, region) {
+			kept = append(kept, region)
+		}
+	}
+	return Permitted{regions: kept}
+}
--- /dev/null
+++ b/io/announce/server.go
@@ -0,0 +1,127 @@
+// Package announce takes in what targets say of themselves.
+package announce
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/membership"
+	"kingcuprill/core/target"
+	"kingcuprill/io/peer"
+	rpc "kingcuprill/rpc/target"
+)
+
+// maxBody bounds one announcement, in bytes.
+const maxBody = 1 << 20
+
+// Server answers targets.
+type Server struct {
+	Board     *board.Board
+	Networks  []netip.Prefix // where targets may be
+	Forbidden []string       // the system's own addresses
+	Log       *slog.Logger
+}
+
+// Handler returns the routes of the targets' listener.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(rpc.AnnouncementsPathPrefix, rpc.NewAnnouncementsServer(s))
+	return http.MaxBytesHandler(mux, maxBody)
+}
+
+// Announce adds a target or renews its lease.
+func (s *Server) Announce(_ context.Context, request *rpc.AnnounceRequest) (answer *rpc.AnnounceResponse, err error) {
+	defer func() { err = peer.ToTwirp(err) }()
+	if err := s.check(request); err != nil {
+		return nil, err
+	}
+	if s.Board.Targets.Announce(toAnnouncement(request), time.Now()) {
+		s.Log.Info("a target announces itself", "target", request.GetId(), "boot_id", request.GetBootId(), "service", request.GetService(), "address", request.GetAddress())
+	}
+	return &rpc.AnnounceResponse{LeaseNanoseconds: int64(s.Board.Targets.Lease)}, nil
+}
+
+// check refuses announcements that don't belong here or point elsewhere.
+func (s *Server) check(r *rpc.AnnounceRequest) error {
+	if r.GetId() == "" || r.GetBootId() == "" || r.GetService() == "" {
+		return fault.New(fault.Invalid, "id %q, boot_id %q and service %q must all be set", r.GetId(), r.GetBootId(), r.GetService())
+	}
+	if kind := target.Kind(r.GetKind()); kind != target.Engine && kind != target.Service {
+		return fault.New(fault.Invalid, "kind: %q must be %q or %q", kind, target.Engine, target.Service)
+	}
+	if r.GetDataCentre() != s.Board.DataCentre || r.GetRegion() != s.Board.Region {
+		return fault.New(fault.Forbidden, "data_centre: %q of region %q announces itself to its own VMs, not to those of %q",
+			r.GetDataCentre(), r.GetRegion(), s.Board.DataCentre)
+	}
+	if r.GetCapacity() <= 0 {
+		return fault.New(fault.Invalid, "capacity: %d must be above 0", r.GetCapacity())
+	}
+	return s.checkAddress(r.GetAddress())
+}
+
+func (s *Server) checkAddress(value string) error {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return fault.New(fault.Invalid, "address: %q must be an IP address and port", value)
+	}
+	inside := slices.ContainsFunc(s.Networks, func(n netip.Prefix) bool { return n.Contains(address.Addr()) })
+	if !inside {
+		return fault.New(fault.Forbidden, "address: %q is outside targets.permitted_networks", value)
+	}
+	if slices.Contains(s.Forbidden, value) || s.isMember(value) {
+		return fault.New(fault.Forbidden, "address: %q belongs to the system itself", value)
+	}
+	return nil
+}
+
+func (s *Server) isMember(address string) bool {
+	for _, m := range s.Board.Members.View.Read().Members {
+		if m.State != membership.Dead && (m.PeerAddress == address || m.CallerAddress == address) {
+			return true
+		}
+	}
+	return false
+}
+
+func toAnnouncement(r *rpc.AnnounceRequest) target.Announcement {
+	return target.Announcement{
+		ID: r.GetId(), BootID: r.GetBootId(), Service: r.GetService(), Kind: target.Kind(r.GetKind()), Address: r.GetAddress(),
+		Region: r.GetRegion(), DataCentre: r.GetDataCentre(), Models: r.GetModels(), Adapters: r.GetAdapters(),
+		Version: r.GetVersion(), Role: r.GetRole(), Capacity: int(r.GetCapacity()), ChecksFencing: r.GetChecksFencing(),
+		Load: target.Load{
+			Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
+			Measured: time.Now().Add(-time.Duration(max(0, r.GetLoadAgeNanoseconds()))),
+		},
+	}
+}
+
+// Leave marks a target as leaving.
+func (s *Server) Leave(_ context.Context, request *rpc.LeaveRequest) (*rpc.LeaveResponse, error) {
+	if s.Board.Targets.Leave(request.GetId(), request.GetBootId()) {
+		s.Log.Info("a target leaves", "target", request.GetId(), "boot_id", request.GetBootId())
+	}
+	return &rpc.LeaveResponse{}, nil
+}
+
+// PublishCacheEvents takes in prefix-cache events.
+func (s *Server) PublishCacheEvents(_ context.Context, request *rpc.CacheEventsRequest) (*rpc.CacheEventsResponse, error) {
+	row := s.Board.Targets.View.Read().ByID[request.GetId()]
+	if row == nil || row.BootID != request.GetBootId() {
+		return &rpc.CacheEventsResponse{}, nil
+	}
+	for _, event := range request.GetEvents() {
+		hash, err := strconv.ParseUint(event.GetPrefixHash(), 16, 64)
+		if err != nil {
+			return nil, peer.ToTwirp(fault.New(fault.Invalid, "prefix_hash: %q must be 64 bits in hexadecimal", event.GetPrefixHash()))
+		}
+		row.Live.Prefixes.Event(event.GetSequence(), hash, event.GetEvicted())
+	}
+	return &rpc.CacheEventsResponse{}, nil
+}
--- /dev/null
+++ b/io/borrow/borrow.go
@@ -0,0 +1,155 @@
+// Package borrow moves rate and burst of an organisation to the VM where its
+// requests wait, by loans of a few seconds between VMs.
+package borrow
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/limit"
+	"kingcuprill/core/membership"
+	"kingcuprill/core/share"
+	"kingcuprill/io/peer"
+	"kingcuprill/rpc/vm"
+)
+
+const (
+	pauseBetween = 100 * time.Millisecond // between two rounds for one organisation
+	maxLenders   = 8                      // asked in one round
+)
+
+// Borrower asks other VMs for loans when requests wait here.
+type Borrower struct {
+	Board  *board.Board
+	Peers  *peer.Peers
+	Log    *slog.Logger
+	Needed chan string // organisations that are short
+}
+
+// NewBorrower returns a borrower.
+func NewBorrower(b *board.Board, peers *peer.Peers, log *slog.Logger) *Borrower {
+	return &Borrower{Board: b, Peers: peers, Log: log, Needed: make(chan string, 256)}
+}
+
+// Short notes that requests of an organisation wait. It never blocks.
+func (b *Borrower) Short(organisation string) {
+	select {
+	case b.Needed <- organisation:
+	default:
+	}
+}
+
+// Run serves shortages until the tomb dies.
+func (b *Borrower) Run(t *tomb.Tomb) error {
+	ctx := t.Context(context.Background())
+	working := map[string]bool{}
+	done := make(chan string)
+	for {
+		select {
+		case <-t.Dying():
+			return nil
+		case organisation := <-b.Needed:
+			if working[organisation] {
+				continue
+			}
+			working[organisation] = true
+			t.Go(func() error {
+				b.serve(ctx, organisation)
+				select {
+				case done <- organisation:
+				case <-t.Dying():
+				}
+				return nil
+			})
+		case organisation := <-done:
+			delete(working, organisation)
+		}
+	}
+}
+
+// serve borrows until no request of the organisation waits.
+func (b *Borrower) serve(ctx context.Context, organisation string) {
+	account, err := b.Board.Limiter.Account(organisation)
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		want, short := account.Shortage(time.Now())
+		if !short {
+			return
+		}
+		b.askLenders(ctx, organisation, account, want)
+		select {
+		case <-time.After(pauseBetween):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (b *Borrower) askLenders(ctx context.Context, organisation string, account *limit.Account, want limit.Amount) {
+	for _, lender := range b.lenders(organisation) {
+		if want.RatePerSecond <= 0 && want.Burst <= 0 {
+			return
+		}
+		loan := b.ask(ctx, lender, organisation, account, want)
+		want.RatePerSecond = max(0, want.RatePerSecond-loan.RatePerSecond)
+		want.Burst = max(0, want.Burst-loan.Burst)
+	}
+}
+
+// lenders returns the VMs that hold a share of the organisation, the nearest
+// first.
+func (b *Borrower) lenders(organisation string) (lenders []membership.Member) {
+	homes := share.Homes(b.Board.Catalogue.Read(), organisation, b.Board.DataCentre)
+	members := b.Board.Members.View.Read().Members
+	for _, id := range homes {
+		if m, known := members[id]; known && id != b.Board.Self && m.State == membership.Alive {
+			lenders = append(lenders, m)
+		}
+	}
+	slices.SortStableFunc(lenders, func(x, y membership.Member) int { return b.distance(x) - b.distance(y) })
+	return lenders[:min(maxLenders, len(lenders))]
+}
+
+func (b *Borrower) distance(m membership.Member) int {
+	switch {
+	case m.DataCentre == b.Board.DataCentre:
+		return 0
+	case m.Region == b.Board.Region:
+		return 1
+	}
+	return 2
+}
+
+func (b *Borrower) ask(ctx context.Context, lender membership.Member, organisation string, account *limit.Account, want limit.Amount) (loan limit.Loan) {
+	bounded, cancel := b.Peers.Bounded(ctx)
+	defer cancel()
+	asked := time.Now()
+	answer, err := b.Peers.At(lender.PeerAddress).Borrow(bounded, &vm.BorrowRequest{
+		Organisation: organisation, Borrower: b.Board.Self, RatePerSecond: want.RatePerSecond, Burst: want.Burst,
+	})
+	if err != nil {
+		b.Log.Debug("a loan could not be asked for", "lender", lender.ID, "organisation", organisation, "error", err)
+		return loan
+	}
+	loan.RatePerSecond, loan.Burst, loan.Level = answer.GetRatePerSecond(), answer.GetBurst(), answer.GetLevel()
+	if loan.Amount != (limit.Amount{}) {
+		account.Borrow(loan, asked, time.Now())
+	}
+	return loan
+}
+
+// Lend answers another VM.
+func (b *Borrower) Lend(request *vm.BorrowRequest) *vm.BorrowResponse {
+	account, err := b.Board.Limiter.Account(request.GetOrganisation())
+	if err != nil {
+		return &vm.BorrowResponse{}
+	}
+	loan := account.Lend(limit.Amount{RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst()}, time.Now())
+	return &vm.BorrowResponse{RatePerSecond: loan.RatePerSecond, Burst: loan.Burst, Level: loan.Level}
+}
--- /dev/null
+++ b/io/caller/answer.go
@@ -0,0 +1,155 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"kingcuprill/core/exchange"
+)
+
+type usageJSON struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type choiceJSON struct {
+	Index        int          `json:"index"`
+	Delta        *messageJSON `json:"delta,omitempty"`
+	Message      *messageJSON `json:"message,omitempty"`
+	Text         *string      `json:"text,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type completionJSON struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []choiceJSON `json:"choices"`
+	Usage   *usageJSON   `json:"usage,omitempty"`
+}
+
+// answerWriter writes one answer, as a stream of events or in one piece.
+type answerWriter struct {
+	v       *visit
+	chat    bool
+	stream  bool
+	model   string
+	text    strings.Builder
+	count   int // tokens written
+	started bool
+	control *http.ResponseController
+}
+
+func newAnswerWriter(v *visit, chat, stream bool, model string) *answerWriter {
+	return &answerWriter{v: v, chat: chat, stream: stream, model: model, control: http.NewResponseController(v.w)}
+}
+
+func (a *answerWriter) token(t exchange.Token) error {
+	a.count++
+	if !a.stream {
+		a.text.WriteString(t.Text)
+		return nil
+	}
+	return a.event(a.chunk(t.Text, nil, nil))
+}
+
+func (a *answerWriter) chunk(text string, finish *string, usage *usageJSON) completionJSON {
+	choice := choiceJSON{FinishReason: finish}
+	object := "text_completion"
+	if a.chat {
+		object = "chat.completion.chunk"
+		choice.Delta = &messageJSON{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	return a.completion(object, choice, usage)
+}
+
+func (a *answerWriter) completion(object string, choice choiceJSON, usage *usageJSON) completionJSON {
+	return completionJSON{
+		ID: a.v.id, Object: object, Created: a.v.started.Unix(), Model: a.model,
+		Choices: []choiceJSON{choice}, Usage: usage,
+	}
+}
+
+func (a *answerWriter) event(content any) error {
+	data, err := json.Marshal(content)
+	if err != nil {
+		return err
+	}
+	return a.line(data)
+}
+
+func (a *answerWriter) line(data []byte) error {
+	if !a.started {
+		a.started = true
+		a.v.w.Header().Set("Content-Type", "text/event-stream")
+		a.v.w.Header().Set("Cache-Control", "no-store")
+		a.v.w.WriteHeader(http.StatusOK)
+	}
+	_ = a.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	line := append(append([]byte("data: "), data...), '\n', '\n')
+	if _, err := a.v.w.Write(line); err != nil {
+		return err
+	}
+	return a.control.Flush()
+}
+
+// writeTimeout bounds one write to a caller that doesn't read.
+const writeTimeout = 30 * time.Second
+
+func (a *answerWriter) finish(usage exchange.Usage) error {
+	stop := "stop"
+	total := &usageJSON{
+		PromptTokens: usage.PromptTokens, CompletionTokens: usage.CompletionTokens,
+		TotalTokens: usage.PromptTokens + usage.CompletionTokens,
+	}
+	if a.stream {
+		if err := a.event(a.chunk("", &stop, total)); err != nil {
+			return nil // the caller is gone; the answer was whole
+		}
+		_ = a.line([]byte("[DONE]"))
+		return nil
+	}
+	text := a.text.String()
+	choice := choiceJSON{FinishReason: &stop}
+	object := "text_completion"
+	if a.chat {
+		object = "chat.completion"
+		choice.Message = &messageJSON{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	a.v.w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(a.v.w).Encode(a.completion(object, choice, total))
+}
+
+// fail ends an answer with an error. A stream that has begun gets the error as
+// its last event, and no end mark, so that half an answer can't be taken for a
+// whole one.
+func (a *answerWriter) fail(err error) error {
+	if !a.started {
+		return err
+	}
+	_ = a.event(errorJSON{Error: body(err)})
+	return &begun{err: err}
+}
+
+// begun marks an error whose status is already written.
+type begun struct {
+	err error
+}
+
+// Error returns the text of the cause.
+func (b *begun) Error() string {
+	return b.err.Error()
+}
+
+// Unwrap returns the cause.
+func (b *begun) Unwrap() error {
+	return b.err
+}
--- /dev/null
+++ b/io/caller/completions.go
@@ -0,0 +1,166 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"kingcuprill/core/exchange"
+	"kingcuprill/core/fault"
+	"kingcuprill/io/dispatch"
+)
+
+type messageJSON struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionRequestJSON struct {
+	Model               string        `json:"model"`
+	Messages            []messageJSON `json:"messages"`
+	Prompt              string        `json:"prompt"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	Stream              bool          `json:"stream"`
+}
+
+const (
+	presetMaxTokens = 256
+	bytesPerToken   = 4
+)
+
+func (s *Server) chat(v *visit) error {
+	return s.complete(v, true)
+}
+
+func (s *Server) completion(v *visit) error {
+	return s.complete(v, false)
+}
+
+// complete serves one completion from its body to its last token.
+func (s *Server) complete(v *visit, chat bool) error {
+	generation, stream, err := s.parse(v, chat)
+	if err != nil {
+		return err
+	}
+	route, found := s.Board.Catalogue.Read().RouteByModel(generation.Model)
+	if !found {
+		return fault.New(fault.NotFound, "model: %q is served by no route", generation.Model)
+	}
+	if err := s.admit(v, route); err != nil {
+		return err
+	}
+	request := s.request(v)
+	request.Generation = &generation
+	request.Fingerprint = dispatch.Fingerprint(request)
+	if s.Board.Quarantine.Refused(request.Fingerprint) {
+		return &exchange.Failure{NotRun: true, Err: fault.New(fault.Quarantined, "the request is refused: targets have crashed each time they ran it")}
+	}
+	ctx, leave := s.enter(v, request.Deadline)
+	defer leave()
+	promptTokens := estimateTokens(generation.Prompt)
+	reservation, err := s.reserve(ctx, v, promptTokens+generation.MaxTokens)
+	if err != nil {
+		return ended(ctx, err)
+	}
+	writer := newAnswerWriter(v, chat, stream, generation.Model)
+	usage, err := s.Dispatcher.Generate(ctx, request, false, func(t exchange.Token) error {
+		if t.Index == 0 {
+			s.Metrics.First.Update(time.Since(v.started))
+		}
+		return writer.token(t)
+	})
+	v.used = usedTokens(writer, usage, promptTokens, err)
+	if reservation != nil {
+		reservation.Settle(float64(v.used))
+	}
+	s.Metrics.Admitted.Inc(int64(v.used))
+	if err != nil {
+		return writer.fail(ended(ctx, err))
+	}
+	return writer.finish(usage)
+}
+
+// usedTokens returns what a request has cost: nothing if it did not run.
+func usedTokens(w *answerWriter, usage exchange.Usage, promptTokens int, err error) int {
+	if err == nil {
+		return usage.PromptTokens + usage.CompletionTokens
+	}
+	if exchange.NotRun(err) {
+		return 0
+	}
+	return promptTokens + w.count
+}
+
+func estimateTokens(text string) int {
+	return len(text)/bytesPerToken + 1
+}
+
+// parse reads and checks the body of a completion request.
+func (s *Server) parse(v *visit, chat bool) (generation exchange.Generation, stream bool, err error) {
+	data, err := s.readBody(v)
+	if err != nil {
+		return generation, false, err
+	}
+	request, err := parseCompletion(data, chat)
+	if err != nil {
+		return generation, false, err
+	}
+	maxTokens := request.MaxTokens
+	if request.MaxCompletionTokens != 0 {
+		maxTokens = request.MaxCompletionTokens
+	}
+	if maxTokens == 0 {
+		maxTokens = min(presetMaxTokens, s.Limits.MaxTokens)
+	}
+	if maxTokens < 0 || maxTokens > s.Limits.MaxTokens {
+		return generation, false, fault.New(fault.Invalid, "max_tokens: %d must be from 1 to %d", maxTokens, s.Limits.MaxTokens)
+	}
+	generation = exchange.Generation{Model: request.Model, Prompt: request.Prompt, MaxTokens: maxTokens}
+	return generation, request.Stream, nil
+}
+
+// parseCompletion checks the JSON of a request. The prompt of a chat is its
+// messages, each behind its role.
+func parseCompletion(data []byte, chat bool) (request completionRequestJSON, err error) {
+	if err := json.Unmarshal(data, &request); err != nil {
+		var wrongType *json.UnmarshalTypeError
+		if errors.As(err, &wrongType) {
+			return request, fault.New(fault.Invalid, "%s: a JSON %s is not allowed; it must be a %s", wrongType.Field, wrongType.Value, wrongType.Type)
+		}
+		return request, fault.New(fault.Invalid, "the body is not valid JSON: %v", err)
+	}
+	if request.Model == "" {
+		return request, fault.New(fault.Invalid, "model: it must be set")
+	}
+	if !chat {
+		if request.Prompt == "" {
+			return request, fault.New(fault.Invalid, "prompt: it must be set")
+		}
+		return request, nil
+	}
+	if len(request.Messages) == 0 {
+		return request, fault.New(fault.Invalid, "messages: at least one message is needed")
+	}
+	var prompt strings.Builder
+	for _, m := range request.Messages {
+		prompt.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	request.Prompt = prompt.String()
+	return request, nil
+}
+
+func (s *Server) readBody(v *visit) (data []byte, err error) {
+	data, err = io.ReadAll(http.MaxBytesReader(v.w, v.r.Body, s.Limits.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.Invalid, "the body is larger than %d bytes", s.Limits.MaxBodyBytes)
+	}
+	if err != nil {
+		return nil, fault.New(fault.Invalid, "the body could not be read: %v", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/io/cli/config/apply/apply.go
@@ -0,0 +1,48 @@
+// Package apply is the command 'kingcuprill config apply'.
+package apply
+
+import (
+	"context"
+
+	"github.com/integrii/flaggy"
+
+	"kingcuprill/io/cli/command"
+	"kingcuprill/io/cli/configfile"
+	"kingcuprill/io/cli/factory"
+	"kingcuprill/rpc/state"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Factory  *factory.Factory
+	Mutation factory.Mutation
+	File     string
+}
+
+// New returns the command. Tests pass a run function of their own.
+func New(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	return &command.Command{
+		Name:    "apply",
+		Short:   "Apply a whole configuration",
+		Long:    `Replaces the organisations, routes and residency rules by those of a file, whole or not at all. Keys and VMs stay as they are.`,
+		Example: `  kingcuprill config apply festival.json`,
+		Flags: func(sub *flaggy.Subcommand) {
+			f.Flags(sub)
+			sub.AddPositionalValue(&o.File, "FILE", 1, true, "Configuration file.")
+			o.Mutation.Flags(sub)
+		},
+		Run: func(ctx context.Context) error { return runF(ctx, o) },
+	}
+}
+
+func run(ctx context.Context, o *Options) error {
+	config, err := configfile.Read(o.File)
+	if err != nil {
+		return err
+	}
+	return o.Factory.Mutate(ctx, o.Mutation, &state.Change{Kind: &state.Change_ApplyConfig{ApplyConfig: config}}, "configuration "+o.File+" is applied")
+}
--- /dev/null
+++ b/io/cli/key/grant/grant.go
@@ -0,0 +1,58 @@
+// Package grant is the command 'kingcuprill key grant'.
+package grant
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+
+	"kingcuprill/io/cli/command"
+	"kingcuprill/io/cli/factory"
+	"kingcuprill/rpc/state"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Factory      *factory.Factory
+	Mutation     factory.Mutation
+	ID           string
+	Organisation string
+}
+
+// New returns the command. Tests pass a run function of their own.
+func New(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	return &command.Command{
+		Name:    "grant",
+		Short:   "Grant a key to an organisation",
+		Long:    `Grants a key. Its secret is printed once, on standard output, and kept nowhere; the system keeps a hash.`,
+		Example: `  kingcuprill key grant puja-lights-web --organisation puja-lights`,
+		Flags: func(sub *flaggy.Subcommand) {
+			f.Flags(sub)
+			sub.AddPositionalValue(&o.ID, "ID", 1, true, "Id of the new key.")
+			sub.String(&o.Organisation, "o", "organisation", "Organisation that the key belongs to.")
+			o.Mutation.Flags(sub)
+		},
+		Run: func(ctx context.Context) error { return runF(ctx, o) },
+	}
+}
+
+func run(ctx context.Context, o *Options) error {
+	secret := "kc_" + rand.Text() + rand.Text()
+	sum := sha256.Sum256([]byte(secret))
+	err := o.Factory.Mutate(ctx, o.Mutation, &state.Change{Kind: &state.Change_GrantKey{GrantKey: &state.Key{
+		Id: o.ID, Organisation: o.Organisation, SecretHash: hex.EncodeToString(sum[:]),
+	}}}, "key "+o.ID+" is granted")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(o.Factory.Streams.Out, secret)
+	return nil
+}
--- /dev/null
+++ b/io/cli/organisation/set/set.go
@@ -0,0 +1,54 @@
+// Package set is the command 'kingcuprill organisation set'.
+package set
+
+import (
+	"context"
+
+	"github.com/integrii/flaggy"
+
+	"kingcuprill/io/cli/command"
+	"kingcuprill/io/cli/factory"
+	"kingcuprill/rpc/state"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Factory  *factory.Factory
+	Mutation factory.Mutation
+	Name     string
+	Rate     float64
+	Burst    float64
+	Weight   float64
+	Home     string
+}
+
+// New returns the command. Tests pass a run function of their own.
+func New(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	return &command.Command{
+		Name:    "set",
+		Short:   "Create or change an organisation",
+		Long:    `Creates an organisation, or replaces its rate, burst, weight and home region.`,
+		Example: `  kingcuprill organisation set puja-lights --rate 2000 --burst 20000`,
+		Flags: func(sub *flaggy.Subcommand) {
+			f.Flags(sub)
+			sub.AddPositionalValue(&o.Name, "NAME", 1, true, "Name of the organisation.")
+			o.Weight = 1
+			sub.Float64(&o.Rate, "r", "rate", "Tokens a second over the whole fleet.")
+			sub.Float64(&o.Burst, "b", "burst", "Tokens that may be used at once.")
+			sub.Float64(&o.Weight, "w", "weight", "Share of a contended queue.")
+			sub.String(&o.Home, "", "home", "Home region.")
+			o.Mutation.Flags(sub)
+		},
+		Run: func(ctx context.Context) error { return runF(ctx, o) },
+	}
+}
+
+func run(ctx context.Context, o *Options) error {
+	return o.Factory.Mutate(ctx, o.Mutation, &state.Change{Kind: &state.Change_PutOrganisation{PutOrganisation: &state.Organisation{
+		Name: o.Name, RatePerSecond: o.Rate, Burst: o.Burst, Weight: o.Weight, HomeRegion: o.Home,
+	}}}, "organisation "+o.Name+" is set")
+}
--- /dev/null
+++ b/io/cli/replica/remove/remove.go
@@ -0,0 +1,52 @@
+// Package remove is the command 'kingcuprill replica remove'.
+package remove
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"kingcuprill/io/cli/command"
+	"kingcuprill/io/cli/factory"
+	"kingcuprill/rpc/operator"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Factory *factory.Factory
+	VM      string
+}
+
+// New returns the command. Tests pass a run function of their own.
+func New(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	return &command.Command{
+		Name:    "remove",
+		Short:   "Remove a replica of the control log",
+		Long:    `Remove a replica of the control log. Remove a lost replica before its replacement is added.`,
+		Example: `  kingcuprill replica remove kolkata-1`,
+		Flags: func(sub *flaggy.Subcommand) {
+			f.Flags(sub)
+			sub.AddPositionalValue(&o.VM, "VM", 1, true, "Id of the VM.")
+		},
+		Run: func(ctx context.Context) error { return runF(ctx, o) },
+	}
+}
+
+func run(ctx context.Context, o *Options) error {
+	var answer *operator.ChangeReplicasResponse
+	err := o.Factory.Call(func(client operator.Operator) (err error) {
+		answer, err = client.ChangeReplicas(ctx, &operator.ChangeReplicasRequest{Action: "remove", Vm: o.VM})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(o.Factory.Streams.Out, "replica %s is removed; voters: %s; learners: %s\n", o.VM, strings.Join(answer.GetVoters(), ","), strings.Join(answer.GetLearners(), ","))
+	return nil
+}
--- /dev/null
+++ b/io/cli/vm/list/list.go
@@ -0,0 +1,53 @@
+// Package list is the command 'kingcuprill vm list'.
+package list
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+
+	"kingcuprill/io/cli/command"
+	"kingcuprill/io/cli/factory"
+	"kingcuprill/rpc/operator"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Factory *factory.Factory
+}
+
+// New returns the command. Tests pass a run function of their own.
+func New(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	return &command.Command{
+		Name:    "list",
+		Short:   "List the VMs",
+		Long:    `Lists the VMs with their state, the revision of the catalogue that each has in force, and their place in the VM set.`,
+		Example: `  kingcuprill vm list --json id,state,revision`,
+		Flags: func(sub *flaggy.Subcommand) {
+			f.Flags(sub)
+			f.JSONFlag(sub)
+		},
+		Run: func(ctx context.Context) error { return runF(ctx, o) },
+	}
+}
+
+func run(ctx context.Context, o *Options) error {
+	var answer *operator.StatusResponse
+	err := o.Factory.Call(func(client operator.Operator) (err error) {
+		answer, err = client.Status(ctx, &operator.StatusRequest{})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	rows := [][]string{}
+	for _, r := range answer.GetVms() {
+		rows = append(rows, []string{r.GetId(), r.GetRegion(), r.GetDataCentre(), r.GetState(), fmt.Sprint(r.GetRevision()), r.GetShareState()})
+	}
+	return o.Factory.Print([]string{"id", "region", "data_centre", "state", "revision", "share_state"}, rows)
+}
--- /dev/null
+++ b/io/codec/control.go
@@ -0,0 +1,154 @@
+package codec
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcuprill/core/booking"
+	"kingcuprill/core/control"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/orders"
+	"kingcuprill/rpc/state"
+)
+
+var deterministic = proto.MarshalOptions{Deterministic: true}
+
+// ChangeDigest identifies the content of a change, so that a resend under the
+// same request id can be told from another change.
+func ChangeDigest(change *state.Change) (digest string, err error) {
+	data, err := deterministic.Marshal(change)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// FromCommand maps a command to its message.
+func FromCommand(c control.Command) *state.Command {
+	m := &state.Command{RequestId: c.RequestID, ExpectedRevision: c.ExpectedRevision, AnyRevision: c.AnyRevision}
+	switch {
+	case c.Change != nil:
+		m.Kind = &state.Command_Change{Change: FromChange(*c.Change)}
+	case c.Claim != nil:
+		m.Kind = &state.Command_Claim{Claim: &state.Claim{
+			Organisation: c.Claim.Organisation, IdempotencyKey: c.Claim.IdempotencyKey, Digest: c.Claim.Digest,
+			Owner: c.Claim.Owner, ClaimId: c.Claim.ClaimID, NowUnixNanoseconds: c.Claim.Now.UnixNano(),
+		}}
+	case c.Finish != nil:
+		m.Kind = &state.Command_Finish{Finish: &state.Finish{
+			Organisation: c.Finish.Organisation, IdempotencyKey: c.Finish.IdempotencyKey, ClaimId: c.Finish.ClaimID,
+			Outcome: string(c.Finish.Outcome), Status: int32(c.Finish.Status), ContentType: c.Finish.ContentType,
+			Body: c.Finish.Body, NowUnixNanoseconds: c.Finish.Now.UnixNano(),
+		}}
+	case c.Orders != nil:
+		m.Kind = &state.Command_Orders{Orders: &state.Orders{
+			Holder: c.Orders.Holder, NowUnixNanoseconds: c.Orders.Now.UnixNano(), DurationNanoseconds: int64(c.Orders.Duration),
+		}}
+	}
+	return m
+}
+
+// ToCommand maps a message to a command.
+func ToCommand(m *state.Command) (c control.Command, err error) {
+	c = control.Command{RequestID: m.GetRequestId(), ExpectedRevision: m.GetExpectedRevision(), AnyRevision: m.GetAnyRevision()}
+	switch kind := m.GetKind().(type) {
+	case *state.Command_Change:
+		c.Change = ptr(ToChange(kind.Change))
+		c.Digest, err = ChangeDigest(kind.Change)
+	case *state.Command_Claim:
+		c.Claim = &booking.Claim{
+			Organisation: kind.Claim.GetOrganisation(), IdempotencyKey: kind.Claim.GetIdempotencyKey(), Digest: kind.Claim.GetDigest(),
+			Owner: kind.Claim.GetOwner(), ClaimID: kind.Claim.GetClaimId(), Now: time.Unix(0, kind.Claim.GetNowUnixNanoseconds()),
+		}
+	case *state.Command_Finish:
+		c.Finish = &booking.Finish{
+			Organisation: kind.Finish.GetOrganisation(), IdempotencyKey: kind.Finish.GetIdempotencyKey(), ClaimID: kind.Finish.GetClaimId(),
+			Outcome: booking.Outcome(kind.Finish.GetOutcome()), Status: int(kind.Finish.GetStatus()),
+			ContentType: kind.Finish.GetContentType(), Body: kind.Finish.GetBody(), Now: time.Unix(0, kind.Finish.GetNowUnixNanoseconds()),
+		}
+	case *state.Command_Orders:
+		c.Orders = &orders.Request{
+			Holder: kind.Orders.GetHolder(), Now: time.Unix(0, kind.Orders.GetNowUnixNanoseconds()),
+			Duration: time.Duration(kind.Orders.GetDurationNanoseconds()),
+		}
+	}
+	return c, err
+}
+
+// FromBooking maps a booking to its message.
+func FromBooking(b booking.Booking) *state.Booking {
+	return &state.Booking{
+		Organisation: b.Organisation, IdempotencyKey: b.IdempotencyKey, Digest: b.Digest, Owner: b.Owner, ClaimId: b.ClaimID,
+		Outcome: string(b.Outcome), Status: int32(b.Status), ContentType: b.ContentType, Body: b.Body,
+		ChangedUnixNanoseconds: b.Changed.UnixNano(),
+	}
+}
+
+// ToBooking maps a message to a booking.
+func ToBooking(m *state.Booking) booking.Booking {
+	return booking.Booking{
+		Organisation: m.GetOrganisation(), IdempotencyKey: m.GetIdempotencyKey(), Digest: m.GetDigest(), Owner: m.GetOwner(),
+		ClaimID: m.GetClaimId(), Outcome: booking.Outcome(m.GetOutcome()), Status: int(m.GetStatus()),
+		ContentType: m.GetContentType(), Body: m.GetBody(), Changed: time.Unix(0, m.GetChangedUnixNanoseconds()),
+	}
+}
+
+// FromLease maps the right to give orders to its message.
+func FromLease(l orders.Lease) *state.OrdersLease {
+	return &state.OrdersLease{Holder: l.Holder, Fencing: l.Fencing, ExpiresUnixNanoseconds: l.Expires.UnixNano()}
+}
+
+// ToLease maps a message to the right to give orders.
+func ToLease(m *state.OrdersLease) orders.Lease {
+	if m == nil {
+		return orders.Lease{}
+	}
+	return orders.Lease{Holder: m.GetHolder(), Fencing: m.GetFencing(), Expires: time.Unix(0, m.GetExpiresUnixNanoseconds())}
+}
+
+// EncodeState writes the replicated state as a snapshot.
+func EncodeState(s *control.State) (data []byte, err error) {
+	m := &state.Snapshot{Catalogue: FromCatalogue(s.Catalogue), Orders: FromLease(s.Orders)}
+	for _, row := range s.Ledger.Rows() {
+		m.Bookings = append(m.Bookings, FromBooking(row))
+	}
+	for _, row := range s.RememberedAnswers() {
+		answer := &state.Answered{RequestId: row.RequestID, Digest: row.Digest, Revision: row.Revision}
+		if row.Err != nil {
+			answer.ErrorCode, answer.ErrorText = string(row.Err.Code), row.Err.Text
+		}
+		m.Answered = append(m.Answered, answer)
+	}
+	return deterministic.Marshal(m)
+}
+
+// DecodeState reads the replicated state from a snapshot. No data is the empty
+// state.
+func DecodeState(data []byte) (s *control.State, err error) {
+	defer fault.Annotate(&err, "decode the snapshot of the state")
+	s = control.New()
+	if len(data) == 0 {
+		return s, nil
+	}
+	m := &state.Snapshot{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return nil, err
+	}
+	s.Catalogue = ToCatalogue(m.GetCatalogue())
+	s.Orders = ToLease(m.GetOrders())
+	for _, row := range m.GetBookings() {
+		s.Ledger.Restore(ToBooking(row))
+	}
+	for _, row := range m.GetAnswered() {
+		answer := control.Answered{RequestID: row.GetRequestId(), Digest: row.GetDigest(), Revision: row.GetRevision()}
+		if row.GetErrorCode() != "" {
+			answer.Err = &fault.Error{Code: fault.Code(row.GetErrorCode()), Text: row.GetErrorText()}
+		}
+		s.Remember(answer)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,265 @@
+// Package daemon puts the parts of kingcuprilld together and runs them as one
+// group that stops together.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+	"gopkg.in/tomb.v2"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/catalogue"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/inflight"
+	"kingcuprill/core/membership"
+	"kingcuprill/core/withdrawal"
+	"kingcuprill/io/announce"
+	"kingcuprill/io/book"
+	"kingcuprill/io/borrow"
+	"kingcuprill/io/caller"
+	"kingcuprill/io/disk"
+	"kingcuprill/io/dispatch"
+	"kingcuprill/io/engine"
+	"kingcuprill/io/forward"
+	"kingcuprill/io/gossip"
+	"kingcuprill/io/metrics"
+	"kingcuprill/io/operator"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/propose"
+	"kingcuprill/io/replica"
+	"kingcuprill/io/report"
+	"kingcuprill/io/reserve"
+	"kingcuprill/io/service"
+	"kingcuprill/io/settings"
+	"kingcuprill/io/spread"
+	"kingcuprill/io/vm"
+	"kingcuprill/io/withdraw"
+)
+
+// Daemon is one VM of the system.
+type Daemon struct {
+	settings settings.Settings
+	log      *slog.Logger
+	tomb     tomb.Tomb
+	board    *board.Board
+	peers    *peer.Peers
+	store    *disk.Store
+	replica  *replica.Replica
+	metrics  *metrics.Metrics
+	register inflight.Register
+	started  time.Time
+
+	proposer   *propose.Proposer
+	follower   *spread.Follower
+	withdrawer *withdraw.Withdrawer
+	gossiper   *gossip.Gossip
+	borrower   *borrow.Borrower
+	reporter   *report.Reporter
+	dispatcher *dispatch.Dispatcher
+
+	callers *http.Server
+	servers []*http.Server
+}
+
+// New builds a daemon from checked settings. It opens the data folder, if
+// there is one.
+func New(s settings.Settings, log *slog.Logger) (d *Daemon, err error) {
+	defer fault.Annotate(&err, "vm %s", s.VM.ID)
+	d = &Daemon{settings: s, log: log, metrics: metrics.New(), started: time.Now()}
+	d.board = board.New(membership.Member{
+		ID: s.VM.ID, Region: s.VM.Region, DataCentre: s.VM.DataCentre, PeerAddress: s.VM.PeerAddress,
+		CallerAddress: s.VM.CallerAddress, Incarnation: uint64(time.Now().UnixNano()), Control: s.Control.DataDir != "",
+	}, s.Targets.Lease)
+	d.peers = peer.NewPeers(s)
+	d.proposer = &propose.Proposer{Board: d.board, Peers: d.peers}
+	d.follower = &spread.Follower{Board: d.board, Peers: d.peers, Log: log, Newer: d.newCatalogue}
+	d.withdrawer = &withdraw.Withdrawer{Board: d.board, Peers: d.peers, Proposer: d.proposer, Log: log}
+	d.gossiper = &gossip.Gossip{Board: d.board, Peers: d.peers, Seeds: s.Seeds, Log: log, Withdrawn: func(keys []string) { d.withdrawer.Take(keys) }}
+	d.borrower = borrow.NewBorrower(d.board, d.peers, log)
+	d.reporter = &report.Reporter{Board: d.board, Peers: d.peers}
+	d.dispatcher = &dispatch.Dispatcher{
+		Board: d.board, Engine: engine.NewClient(s.Timeouts), Service: service.NewClient(s.Timeouts, s.Limits),
+		Forward: &forward.Client{Board: d.board, Peers: d.peers}, Policy: s.Policy, Metrics: d.metrics, Log: log, Struck: d.spreadStrike,
+	}
+	if s.Control.DataDir != "" {
+		err = d.openReplica()
+	}
+	return d, err
+}
+
+func (d *Daemon) openReplica() error {
+	identity := disk.Identity{ClusterID: d.settings.Cluster.ID, VM: d.settings.VM.ID}
+	store, saved, err := disk.Open(d.settings.Control.DataDir, identity)
+	if err != nil {
+		return err
+	}
+	if saved.TornBytes > 0 {
+		d.log.Warn("a torn write was cut from the end of the control log", "bytes", saved.TornBytes)
+	}
+	d.store = store
+	d.withdrawer.Store = store
+	d.board.Withdrawn.Update(func(*withdrawal.Set) *withdrawal.Set { return withdrawal.New(saved.Withdrawn...) })
+	d.replica, err = replica.New(replica.Options{
+		ID: d.settings.VM.ID, Store: store, Saved: saved, Log: d.log, TickEvery: d.settings.Control.Tick,
+		Transport: &replica.Sender{Members: d.board.Members, Peers: d.peers, Log: d.log, Tomb: &d.tomb},
+		Published: func(c *catalogue.Catalogue, change *catalogue.Change) { d.follower.Take(c, change) },
+	})
+	if err != nil {
+		store.Close()
+		return err
+	}
+	d.proposer.Replica = d.replica
+	return nil
+}
+
+// Run serves until the context ends, then stops as planned: it is offered to
+// nobody, goes on for the drain time, and ends when its last request has.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer fault.Annotate(&err, "vm %s", d.settings.VM.ID)
+	d.tomb.Go(func() error {
+		<-d.tomb.Dying()
+		return nil
+	})
+	if err := d.listen(); err != nil {
+		d.tomb.Kill(err)
+		d.closeAll()
+		return err
+	}
+	d.runControllers()
+	d.log.Info("the VM serves", "vm", d.settings.VM.ID, "region", d.settings.VM.Region, "data_centre", d.settings.VM.DataCentre, "callers", d.settings.VM.CallerAddress)
+	select {
+	case <-ctx.Done():
+		d.drain()
+		d.tomb.Kill(nil)
+	case <-d.tomb.Dying():
+	}
+	d.closeAll()
+	return d.tomb.Wait()
+}
+
+func (d *Daemon) runControllers() {
+	d.tomb.Go(func() error { return d.gossiper.Run(&d.tomb) })
+	d.tomb.Go(func() error { return d.follower.Run(&d.tomb) })
+	d.tomb.Go(func() error { return d.withdrawer.Run(&d.tomb) })
+	d.tomb.Go(func() error { return d.borrower.Run(&d.tomb) })
+	d.tomb.Go(d.endWithdrawn)
+	d.tomb.Go(d.expire)
+	d.tomb.Go(d.registerVM)
+	if d.replica != nil {
+		d.tomb.Go(func() error { return d.replica.Run(&d.tomb) })
+		d.tomb.Go(d.settleVMs)
+	}
+}
+
+// listen opens all listeners before anything is served.
+func (d *Daemon) listen() error {
+	s := d.settings
+	forwarder := &forward.Server{Board: d.board, Runner: d.dispatcher, Enter: d.register.Enter}
+	peerServer := &vm.Server{
+		Board: d.board, Replica: d.replica, Proposer: d.proposer, Follower: d.follower, Gossiper: d.gossiper,
+		Withdrawer: d.withdrawer, Borrower: d.borrower, Reporter: d.reporter, Forwarder: forwarder,
+	}
+	operatorServer := &operator.Server{
+		Board: d.board, Proposer: d.proposer, Withdrawer: d.withdrawer, Reporter: d.reporter,
+		Token: s.Cluster.OperatorToken, Commit: s.Timeouts.Commit, Log: d.log,
+	}
+	announceServer := &announce.Server{
+		Board: d.board, Networks: s.Targets.PermittedNetworks, Log: d.log,
+		Forbidden: []string{s.VM.PeerAddress, s.VM.CallerAddress, s.VM.TargetAddress, s.VM.OperatorAddress},
+	}
+	if err := d.serve(s.VM.PeerAddress, peerServer.Handler(d.peers.Credentials)); err != nil {
+		return err
+	}
+	if err := d.serve(s.VM.OperatorAddress, operatorServer.Handler(d.metrics)); err != nil {
+		return err
+	}
+	if err := d.serve(s.VM.TargetAddress, announceServer.Handler()); err != nil {
+		return err
+	}
+	if err := d.serve(s.VM.CallerAddress, d.callerServer().Handler()); err != nil {
+		return err
+	}
+	d.callers = d.servers[len(d.servers)-1]
+	return nil
+}
+
+func (d *Daemon) callerServer() *caller.Server {
+	s := d.settings
+	reserver := &reserve.Reserver{Limiter: d.board.Limiter, Wait: s.Limits.QueueWait}
+	if s.Limits.Loans {
+		reserver.Short = d.borrower.Short
+	}
+	return &caller.Server{
+		Board: d.board, Dispatcher: d.dispatcher, Reserver: reserver, Register: &d.register, Limits: s.Limits,
+		Metrics: d.metrics, Log: d.log, Ready: d.ready,
+		Booker: &book.Booker{
+			Board: d.board, Proposer: d.proposer, Caller: d.dispatcher, Commit: s.Timeouts.Commit, Log: d.log, Background: d.background,
+		},
+	}
+}
+
+func (d *Daemon) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: d.settings.Timeouts.ReadHeader,
+		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
+		IdleTimeout:       2 * time.Minute,
+		ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
+	}
+	d.servers = append(d.servers, server)
+	limited := netutil.LimitListener(listener, d.settings.Limits.MaxConnections)
+	d.tomb.Go(func() error {
+		if err := server.Serve(limited); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// background runs work that outlives its request; a planned stop waits for it.
+func (d *Daemon) background(work func(ctx context.Context)) {
+	ctx, leave := d.register.Enter(d.tomb.Context(context.Background()), "")
+	d.tomb.Go(func() error {
+		defer leave()
+		work(ctx)
+		return nil
+	})
+}
+
+// ready tells whether this VM may be given requests.
+func (d *Daemon) ready() error {
+	switch {
+	case d.board.Draining.Load():
+		return fault.New(fault.Overloaded, "VM %s stops", d.board.Self)
+	case !d.gossiper.Joined() && time.Since(d.started) < joinTime:
+		return fault.New(fault.Overloaded, "VM %s has reached no other VM yet", d.board.Self)
+	case d.board.Catalogue.Read().Revision == 0:
+		return fault.New(fault.Overloaded, "VM %s has no catalogue yet", d.board.Self)
+	case d.board.Catalogue.Read().Revision < d.neighboursRevision() && time.Since(d.started) < joinTime:
+		return fault.New(fault.Overloaded, "VM %s has an older catalogue than its neighbours", d.board.Self)
+	}
+	return nil
+}
+
+// joinTime is how long a VM that has started waits for others before it serves
+// alone.
+const joinTime = 10 * time.Second
+
+func (d *Daemon) neighboursRevision() (revision uint64) {
+	for _, m := range d.board.Members.View.Read().Usable() {
+		if m.DataCentre == d.board.DataCentre {
+			revision = max(revision, m.Revision)
+		}
+	}
+	return revision
+}
--- /dev/null
+++ b/io/disk/record.go
@@ -0,0 +1,87 @@
+package disk
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// A record is a header of 12 bytes and a payload. The header holds the length
+// of the payload with the kind in its top byte, a checksum of these four bytes
+// and a checksum of the payload, all little-endian.
+const (
+	headerSize    = 12      // bytes
+	maxRecordSize = 1 << 24 // bytes
+)
+
+type recordKind uint8
+
+const (
+	entryRecord recordKind = iota + 1
+	hardStateRecord
+	snapshotRecord
+	withdrawalRecord
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendRecord adds a record to a buffer.
+func appendRecord(buffer []byte, kind recordKind, message proto.Message) (extended []byte, err error) {
+	payload, err := proto.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	var header [headerSize]byte
+	binary.LittleEndian.PutUint32(header[0:], uint32(len(payload))|uint32(kind)<<24)
+	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(header[:4], castagnoli))
+	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(payload, castagnoli))
+	buffer = append(buffer, header[:]...)
+	return append(buffer, payload...), nil
+}
+
+type parsed struct {
+	kind    recordKind
+	payload []byte
+	size    int // header and payload, bytes
+}
+
+type parseResult uint8
+
+const (
+	parsedWhole parseResult = iota
+	parsedShort             // the data ends before the record does
+	parsedBad               // a checksum doesn't match
+)
+
+// parseRecord reads the record at the start of data.
+func parseRecord(data []byte) (record parsed, result parseResult) {
+	if len(data) < headerSize {
+		return parsed{}, parsedShort
+	}
+	if crc32.Checksum(data[:4], castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
+		return parsed{}, parsedBad
+	}
+	word := binary.LittleEndian.Uint32(data)
+	record.kind = recordKind(word >> 24)
+	record.size = headerSize + int(word&(maxRecordSize-1))
+	if len(data) < record.size {
+		return parsed{}, parsedShort
+	}
+	record.payload = data[headerSize:record.size]
+	if crc32.Checksum(record.payload, castagnoli) != binary.LittleEndian.Uint32(data[8:]) {
+		return parsed{}, parsedBad
+	}
+	return record, parsedWhole
+}
+
+// holdsRecord tells whether a whole record starts anywhere in data. It tells a
+// torn tail, behind which nothing was written, from damage in the middle.
+func holdsRecord(data []byte) bool {
+	for offset := range data {
+		if _, result := parseRecord(data[offset:]); result == parsedWhole {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/dispatch/place.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"kingcuprill/core/fault"
+	"kingcuprill/core/membership"
+	"kingcuprill/core/route"
+	"kingcuprill/core/summary"
+	"kingcuprill/core/target"
+)
+
+// place is where a request runs: a target of this data centre, or another VM.
+type place struct {
+	row *target.Target
+	vm  membership.Member
+}
+
+func (p place) id() string {
+	if p.row != nil {
+		return p.row.ID
+	}
+	return p.vm.ID
+}
+
+// choose compares the best target here with the best data centre elsewhere.
+func (r *run) choose(now time.Time) (p place, found bool, err error) {
+	row, here, hasLocal := r.chooseLocal(now)
+	remote, there, hasRemote := r.chooseRemote(now)
+	if hasRemote && (!hasLocal || r.preferRemote(here, there)) {
+		if vm, found := r.vmOf(remote.DataCentre); found {
+			return place{vm: vm}, true, r.shed(there)
+		}
+	}
+	if hasLocal {
+		r.d.turns.Chosen(row)
+		row.Live.Circuit.Allow() // where the circuit is open, this request is the probe
+		return place{row: row}, true, r.shed(here)
+	}
+	return place{}, false, nil
+}
+
+// shed refuses a request that would wait beyond its deadline anyway.
+func (r *run) shed(cost time.Duration) error {
+	if r.attempt == 0 && cost > time.Until(r.request.Deadline) {
+		return fault.New(fault.Overloaded, "the targets of route %q are busy for about %v, beyond the deadline", r.request.Route.Name, cost.Round(time.Millisecond))
+	}
+	return nil
+}
+
+func (r *run) preferRemote(here, there time.Duration) bool {
+	switch r.d.Policy.Name {
+	case "always_local":
+		return false
+	case "round_robin":
+		return rand.IntN(2) == 0
+	}
+	return there < here
+}
+
+func (r *run) chooseLocal(now time.Time) (row *target.Target, cost time.Duration, found bool) {
+	if !r.wanted.Permitted.Allows(r.d.Board.Region) {
+		return nil, 0, false
+	}
+	wanted := r.wanted
+	wanted.Suspect = r.suspect
+	rows := route.Eligible(r.d.Board.Targets.View.Read(), wanted, now)
+	switch r.d.Policy.Name {
+	case "round_robin":
+		return route.Choose(&r.d.turns, wanted, rows, now)
+	case "least_loaded":
+		row, _, found = route.Choose(route.LeastLoaded{}, wanted, rows, now)
+		if !found {
+			return nil, 0, false
+		}
+		load := row.Live.InFlight.Load() + row.Live.OthersAtReport.Load()
+		return row, time.Duration(load * int64(time.Second) / int64(max(1, row.Capacity))), true
+	}
+	return route.Choose(route.Predicted{Weights: r.d.Policy.Weights}, wanted, rows, now)
+}
+
+const summaryFresh = 5 * time.Second
+
+func (r *run) chooseRemote(now time.Time) (remote route.Remote, cost time.Duration, found bool) {
+	if !r.request.Path.MayCross() {
+		return remote, 0, false
+	}
+	remotes := r.remotes(now)
+	if r.d.Policy.Name == "least_loaded" || r.d.Policy.Name == "round_robin" {
+		weights := route.Weights{ServiceTime: time.Second}
+		return route.Choose(route.Away{Weights: weights}, r.wanted, remotes, now)
+	}
+	return route.Choose(route.Away{Weights: r.d.Policy.Weights}, r.wanted, remotes, now)
+}
+
+// remotes lists the other data centres that serve the request and are
+// permitted.
+func (r *run) remotes(now time.Time) (remotes []route.Remote) {
+	for name, s := range r.d.Board.Summaries.Read().ByDataCentre {
+		if name == r.d.Board.DataCentre || !r.wanted.Permitted.Allows(s.Region) || now.Sub(s.Received) > summaryFresh {
+			continue
+		}
+		if load, serves := r.serves(s); serves {
+			remotes = append(remotes, route.Remote{
+				DataCentre: name, Region: s.Region, Capacity: load.Capacity, InFlight: load.InFlight,
+				SameRegion: s.Region == r.d.Board.Region, Reported: s.Received,
+			})
+		}
+	}
+	return remotes
+}
+
+func (r *run) serves(s summary.Summary) (load summary.Service, found bool) {
+	for _, load := range s.Services {
+		if load.Name != r.wanted.Service {
+			continue
+		}
+		if r.wanted.Model == "" || slices.Contains(load.Models, r.wanted.Model) {
+			return load, true
+		}
+	}
+	return load, false
+}
+
+// vmOf chooses a VM of a data centre that has not failed this request.
+func (r *run) vmOf(dataCentre string) (m membership.Member, found bool) {
+	candidates := []membership.Member{}
+	for _, m := range r.d.Board.Members.View.Read().Usable() {
+		if m.DataCentre == dataCentre && !slices.Contains(r.wanted.Avoid, m.ID) {
+			candidates = append(candidates, m)
+		}
+	}
+	if len(candidates) == 0 {
+		return m, false
+	}
+	return candidates[rand.IntN(len(candidates))], true
+}
--- /dev/null
+++ b/io/forward/server.go
@@ -0,0 +1,186 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"kingcuprill/core/access"
+	"kingcuprill/core/board"
+	"kingcuprill/core/exchange"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/hops"
+	"kingcuprill/core/residency"
+	"kingcuprill/rpc/vm"
+)
+
+// Runner runs requests at this VM's targets.
+type Runner interface {
+	Generate(ctx context.Context, request exchange.Request, suspect bool, sink func(exchange.Token) error) (exchange.Usage, error)
+	Call(ctx context.Context, request exchange.Request) (exchange.Answer, error)
+}
+
+// Server takes requests of other VMs.
+type Server struct {
+	Board  *board.Board
+	Runner Runner
+	// Enter registers a running request under its key, so that a withdrawal
+	// ends it, and returns its context and the function that ends it.
+	Enter func(ctx context.Context, keyID string) (context.Context, func())
+}
+
+// ServeGenerate handles POST /forward/generate.
+func (s *Server) ServeGenerate(w http.ResponseWriter, r *http.Request) {
+	request, message, err := s.admit(r)
+	writer := newFrameWriter(w, message.GetRequestId())
+	if err != nil {
+		writer.fail(err)
+		return
+	}
+	ctx, leave := s.Enter(r.Context(), request.KeyID)
+	defer leave()
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	stop := writer.keepAlive()
+	usage, err := s.Runner.Generate(ctx, request, message.GetSuspect(), func(t exchange.Token) error {
+		return writer.write(&vm.ForwardFrame{Index: int32(t.Index), Text: t.Text})
+	})
+	stop()
+	if err != nil {
+		writer.fail(err)
+		return
+	}
+	_ = writer.write(&vm.ForwardFrame{Done: true, PromptTokens: int32(usage.PromptTokens), CompletionTokens: int32(usage.CompletionTokens)})
+}
+
+// ServeCall handles POST /forward/call.
+func (s *Server) ServeCall(w http.ResponseWriter, r *http.Request) {
+	request, message, err := s.admit(r)
+	writer := newFrameWriter(w, message.GetRequestId())
+	if err != nil {
+		writer.fail(err)
+		return
+	}
+	ctx, leave := s.Enter(r.Context(), request.KeyID)
+	defer leave()
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	answer, err := s.Runner.Call(ctx, request)
+	if err != nil {
+		writer.fail(err)
+		return
+	}
+	_ = writer.write(&vm.ForwardFrame{Status: int32(answer.Status), Headers: fromHeaders(answer.Headers), Body: answer.Body})
+}
+
+// admit checks here again what the entry VM has checked: the path, the route,
+// the key and the residency.
+func (s *Server) admit(r *http.Request) (request exchange.Request, message *vm.ForwardRequest, err error) {
+	message = &vm.ForwardRequest{}
+	defer func() {
+		if err != nil {
+			err = &exchange.Failure{NotRun: true, Err: err}
+		}
+	}()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return request, message, err
+	}
+	if err := proto.Unmarshal(body, message); err != nil {
+		return request, message, fault.New(fault.Invalid, "the forwarded request is not valid: %v", err)
+	}
+	request = toRequest(message)
+	if request.Path, err = hops.ParsePath(message.GetPath()).Arrive(s.Board.Self); err != nil {
+		return request, message, err
+	}
+	c := s.Board.Catalogue.Read()
+	route, found := c.Routes[message.GetRoute()]
+	if !found {
+		return request, message, fault.New(fault.NotFound, "route %q is not known at VM %s", message.GetRoute(), s.Board.Self)
+	}
+	request.Route = route
+	if err := access.CheckForwarded(s.Board, route, request.Organisation, request.KeyID); err != nil {
+		return request, message, err
+	}
+	if !residency.Of(c, request.Organisation, route.Name).Allows(s.Board.Region) {
+		return request, message, fault.New(fault.Residency, "the request may not be served in region %q", s.Board.Region)
+	}
+	return request, message, nil
+}
+
+func toRequest(m *vm.ForwardRequest) exchange.Request {
+	r := exchange.Request{
+		ID: m.GetRequestId(), Organisation: m.GetOrganisation(), KeyID: m.GetKeyId(),
+		Deadline: time.Now().Add(time.Duration(m.GetTimeLeftNanoseconds())),
+	}
+	if m.GetModel() != "" {
+		r.Generation = &exchange.Generation{
+			Model: m.GetModel(), Prompt: m.GetPrompt(), MaxTokens: int(m.GetMaxTokens()),
+			ResumeFrom: int(m.GetResumeFrom()), ResumeText: m.GetResumeText(),
+		}
+		return r
+	}
+	r.Call = &exchange.Call{Method: m.GetMethod(), URL: m.GetUrl(), Headers: toHeaders(m.GetHeaders()), Body: m.GetBody()}
+	return r
+}
+
+// frameWriter writes frames; its methods may be called by two goroutines.
+type frameWriter struct {
+	mu        sync.Mutex
+	w         http.ResponseWriter
+	control   *http.ResponseController
+	requestID string
+	last      time.Time
+}
+
+func newFrameWriter(w http.ResponseWriter, requestID string) *frameWriter {
+	w.Header().Set("Content-Type", "application/octet-stream")
+	return &frameWriter{w: w, control: http.NewResponseController(w), requestID: requestID}
+}
+
+func (f *frameWriter) write(frame *vm.ForwardFrame) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.last = time.Now()
+	frame.RequestId = f.requestID
+	if _, err := protodelim.MarshalTo(f.w, frame); err != nil {
+		return err
+	}
+	return f.control.Flush()
+}
+
+func (f *frameWriter) fail(err error) {
+	_ = f.write(&vm.ForwardFrame{ErrorCode: string(fault.CodeOf(err)), ErrorText: err.Error(), NotRun: exchange.NotRun(err)})
+}
+
+// keepAlive writes an empty frame whenever nothing else is written for long.
+func (f *frameWriter) keepAlive() (stop func()) {
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		ticker := time.NewTicker(keepAlive)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				if f.quiet() {
+					_ = f.write(&vm.ForwardFrame{Status: keepAliveStatus})
+				}
+			}
+		}
+	})
+	return func() { close(done); group.Wait() }
+}
+
+func (f *frameWriter) quiet() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.last) >= keepAlive
+}
--- /dev/null
+++ b/io/metrics/metrics.go
@@ -0,0 +1,47 @@
+// Package metrics counts what a daemon does, with rcrowley/go-metrics.
+package metrics
+
+import (
+	"net/http"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// Metrics are the counters and timers of one daemon.
+type Metrics struct {
+	Registry gometrics.Registry
+	Requests gometrics.Counter
+	Refused  gometrics.Counter
+	Limited  gometrics.Counter // refused for the organisation's rate
+	Failed   gometrics.Counter
+	Retries  gometrics.Counter
+	Away     gometrics.Counter // sent to another region
+	Admitted gometrics.Counter // tokens, net of refunds
+	Loans    gometrics.Counter
+	Answer   gometrics.Timer
+	First    gometrics.Timer // to the first token
+}
+
+// New returns metrics in a registry of their own.
+func New() *Metrics {
+	registry := gometrics.NewRegistry()
+	return &Metrics{
+		Registry: registry,
+		Requests: gometrics.NewRegisteredCounter("requests", registry),
+		Refused:  gometrics.NewRegisteredCounter("refused", registry),
+		Limited:  gometrics.NewRegisteredCounter("limited", registry),
+		Failed:   gometrics.NewRegisteredCounter("failed", registry),
+		Retries:  gometrics.NewRegisteredCounter("retries", registry),
+		Away:     gometrics.NewRegisteredCounter("away", registry),
+		Admitted: gometrics.NewRegisteredCounter("admitted_tokens", registry),
+		Loans:    gometrics.NewRegisteredCounter("loans", registry),
+		Answer:   gometrics.NewRegisteredTimer("answer", registry),
+		First:    gometrics.NewRegisteredTimer("first_token", registry),
+	}
+}
+
+// ServeHTTP writes all metrics as JSON.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	gometrics.WriteJSONOnce(m.Registry, w)
+}
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,209 @@
+// Package operator is the server side of the operators' schema.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/membership"
+	"kingcuprill/core/target"
+	"kingcuprill/io/codec"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/propose"
+	"kingcuprill/io/report"
+	"kingcuprill/io/withdraw"
+	"kingcuprill/rpc/operator"
+	"kingcuprill/rpc/state"
+)
+
+// Server answers operators.
+type Server struct {
+	Board      *board.Board
+	Proposer   *propose.Proposer
+	Withdrawer *withdraw.Withdrawer
+	Reporter   *report.Reporter
+	Token      string
+	Commit     time.Duration // bound for one change
+	Log        *slog.Logger
+}
+
+const maxBody = 64 << 20 // bytes
+
+// Handler returns the routes of the operators' listener. Every call needs the
+// operator token.
+func (s *Server) Handler(metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(operator.OperatorPathPrefix, operator.NewOperatorServer(s))
+	mux.Handle("GET /metrics", metrics)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), []byte(s.Token)) != 1 {
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusUnauthorized)
+			_, _ = w.Write([]byte(`{"code":"unauthenticated","msg":"the operator token is missing or wrong"}`))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, s.Commit)
+}
+
+// Mutate commits one change.
+func (s *Server) Mutate(ctx context.Context, request *operator.MutateRequest) (answer *operator.MutateResponse, err error) {
+	defer func() { err = peer.ToTwirp(err) }()
+	if request.GetRequestId() == "" {
+		return nil, fault.New(fault.Invalid, "request_id: it must be set, and be the same when a request is sent again")
+	}
+	change := codec.ToChange(request.GetChange())
+	if err := change.Validate(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+	result, err := s.Proposer.Propose(ctx, &state.Command{
+		RequestId: request.GetRequestId(), ExpectedRevision: request.GetExpectedRevision(), AnyRevision: request.GetAnyRevision(),
+		Kind: &state.Command_Change{Change: request.GetChange()},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if result.Err != nil {
+		return nil, result.Err
+	}
+	s.Log.Info("a change is committed", "request_id", request.GetRequestId(), "revision", result.Revision)
+	return &operator.MutateResponse{Revision: result.Revision}, nil
+}
+
+// GetCatalogue reads the catalogue.
+func (s *Server) GetCatalogue(ctx context.Context, request *operator.GetCatalogueRequest) (answer *operator.GetCatalogueResponse, err error) {
+	defer func() { err = peer.ToTwirp(err) }()
+	if request.GetLocal() {
+		return &operator.GetCatalogueResponse{Catalogue: codec.FromCatalogue(s.Board.Catalogue.Read())}, nil
+	}
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+	read, err := s.Proposer.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &operator.GetCatalogueResponse{Catalogue: read.GetCatalogue()}, nil
+}
+
+// WithdrawKey ends a key on every VM that can be reached, then commits it.
+func (s *Server) WithdrawKey(ctx context.Context, request *operator.WithdrawKeyRequest) (answer *operator.WithdrawKeyResponse, err error) {
+	defer func() { err = peer.ToTwirp(err) }()
+	id := request.GetKeyId()
+	if _, found := s.Board.Catalogue.Read().Keys[id]; !found {
+		if err := s.mustExist(ctx, id); err != nil {
+			return nil, err
+		}
+	}
+	reached := s.Withdrawer.Send(ctx, []string{id})
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+	committed := s.Withdrawer.Commit(ctx, id)
+	s.Log.Info("a key is withdrawn", "key_id", id, "committed", committed == nil, "unreached", len(reached.Unreached))
+	return &operator.WithdrawKeyResponse{Committed: committed == nil, ReachedVms: reached.Reached, UnreachedVms: reached.Unreached}, nil
+}
+
+// mustExist asks the leader for a key that this VM doesn't know. Without a
+// leader the withdrawal is taken at its word: it can only end a key.
+func (s *Server) mustExist(ctx context.Context, id string) error {
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+	read, err := s.Proposer.Read(ctx)
+	if err != nil {
+		return nil
+	}
+	for _, key := range read.GetCatalogue().GetKeys() {
+		if key.GetId() == id {
+			return nil
+		}
+	}
+	return fault.New(fault.NotFound, "key %q does not exist", id)
+}
+
+// Status tells how the system stands, as seen from this VM and the leader.
+func (s *Server) Status(ctx context.Context, _ *operator.StatusRequest) (answer *operator.StatusResponse, err error) {
+	answer = &operator.StatusResponse{AnsweredBy: s.Board.Self, Revision: s.Board.Catalogue.Read().Revision}
+	bounded, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if read, err := s.Proposer.Read(bounded); err == nil {
+		answer.Leader, answer.Term, answer.Commit, answer.Applied = read.GetLeader(), read.GetTerm(), read.GetCommit(), read.GetApplied()
+		answer.Replicas = read.GetReplicas()
+	}
+	answer.Vms = s.vmRows()
+	answer.Targets = s.targetRows()
+	return answer, nil
+}
+
+func (s *Server) vmRows() (rows []*operator.VMStatus) {
+	c := s.Board.Catalogue.Read()
+	members := s.Board.Members.View.Read().Members
+	for _, m := range s.Board.Members.All() {
+		share := "not in the set"
+		if row, found := c.VMs[m.ID]; found {
+			share = string(row.State)
+		}
+		rows = append(rows, &operator.VMStatus{
+			Id: m.ID, Region: m.Region, DataCentre: m.DataCentre, State: m.State.String(), Revision: m.Revision,
+			Incarnation: m.Incarnation, ShareState: share,
+		})
+	}
+	for id, row := range c.VMs {
+		if _, known := members[id]; !known {
+			rows = append(rows, &operator.VMStatus{
+				Id: id, Region: row.Region, DataCentre: row.DataCentre, State: membership.Dead.String(), ShareState: string(row.State),
+			})
+		}
+	}
+	return rows
+}
+
+func (s *Server) targetRows() (rows []*operator.TargetStatus) {
+	now := time.Now()
+	for _, row := range s.Board.Targets.View.Read().ByID {
+		rows = append(rows, targetRow(row, now))
+	}
+	return rows
+}
+
+func targetRow(row *target.Target, now time.Time) *operator.TargetStatus {
+	circuit := "closed"
+	if !row.Live.Circuit.Closed() {
+		circuit = "open"
+	}
+	if !now.Before(row.LeaseUntil) {
+		circuit = "lease ended"
+	}
+	return &operator.TargetStatus{
+		Id: row.ID, Service: row.Service, Region: row.Region, DataCentre: row.DataCentre, Address: row.Address, Models: row.Models,
+		Capacity: int32(row.Capacity), InFlight: int32(row.Live.InFlight.Load()), Leaving: row.Leaving, Circuit: circuit,
+	}
+}
+
+// ChangeReplicas adds, promotes or removes a replica.
+func (s *Server) ChangeReplicas(ctx context.Context, request *operator.ChangeReplicasRequest) (answer *operator.ChangeReplicasResponse, err error) {
+	defer func() { err = peer.ToTwirp(err) }()
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+	return s.Proposer.ChangeReplicas(ctx, request)
+}
+
+// Burn reports service-level burn.
+func (s *Server) Burn(ctx context.Context, request *operator.BurnRequest) (*operator.BurnResponse, error) {
+	if request.GetLocal() {
+		return &operator.BurnResponse{Rows: s.Reporter.Own()}, nil
+	}
+	return s.Reporter.All(ctx), nil
+}
--- /dev/null
+++ b/io/propose/replicas.go
@@ -0,0 +1,62 @@
+package propose
+
+import (
+	"context"
+
+	"kingcuprill/core/fault"
+	"kingcuprill/core/raft"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/replica"
+	"kingcuprill/rpc/operator"
+)
+
+// replicaRows lists the replicas as the leader sees them.
+func replicaRows(status replica.Status) []*operator.Replica {
+	rows := []*operator.Replica{}
+	for _, id := range status.Membership.Voters {
+		role := "follower"
+		if id == status.Leader {
+			role = "leader"
+		}
+		rows = append(rows, &operator.Replica{Id: id, Role: role, Match: status.Match[id]})
+	}
+	for _, id := range status.Membership.Learners {
+		rows = append(rows, &operator.Replica{Id: id, Role: "learner", Match: status.Match[id], Learner: true})
+	}
+	return rows
+}
+
+// ChangeReplicas commits one change of the replica set at the leader.
+func (p *Proposer) ChangeReplicas(ctx context.Context, request *operator.ChangeReplicasRequest) (answer *operator.ChangeReplicasResponse, err error) {
+	if p.Replica != nil && p.Replica.Status().Role == raft.Leader {
+		return p.changeLocal(ctx, request)
+	}
+	err = fault.New(fault.NoQuorum, "no control VM is known")
+	for _, m := range p.candidates() {
+		answer, err = p.Peers.At(m.PeerAddress).ChangeReplicas(ctx, request)
+		if err == nil {
+			return answer, nil
+		}
+		err = peer.FromTwirp(err)
+		if code := fault.CodeOf(err); code != fault.NoQuorum && code != fault.Internal {
+			return nil, err
+		}
+	}
+	return nil, err
+}
+
+func (p *Proposer) changeLocal(ctx context.Context, request *operator.ChangeReplicasRequest) (*operator.ChangeReplicasResponse, error) {
+	m, err := p.Replica.ChangeMembership(ctx, raft.MembershipAction(request.GetAction()), request.GetVm())
+	if err != nil {
+		return nil, err
+	}
+	return &operator.ChangeReplicasResponse{Voters: m.Voters, Learners: m.Learners}, nil
+}
+
+// ChangeHere carries out a change that another VM has handed to this one.
+func (p *Proposer) ChangeHere(ctx context.Context, request *operator.ChangeReplicasRequest) (*operator.ChangeReplicasResponse, error) {
+	if p.Replica == nil {
+		return nil, fault.New(fault.NoQuorum, "VM %s holds no replica of the control log", p.Board.Self)
+	}
+	return p.changeLocal(ctx, request)
+}
--- /dev/null
+++ b/io/replica/transport.go
@@ -0,0 +1,85 @@
+package replica
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"gopkg.in/tomb.v2"
+
+	"kingcuprill/core/membership"
+	"kingcuprill/core/raft"
+	"kingcuprill/io/codec"
+	"kingcuprill/io/peer"
+	"kingcuprill/rpc/vm"
+)
+
+const (
+	queuePerReplica = 256 // batches
+	sendersPerPeer  = 8   // calls on their way to one replica
+)
+
+// Sender sends messages to other replicas by calls between VMs. When a replica
+// can't keep up or be reached, messages are dropped.
+type Sender struct {
+	Members *membership.Table
+	Peers   *peer.Peers
+	Log     *slog.Logger
+	Tomb    *tomb.Tomb
+	mu      sync.Mutex
+	queues  map[string]chan []raft.Message
+}
+
+// Send queues messages and never blocks.
+func (s *Sender) Send(to string, messages []raft.Message) {
+	select {
+	case s.queue(to) <- messages:
+	default:
+	}
+}
+
+func (s *Sender) queue(to string) chan []raft.Message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if queue, found := s.queues[to]; found {
+		return queue
+	}
+	if s.queues == nil {
+		s.queues = map[string]chan []raft.Message{}
+	}
+	queue := make(chan []raft.Message, queuePerReplica)
+	s.queues[to] = queue
+	for range sendersPerPeer {
+		s.Tomb.Go(func() error { return s.deliver(to, queue) })
+	}
+	return queue
+}
+
+func (s *Sender) deliver(to string, queue chan []raft.Message) error {
+	ctx := s.Tomb.Context(context.Background())
+	for {
+		select {
+		case <-s.Tomb.Dying():
+			return nil
+		case messages := <-queue:
+			s.call(ctx, to, messages)
+		}
+	}
+}
+
+func (s *Sender) call(ctx context.Context, to string, messages []raft.Message) {
+	m, known := s.Members.View.Read().Members[to]
+	if !known {
+		return
+	}
+	request := &vm.StepRequest{}
+	for _, message := range messages {
+		request.Messages = append(request.Messages, codec.FromMessage(message))
+	}
+	bounded, cancel := s.Peers.Bounded(ctx)
+	defer cancel()
+	if _, err := s.Peers.At(m.PeerAddress).Step(bounded, request); err != nil {
+		s.Peers.DropIdle()
+		s.Log.Debug("messages of the control log were lost", "to", to, "error", err)
+	}
+}
--- /dev/null
+++ b/io/report/report.go
@@ -0,0 +1,77 @@
+// Package report collects the service-level burn of all VMs.
+package report
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/burn"
+	"kingcuprill/core/membership"
+	"kingcuprill/io/peer"
+	"kingcuprill/rpc/operator"
+)
+
+// Reporter merges the rows of the VMs.
+type Reporter struct {
+	Board *board.Board
+	Peers *peer.Peers
+}
+
+// Own returns this VM's rows.
+func (r *Reporter) Own() []*operator.BurnRow {
+	return fromRows(r.Board.Burn.Rows())
+}
+
+// All returns the merged rows of every VM that answers, and those that don't.
+func (r *Reporter) All(ctx context.Context) *operator.BurnResponse {
+	rows := r.Board.Burn.Rows()
+	answer := &operator.BurnResponse{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, m := range r.Board.Members.All() {
+		if m.ID == r.Board.Self {
+			continue
+		}
+		group.Go(func() {
+			fetched, err := r.fetch(ctx, m)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				answer.UnreachedVms = append(answer.UnreachedVms, m.ID+" ("+m.Region+")")
+				return
+			}
+			rows = append(rows, fetched...)
+		})
+	}
+	group.Wait()
+	answer.Rows = fromRows(burn.Merge(rows))
+	return answer
+}
+
+func (r *Reporter) fetch(ctx context.Context, m membership.Member) (rows []burn.Row, err error) {
+	bounded, cancel := r.Peers.Bounded(ctx)
+	defer cancel()
+	answer, err := r.Peers.At(m.PeerAddress).Burn(bounded, &operator.BurnRequest{Local: true})
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range answer.GetRows() {
+		rows = append(rows, burn.Row{
+			Organisation: row.GetOrganisation(), Route: row.GetRoute(), Region: row.GetRegion(),
+			Window: time.Duration(row.GetWindowNanoseconds()), Total: row.GetTotal(), Bad: row.GetBad(),
+		})
+	}
+	return rows, nil
+}
+
+func fromRows(rows []burn.Row) (messages []*operator.BurnRow) {
+	for _, row := range rows {
+		messages = append(messages, &operator.BurnRow{
+			Organisation: row.Organisation, Route: row.Route, Region: row.Region, WindowNanoseconds: int64(row.Window),
+			Total: row.Total, Bad: row.Bad, Burn: row.Rate(),
+		})
+	}
+	return messages
+}
--- /dev/null
+++ b/io/rig/cluster/cluster.go
@@ -0,0 +1,436 @@
+// Package cluster starts the daemons of a small deployment as processes on
+// loopback addresses, with fault-injecting links between the regions.
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"kingcuprill/core/fault"
+	"kingcuprill/io/cli/dial"
+	"kingcuprill/io/rig/link"
+	"kingcuprill/rpc/operator"
+)
+
+// Options describe a deployment.
+type Options struct {
+	Folder      string
+	Daemon      string   // path of the kingcuprilld program
+	Regions     []string // one data centre each
+	VMs         int      // in each region
+	LinkDelay   time.Duration
+	Links       bool // links between regions, also without a delay
+	Settings    Overrides
+	ControlVMs  int // the first VM of each of the first regions
+	PolicyName  string
+	AwayPenalty time.Duration
+	NoLoans     bool
+}
+
+// Overrides are settings that differ from the usual ones of the rig.
+type Overrides struct {
+	Drain       time.Duration
+	Shutdown    time.Duration
+	Silence     time.Duration
+	QueueWait   time.Duration
+	Lease       time.Duration
+	Commit      time.Duration
+	ServiceTime time.Duration
+	RampTime    time.Duration
+	LogLevel    string
+}
+
+// VM is one daemon of the deployment.
+type VM struct {
+	ID         string
+	Region     string
+	DataCentre string
+	Peer       string
+	Caller     string
+	Target     string
+	Operator   string
+	Settings   string // path of its settings file
+	Log        string // path of its log
+	Control    bool
+	command    *exec.Cmd
+	ended      chan error
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Options Options
+	Token   string
+	VMs     []*VM
+	links   map[pair]*link.Link
+}
+
+type pair struct {
+	from string
+	to   string
+}
+
+const (
+	secretText = "a-secret-for-the-rig-only"
+	tokenText  = "an-operator-token-for-the-rig"
+	readyTime  = 30 * time.Second
+	pollEvery  = 50 * time.Millisecond
+)
+
+// New lays out a deployment and writes its settings.
+func New(options Options) (c *Cluster, err error) {
+	defer fault.Annotate(&err, "lay out a deployment in %s", options.Folder)
+	c = &Cluster{Options: options, Token: tokenText, links: map[pair]*link.Link{}}
+	for _, secret := range []struct{ name, text string }{{"secret", secretText}, {"token", tokenText}} {
+		if err := os.WriteFile(filepath.Join(options.Folder, secret.name), []byte(secret.text), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.layOut(); err != nil {
+		return nil, err
+	}
+	if err := c.makeLinks(); err != nil {
+		return nil, err
+	}
+	for _, v := range c.VMs {
+		if err := c.writeSettings(v); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) layOut() error {
+	for i := range c.Options.VMs {
+		for r, region := range c.Options.Regions {
+			v := &VM{ID: fmt.Sprintf("%s-%d", region, i+1), Region: region, DataCentre: region + "-a", Control: i == 0 && r < c.Options.ControlVMs}
+			for _, address := range []*string{&v.Peer, &v.Caller, &v.Target, &v.Operator} {
+				free, err := link.FreeAddress()
+				if err != nil {
+					return err
+				}
+				*address = free
+			}
+			v.Settings = filepath.Join(c.Options.Folder, v.ID+".json")
+			v.Log = filepath.Join(c.Options.Folder, v.ID+".log")
+			c.VMs = append(c.VMs, v)
+		}
+	}
+	return nil
+}
+
+// makeLinks puts a link into each way from a VM to one of another region.
+func (c *Cluster) makeLinks() error {
+	if c.Options.LinkDelay == 0 && !c.Options.Links {
+		return nil
+	}
+	for _, from := range c.VMs {
+		for _, to := range c.VMs {
+			if from.Region == to.Region {
+				continue
+			}
+			l, err := link.New(to.Peer)
+			if err != nil {
+				return err
+			}
+			c.links[pair{from.ID, to.ID}] = l
+			if c.Options.LinkDelay == 0 {
+				continue
+			}
+			if err := l.Delay(c.Options.LinkDelay); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+type dialJSON struct {
+	Address string `json:"address"`
+	Through string `json:"through"`
+}
+
+type settingsJSON struct {
+	Cluster  clusterJSON  `json:"cluster"`
+	VM       vmJSON       `json:"vm"`
+	Seeds    []string     `json:"seeds"`
+	Control  controlJSON  `json:"control"`
+	Targets  targetsJSON  `json:"targets"`
+	Limits   limitsJSON   `json:"limits"`
+	Timeouts timeoutsJSON `json:"timeouts"`
+	Policy   policyJSON   `json:"policy"`
+	LogLevel string       `json:"log_level,omitempty"`
+}
+
+type clusterJSON struct {
+	ID                string `json:"id"`
+	SecretFile        string `json:"secret_file"`
+	OperatorTokenFile string `json:"operator_token_file"`
+}
+
+type vmJSON struct {
+	ID              string     `json:"id"`
+	Region          string     `json:"region"`
+	DataCentre      string     `json:"data_centre"`
+	PeerAddress     string     `json:"peer_address"`
+	CallerAddress   string     `json:"caller_address"`
+	TargetAddress   string     `json:"target_address"`
+	OperatorAddress string     `json:"operator_address"`
+	DialThrough     []dialJSON `json:"dial_through"`
+}
+
+type controlJSON struct {
+	DataDir  string   `json:"data_dir,omitempty"`
+	Replicas []string `json:"replicas,omitempty"`
+}
+
+type targetsJSON struct {
+	PermittedNetworks []string `json:"permitted_networks"`
+	Lease             string   `json:"lease,omitempty"`
+}
+
+type limitsJSON struct {
+	QueueWait string `json:"queue_wait,omitempty"`
+	Loans     bool   `json:"loans"`
+}
+
+type timeoutsJSON struct {
+	Drain    string `json:"drain,omitempty"`
+	Shutdown string `json:"shutdown,omitempty"`
+	Silence  string `json:"silence,omitempty"`
+	Commit   string `json:"commit,omitempty"`
+}
+
+type policyJSON struct {
+	Name        string `json:"name,omitempty"`
+	AwayPenalty string `json:"away_penalty,omitempty"`
+	ServiceTime string `json:"service_time,omitempty"`
+	RampTime    string `json:"ramp_time,omitempty"`
+}
+
+func text(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
+func (c *Cluster) writeSettings(v *VM) error {
+	o := c.Options.Settings
+	s := settingsJSON{
+		Cluster: clusterJSON{ID: "rig", SecretFile: "secret", OperatorTokenFile: "token"},
+		VM: vmJSON{
+			ID: v.ID, Region: v.Region, DataCentre: v.DataCentre, PeerAddress: v.Peer, CallerAddress: v.Caller,
+			TargetAddress: v.Target, OperatorAddress: v.Operator, DialThrough: []dialJSON{},
+		},
+		Targets:  targetsJSON{PermittedNetworks: []string{"127.0.0.0/8"}, Lease: text(o.Lease)},
+		Limits:   limitsJSON{QueueWait: text(o.QueueWait), Loans: !c.Options.NoLoans},
+		Timeouts: timeoutsJSON{Drain: text(o.Drain), Shutdown: text(o.Shutdown), Silence: text(o.Silence), Commit: text(o.Commit)},
+		Policy: policyJSON{
+			Name: c.Options.PolicyName, AwayPenalty: text(c.Options.AwayPenalty),
+			ServiceTime: text(o.ServiceTime), RampTime: text(o.RampTime),
+		},
+		LogLevel: o.LogLevel,
+	}
+	for _, other := range c.VMs {
+		if other.Control {
+			s.Control.Replicas = append(s.Control.Replicas, other.ID)
+		}
+		if other.Control && other != v {
+			s.Seeds = append(s.Seeds, other.Peer)
+		}
+		if l := c.links[pair{v.ID, other.ID}]; l != nil {
+			s.VM.DialThrough = append(s.VM.DialThrough, dialJSON{Address: other.Peer, Through: l.Address})
+		}
+	}
+	if v.Control {
+		s.Control.DataDir = v.ID + ".data"
+	}
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(v.Settings, data, 0o600)
+}
+
+// DataDir returns the data folder of a control VM.
+func (c *Cluster) DataDir(v *VM) string {
+	return filepath.Join(c.Options.Folder, v.ID+".data")
+}
+
+// Format makes the data folder of a control VM.
+func (c *Cluster) Format(v *VM, arguments ...string) (err error) {
+	defer fault.Annotate(&err, "format %s", v.ID)
+	output, err := exec.Command(c.Options.Daemon, append([]string{"--format", v.Settings}, arguments...)...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, output)
+	}
+	return nil
+}
+
+// Start starts all daemons and waits until they are ready.
+func (c *Cluster) Start(ctx context.Context) error {
+	for _, v := range c.VMs {
+		if !v.Control {
+			continue
+		}
+		if err := c.Format(v); err != nil {
+			return err
+		}
+	}
+	for _, v := range c.VMs {
+		if err := c.StartVM(v); err != nil {
+			return err
+		}
+	}
+	for _, v := range c.VMs {
+		if err := c.WaitReady(ctx, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartVM starts one daemon.
+func (c *Cluster) StartVM(v *VM) (err error) {
+	defer fault.Annotate(&err, "start %s", v.ID)
+	log, err := os.OpenFile(v.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(c.Options.Daemon, v.Settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	v.command = command
+	v.ended = make(chan error, 1)
+	go func(ended chan error) { ended <- command.Wait() }(v.ended)
+	return nil
+}
+
+// WaitReady waits until a daemon may be given requests.
+func (c *Cluster) WaitReady(ctx context.Context, v *VM) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		response, err := http.Get("http://" + v.Caller + "/readyz")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case err := <-v.ended:
+			return fmt.Errorf("vm %s ended before it was ready: %w; see %s", v.ID, err, v.Log)
+		case <-time.After(pollEvery):
+		}
+	}
+	return fmt.Errorf("vm %s was not ready within %v; see %s", v.ID, readyTime, v.Log)
+}
+
+// Signal sends a signal to a daemon.
+func (c *Cluster) Signal(v *VM, signal syscall.Signal) error {
+	return v.command.Process.Signal(signal)
+}
+
+// Wait waits for a daemon to end.
+func (c *Cluster) Wait(v *VM, most time.Duration) error {
+	select {
+	case err := <-v.ended:
+		v.command = nil
+		return err
+	case <-time.After(most):
+		return fmt.Errorf("vm %s did not end within %v", v.ID, most)
+	}
+}
+
+// Kill ends a daemon at once.
+func (c *Cluster) Kill(v *VM) {
+	if v.command == nil {
+		return
+	}
+	_ = v.command.Process.Signal(syscall.SIGCONT)
+	_ = v.command.Process.Kill()
+	<-v.ended
+	v.command = nil
+}
+
+// Running tells whether a daemon has been started and not ended.
+func (v *VM) Running() bool {
+	return v.command != nil
+}
+
+// PID returns the process id of a daemon.
+func (v *VM) PID() int {
+	return v.command.Process.Pid
+}
+
+// Close ends everything.
+func (c *Cluster) Close() {
+	for _, v := range c.VMs {
+		c.Kill(v)
+	}
+	for _, l := range c.links {
+		l.Close()
+	}
+}
+
+// Operator returns a client of a VM's operator address.
+func (c *Cluster) Operator(v *VM) operator.Operator {
+	return dial.Operator(v.Operator, c.Token)
+}
+
+// VM returns the daemon with an id.
+func (c *Cluster) VM(id string) *VM {
+	for _, v := range c.VMs {
+		if v.ID == id {
+			return v
+		}
+	}
+	return nil
+}
+
+// Targets returns the target addresses of a region's VMs.
+func (c *Cluster) Targets(region string) (addresses []string) {
+	for _, v := range c.VMs {
+		if v.Region == region {
+			addresses = append(addresses, v.Target)
+		}
+	}
+	return addresses
+}
+
+// Link returns the link from one VM to another.
+func (c *Cluster) Link(from, to *VM) *link.Link {
+	return c.links[pair{from.ID, to.ID}]
+}
+
+// CutRegion silences all links of a region, both ways.
+func (c *Cluster) CutRegion(region string) error {
+	return c.eachLink(region, func(l *link.Link) error { return l.Cut() })
+}
+
+// HealRegion ends the cut of a region.
+func (c *Cluster) HealRegion(region string) error {
+	return c.eachLink(region, func(l *link.Link) error { l.Heal(); return nil })
+}
+
+func (c *Cluster) eachLink(region string, change func(*link.Link) error) error {
+	var errs []error
+	for ends, l := range c.links {
+		if c.VM(ends.from).Region == region || c.VM(ends.to).Region == region {
+			errs = append(errs, change(l))
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/io/rig/fakeengine/engine.go
@@ -0,0 +1,460 @@
+// Package fakeengine is a stand-in for a model engine: continuous batching
+// with priorities, a prefix cache of limited size, load reports with a lag,
+// cache events that come late and with gaps, resume, cancel, and a crash on a
+// marked request.
+package fakeengine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"kingcuprill/core/fault"
+	"kingcuprill/core/target"
+	"kingcuprill/io/rig/announcer"
+	rpc "kingcuprill/rpc/target"
+)
+
+// CrashMark in a prompt crashes the engine that runs it.
+const CrashMark = "[crash the engine]"
+
+// Options describe one engine.
+type Options struct {
+	ID            string
+	Service       string
+	Region        string
+	DataCentre    string
+	Models        []string
+	Capacity      int
+	PerToken      time.Duration // between tokens of a batch of one
+	PerColdByte   time.Duration // reading one byte of a prompt that is not cached
+	CacheBytes    int
+	VMs           []string // target addresses of the VMs of its data centre
+	AnnounceEvery time.Duration
+	LoadLag       time.Duration
+	RestartAfter  time.Duration // after a crash; 0: it stays down
+	ChecksFencing bool
+}
+
+// Seen is one request as the engine got it.
+type Seen struct {
+	ExchangeID   string
+	Organisation string
+	Header       http.Header
+	Body         string
+	At           time.Time
+}
+
+// Engine is a running fake engine.
+type Engine struct {
+	Options Options
+	Address string
+	Busy    atomic.Int64 // nanoseconds of slots in use, for the cost
+
+	mu        sync.Mutex
+	bootID    string
+	server    *http.Server
+	exchanges map[string]*exchange
+	running   int
+	waiting   []*ticket
+	cache     []uint64 // least recently used first
+	events    []*rpc.CacheEvent
+	sequence  uint64
+	seen      []Seen
+	crashes   int
+	reports   []announcer.Load
+
+	announcer *announcer.Announcer
+	stop      context.CancelFunc
+	ctx       context.Context
+	group     sync.WaitGroup
+}
+
+type exchange struct {
+	generated int
+	cancel    context.CancelFunc
+}
+
+type ticket struct {
+	priority int
+	granted  chan struct{}
+}
+
+// Start runs an engine and lets it announce itself.
+func Start(options Options) (e *Engine, err error) {
+	defer fault.Annotate(&err, "fake engine %s", options.ID)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e = &Engine{Options: options, Address: listener.Addr().String()}
+	e.announcer = &announcer.Announcer{VMs: options.VMs, Every: options.AnnounceEvery, Load: e.laggedLoad}
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	e.boot(listener)
+	e.group.Go(func() { e.announcer.Run(e.ctx, e.Identity) })
+	e.group.Go(e.publish)
+	return e, nil
+}
+
+func (e *Engine) boot(listener net.Listener) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.bootID = uuid.NewString()
+	e.exchanges = map[string]*exchange{}
+	e.running, e.waiting, e.cache, e.events, e.sequence = 0, nil, nil, nil, 0
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("POST /v1/cancel", e.cancel)
+	mux.HandleFunc("GET /v1/exchanges/{id}", e.progress)
+	mux.HandleFunc("GET /health", e.health)
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	server := e.server
+	e.group.Go(func() { _ = server.Serve(listener) })
+}
+
+// Identity returns what the engine says of itself.
+func (e *Engine) Identity() announcer.Identity {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return announcer.Identity{
+		ID: e.Options.ID, BootID: e.bootID, Service: e.Options.Service, Kind: "engine", Address: e.Address,
+		Region: e.Options.Region, DataCentre: e.Options.DataCentre, Models: e.Options.Models, Capacity: e.Options.Capacity,
+		ChecksFencing: e.Options.ChecksFencing,
+	}
+}
+
+// Seen returns the requests that the engine got.
+func (e *Engine) Seen() []Seen {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.seen)
+}
+
+// Crashes returns how often the engine has crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// Leave tells the VMs that the engine takes no new work.
+func (e *Engine) Leave() {
+	e.announcer.Leave(e.ctx, e.Identity())
+}
+
+// Stop ends the engine.
+func (e *Engine) Stop() {
+	e.stop()
+	e.mu.Lock()
+	e.server.Close()
+	e.mu.Unlock()
+	e.group.Wait()
+}
+
+// Crash closes all connections at once and comes back with a new boot id.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	e.crashes++
+	e.server.Close()
+	for _, x := range e.exchanges {
+		x.cancel()
+	}
+	e.mu.Unlock()
+	if e.Options.RestartAfter == 0 {
+		e.stop()
+		return
+	}
+	e.group.Go(func() {
+		select {
+		case <-time.After(e.Options.RestartAfter):
+		case <-e.ctx.Done():
+			return
+		}
+		for e.ctx.Err() == nil {
+			listener, err := net.Listen("tcp", e.Address)
+			if err == nil {
+				e.boot(listener)
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+type jobJSON struct {
+	ExchangeID   string `json:"exchange_id"`
+	Model        string `json:"model"`
+	Prompt       string `json:"prompt"`
+	MaxTokens    int    `json:"max_tokens"`
+	Priority     int    `json:"priority"`
+	ResumeFrom   int    `json:"resume_from"`
+	Organisation string `json:"organisation"`
+}
+
+// Token returns the text of one token of the answer to a prompt.
+func Token(model, prompt string, index int) string {
+	return " w" + strconv.FormatUint(xxhash.Sum64String(fmt.Sprint(model, "\x00", prompt, "\x00", index))%100000, 10)
+}
+
+// Length returns the number of tokens of the answer to a prompt: what the
+// prompt asks for with "tokens=N", and at most maxTokens.
+func Length(prompt string, maxTokens int) int {
+	_, rest, found := strings.Cut(prompt, "tokens=")
+	if !found {
+		return min(16, maxTokens)
+	}
+	digits := rest[:len(rest)-len(strings.TrimLeft(rest, "0123456789"))]
+	length, err := strconv.Atoi(digits)
+	if err != nil {
+		return min(16, maxTokens)
+	}
+	return min(length, maxTokens)
+}
+
+// Answer returns the whole answer to a prompt.
+func Answer(model, prompt string, maxTokens int) string {
+	var text strings.Builder
+	for i := range Length(prompt, maxTokens) {
+		text.WriteString(Token(model, prompt, i))
+	}
+	return text.String()
+}
+
+const bytesPerToken = 4
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var job jobJSON
+	body := &strings.Builder{}
+	if err := json.NewDecoder(io.TeeReader(r.Body, body)).Decode(&job); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	x := &exchange{generated: job.ResumeFrom, cancel: cancel}
+	e.mu.Lock()
+	e.seen = append(e.seen, Seen{ExchangeID: job.ExchangeID, Organisation: job.Organisation, Header: r.Header.Clone(), Body: body.String(), At: time.Now()})
+	e.exchanges[job.ExchangeID] = x
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.exchanges, job.ExchangeID)
+		e.mu.Unlock()
+	}()
+	if !e.enter(ctx, job.Priority) {
+		return
+	}
+	started := time.Now()
+	defer func() { e.Busy.Add(int64(time.Since(started))) }()
+	defer e.leave()
+	if strings.Contains(job.Prompt, CrashMark) {
+		time.Sleep(20 * time.Millisecond)
+		e.Crash()
+		return
+	}
+	e.generate(ctx, w, job, x)
+}
+
+func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, job jobJSON, x *exchange) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	if !pause(ctx, time.Duration(e.read(job))*e.Options.PerColdByte) {
+		return
+	}
+	length := Length(job.Prompt, job.MaxTokens)
+	for index := job.ResumeFrom; index < length; index++ {
+		if !pause(ctx, e.tokenTime()) {
+			return
+		}
+		fmt.Fprintf(w, "data: {\"exchange_id\":%q,\"index\":%d,\"text\":%q}\n\n", job.ExchangeID, index, Token(job.Model, job.Prompt, index))
+		e.mu.Lock()
+		x.generated = index + 1
+		e.mu.Unlock()
+		if control.Flush() != nil {
+			return
+		}
+	}
+	fmt.Fprintf(w, "data: {\"exchange_id\":%q,\"done\":true,\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n",
+		job.ExchangeID, len(job.Prompt)/bytesPerToken+1, length)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// tokenTime grows with the batch: a full batch is half as fast as a batch of
+// one.
+func (e *Engine) tokenTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Options.PerToken + e.Options.PerToken*time.Duration(e.running)/time.Duration(max(1, e.Options.Capacity))
+}
+
+// enter waits for a place in the batch, by priority.
+func (e *Engine) enter(ctx context.Context, priority int) bool {
+	e.mu.Lock()
+	if e.running < e.Options.Capacity {
+		e.running++
+		e.mu.Unlock()
+		return true
+	}
+	t := &ticket{priority: priority, granted: make(chan struct{})}
+	at := len(e.waiting)
+	for at > 0 && e.waiting[at-1].priority < priority {
+		at--
+	}
+	e.waiting = slices.Insert(e.waiting, at, t)
+	e.mu.Unlock()
+	select {
+	case <-t.granted:
+		return true
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-t.granted:
+		e.pass()
+	default:
+		e.waiting = slices.DeleteFunc(e.waiting, func(other *ticket) bool { return other == t })
+	}
+	return false
+}
+
+func (e *Engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pass()
+}
+
+// pass gives the place of one request to the next.
+func (e *Engine) pass() {
+	if len(e.waiting) == 0 {
+		e.running = max(0, e.running-1)
+		return
+	}
+	close(e.waiting[0].granted)
+	e.waiting = e.waiting[1:]
+}
+
+func (e *Engine) cancel(_ http.ResponseWriter, r *http.Request) {
+	var job jobJSON
+	if json.NewDecoder(r.Body).Decode(&job) != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if x, found := e.exchanges[job.ExchangeID]; found {
+		x.cancel()
+	}
+}
+
+func (e *Engine) progress(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x, known := e.exchanges[r.PathValue("id")]
+	generated := 0
+	if known {
+		generated = x.generated
+	}
+	fmt.Fprintf(w, `{"known":%t,"generated":%d}`, known, generated)
+}
+
+func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fmt.Fprintf(w, `{"boot_id":%q}`, e.bootID)
+}
+
+// read takes a prompt through the cache and returns its cold bytes.
+func (e *Engine) read(job jobJSON) (cold int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hashes := target.PrefixHashes(job.Model, job.Prompt)
+	cold = len(job.Prompt)
+	for _, hash := range hashes {
+		at := slices.Index(e.cache, hash)
+		if at < 0 {
+			e.event(hash, false)
+			e.cache = append(e.cache, hash)
+			continue
+		}
+		cold -= target.PrefixBlock
+		e.cache = append(slices.Delete(e.cache, at, at+1), hash)
+	}
+	for len(e.cache)*target.PrefixBlock > e.Options.CacheBytes {
+		e.event(e.cache[0], true)
+		e.cache = e.cache[1:]
+	}
+	return max(0, cold)
+}
+
+func (e *Engine) event(hash uint64, evicted bool) {
+	e.sequence++
+	e.events = append(e.events, &rpc.CacheEvent{Sequence: e.sequence, PrefixHash: strconv.FormatUint(hash, 16), Evicted: evicted})
+}
+
+const (
+	publishEvery = 300 * time.Millisecond
+	gapEvery     = 97 // each such event is lost
+	reportsKept  = 64
+)
+
+// publish sends cache events late, and loses some.
+func (e *Engine) publish() {
+	ticker := time.NewTicker(publishEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.mu.Lock()
+		events := slices.DeleteFunc(e.events, func(event *rpc.CacheEvent) bool { return event.GetSequence()%gapEvery == 0 })
+		e.events = nil
+		e.mu.Unlock()
+		if len(events) > 0 {
+			e.announcer.Events(e.ctx, e.Identity(), events)
+		}
+	}
+}
+
+// laggedLoad returns the load as it was some time ago.
+func (e *Engine) laggedLoad() announcer.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reports = append(e.reports, announcer.Load{Running: e.running, Waiting: len(e.waiting)})
+	if len(e.reports) > reportsKept {
+		e.reports = e.reports[1:]
+	}
+	lag := 0
+	if e.Options.AnnounceEvery > 0 {
+		lag = int(e.Options.LoadLag / e.Options.AnnounceEvery)
+	}
+	report := e.reports[max(0, len(e.reports)-1-lag)]
+	report.Age = e.Options.LoadLag
+	return report
+}
--- /dev/null
+++ b/io/vm/server.go
@@ -0,0 +1,126 @@
+// Package vm is the server side of the calls between VMs.
+package vm
+
+import (
+	"context"
+	"net/http"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/control"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/raft"
+	"kingcuprill/io/borrow"
+	"kingcuprill/io/codec"
+	"kingcuprill/io/forward"
+	"kingcuprill/io/gossip"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/propose"
+	"kingcuprill/io/replica"
+	"kingcuprill/io/report"
+	"kingcuprill/io/spread"
+	"kingcuprill/io/withdraw"
+	"kingcuprill/rpc/operator"
+	"kingcuprill/rpc/vm"
+)
+
+// maxBody bounds one call, a snapshot of the state included, in bytes.
+const maxBody = 256 << 20
+
+// Server answers other VMs.
+type Server struct {
+	Board      *board.Board
+	Replica    *replica.Replica // nil on a VM without one
+	Proposer   *propose.Proposer
+	Follower   *spread.Follower
+	Gossiper   *gossip.Gossip
+	Withdrawer *withdraw.Withdrawer
+	Borrower   *borrow.Borrower
+	Reporter   *report.Reporter
+	Forwarder  *forward.Server
+}
+
+// Handler returns the routes of the peer listener. Only signed requests pass.
+func (s *Server) Handler(credentials peer.Credentials) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(vm.VMPathPrefix, vm.NewVMServer(s))
+	mux.HandleFunc("POST "+forward.GeneratePath, s.Forwarder.ServeGenerate)
+	mux.HandleFunc("POST "+forward.CallPath, s.Forwarder.ServeCall)
+	return credentials.Middleware(maxBody, mux)
+}
+
+// Gossip exchanges membership news.
+func (s *Server) Gossip(_ context.Context, message *vm.GossipMessage) (*vm.GossipMessage, error) {
+	return s.Gossiper.Answer(message), nil
+}
+
+// Probe reaches out to a third VM.
+func (s *Server) Probe(ctx context.Context, request *vm.ProbeRequest) (*vm.ProbeResponse, error) {
+	return &vm.ProbeResponse{Reached: s.Gossiper.Probe(ctx, request.GetVm())}, nil
+}
+
+// Step delivers messages to the replica.
+func (s *Server) Step(_ context.Context, request *vm.StepRequest) (*vm.StepResponse, error) {
+	if s.Replica == nil {
+		return nil, peer.ToTwirp(fault.New(fault.NotFound, "VM %s holds no replica of the control log", s.Board.Self))
+	}
+	messages := make([]raft.Message, 0, len(request.GetMessages()))
+	for _, m := range request.GetMessages() {
+		messages = append(messages, codec.ToMessage(m))
+	}
+	s.Replica.Step(messages)
+	return &vm.StepResponse{}, nil
+}
+
+// Propose commits a command if this VM leads the control log.
+func (s *Server) Propose(ctx context.Context, request *vm.ProposeRequest) (*vm.ProposeResponse, error) {
+	if s.Replica == nil {
+		return propose.ToResponse(control.Result{}, fault.New(fault.NoQuorum, "VM %s holds no replica of the control log", s.Board.Self), ""), nil
+	}
+	result, err := s.Replica.Propose(ctx, request.GetCommand())
+	return propose.ToResponse(result, err, s.Replica.Status().Leader), nil
+}
+
+// Pull answers with what a VM lacks of the catalogue.
+func (s *Server) Pull(_ context.Context, request *vm.PullRequest) (*vm.PullResponse, error) {
+	return s.Follower.Answer(request.GetAfterRevision()), nil
+}
+
+// Withdraw takes in withdrawn keys and passes new ones on.
+func (s *Server) Withdraw(ctx context.Context, request *vm.WithdrawRequest) (*vm.WithdrawResponse, error) {
+	s.Withdrawer.Pass(ctx, request.GetKeys())
+	return &vm.WithdrawResponse{}, nil
+}
+
+// Borrow lends part of an organisation's limit.
+func (s *Server) Borrow(_ context.Context, request *vm.BorrowRequest) (*vm.BorrowResponse, error) {
+	return s.Borrower.Lend(request), nil
+}
+
+// Quarantine takes in strikes and refusals of requests that crash targets.
+func (s *Server) Quarantine(_ context.Context, request *vm.QuarantineRequest) (*vm.QuarantineResponse, error) {
+	s.Board.Quarantine.Refuse(request.GetFingerprints())
+	for _, strike := range request.GetStrikes() {
+		s.Board.Quarantine.Struck(strike.GetFingerprint(), strike.GetBoot())
+	}
+	return &vm.QuarantineResponse{}, nil
+}
+
+// Burn answers with this VM's own burn rows.
+func (s *Server) Burn(context.Context, *operator.BurnRequest) (*operator.BurnResponse, error) {
+	return &operator.BurnResponse{Rows: s.Reporter.Own()}, nil
+}
+
+// Read confirms the leader and answers with its catalogue.
+func (s *Server) Read(ctx context.Context, _ *vm.ReadRequest) (*vm.ReadResponse, error) {
+	if s.Replica == nil {
+		return nil, peer.ToTwirp(fault.New(fault.NoQuorum, "VM %s holds no replica of the control log", s.Board.Self))
+	}
+	answer, err := s.Proposer.ReadLocal(ctx)
+	return answer, peer.ToTwirp(err)
+}
+
+// ChangeReplicas changes the replica set if this VM leads the control log.
+func (s *Server) ChangeReplicas(ctx context.Context, request *operator.ChangeReplicasRequest) (*operator.ChangeReplicasResponse, error) {
+	answer, err := s.Proposer.ChangeHere(ctx, request)
+	return answer, peer.ToTwirp(err)
+}
