--- a/core/limit/queue.go
+++ b/core/limit/queue.go
@@ -101,8 +101,7 @@
 	rate := a.capacity().RatePerSecond
 	wait := LoanDuration
 	if rate > 0 {
-		seconds := max(0, a.queue[0].tokens-a.level) / rate
-		wait = min(wait, time.Duration(seconds*float64(time.Second))+time.Millisecond)
+		wait = timeToAccrue(a.queue[0].tokens-a.level, rate, LoanDuration) + time.Millisecond
 	}
 	if a.updated.After(now) {
 		wait += a.updated.Sub(now)
@@ -110,6 +109,13 @@
 	a.timer = time.AfterFunc(wait, a.wake)
 }
 
+// timeToAccrue returns when tokens will have come at a rate, and most if that
+// is later. A rate may be as small as the rounding error of a loan.
+func timeToAccrue(tokens, rate float64, most time.Duration) time.Duration {
+	seconds := min(max(0, tokens)/rate, most.Seconds())
+	return time.Duration(seconds * float64(time.Second))
+}
+
 func (a *Account) wake() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -125,6 +131,5 @@
 	if rate <= 0 {
 		return LoanDuration
 	}
-	seconds := max(0, tokens-a.level) / rate
-	return min(time.Minute, max(time.Second, time.Duration(seconds*float64(time.Second))))
+	return max(time.Second, timeToAccrue(tokens-a.level, rate, time.Minute))
 }
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -227,7 +227,7 @@
 
 // Ready returns the work for the driver, and whether there is any. Every Ready
 // must be followed by Advance before the next one.
-func (n *Node) Ready() (ready Ready, any bool) {
+func (n *Node) Ready() (ready Ready, found bool) {
 	ready = Ready{
 		Snapshot:  n.installed,
 		Entries:   n.log.slice(n.handed+1, n.log.lastIndex()),
@@ -242,9 +242,9 @@
 	}
 	ready.MustSync = len(ready.Entries) > 0 || ready.Snapshot != nil ||
 		ready.HardState.Term != n.saved.Term || ready.HardState.Vote != n.saved.Vote
-	any = ready.MustSync || ready.HardState != n.saved || len(ready.Messages) > 0 ||
+	found = ready.MustSync || ready.HardState != n.saved || len(ready.Messages) > 0 ||
 		len(ready.Committed) > 0 || len(ready.Reads) > 0
-	if !any {
+	if !found {
 		return Ready{}, false
 	}
 	n.messages = nil
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -219,18 +219,18 @@
 	go func() {
 		timer := time.NewTimer(silence)
 		defer timer.Stop()
-		started, last, any, strikes := time.Now(), s.job.Generation.ResumeFrom, false, 0
+		started, last, begun, strikes := time.Now(), s.job.Generation.ResumeFrom, false, 0
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case last = <-s.alive:
-				any, strikes = true, 0
+				begun, strikes = true, 0
 				timer.Reset(silence)
 				continue
 			case <-timer.C:
 			}
-			if !any && time.Since(started) > s.client.timeouts.FirstToken {
+			if !begun && time.Since(started) > s.client.timeouts.FirstToken {
 				s.cancel(fmt.Errorf("%w: no first token within %v", errSilent, s.client.timeouts.FirstToken))
 				return
 			}
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -185,8 +185,8 @@
 // work carries out all that the consensus asks for.
 func (r *Replica) work(t *tomb.Tomb) error {
 	for {
-		ready, any := r.node.Ready()
-		if !any {
+		ready, found := r.node.Ready()
+		if !found {
 			return nil
 		}
 		if err := r.persist(t, ready); err != nil {
