Prove the promises on real processes with scripted scenarios

Cause: nothing showed the promises under failure. Change: scenarios as scripts (keys, residency, targets, stop, bookings, control log, isolation, quarantine, settings) with real daemons behind links that cut, silence and delay; tests of the data folder at every byte. Faults that they found, each mended with the scenario that shows it: - opening a damaged data folder crashed instead of naming file and offset; - a request forwarded over a cut link waited for its whole deadline (40 s): the header of the answer is now expected within timeouts.peer; - a request that crashed two targets ended as interrupted, not as quarantined; - a VM alone never settled its own place in the VM set; - changes of the replicas did not wait for a new leader; - reading the catalogue failed without a majority; it now answers from one VM and says so.

--- a/io/cli/factory/factory.go
+++ b/io/cli/factory/factory.go
@@ -178,10 +178,20 @@
 	return err
 }
 
-// Catalogue reads the catalogue.
+// Catalogue reads the catalogue. Without a majority of the control VMs it reads
+// what a VM has in force, and says so.
 func (f *Factory) Catalogue(ctx context.Context) (c *state.Catalogue, err error) {
+	c, err = f.read(ctx, false)
+	if fault.CodeOf(err) != fault.NoQuorum {
+		return c, err
+	}
+	fmt.Fprintln(f.Streams.Err, "no majority of the control VMs answered; this is what one VM has in force, and newer changes may exist")
+	return f.read(ctx, true)
+}
+
+func (f *Factory) read(ctx context.Context, local bool) (c *state.Catalogue, err error) {
 	err = f.Call(func(client operator.Operator) error {
-		answer, err := client.GetCatalogue(ctx, &operator.GetCatalogueRequest{})
+		answer, err := client.GetCatalogue(ctx, &operator.GetCatalogueRequest{Local: local})
 		c = answer.GetCatalogue()
 		return err
 	})
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -109,24 +109,26 @@
 	if err := s.acquire(); err != nil {
 		return nil, Saved{}, err
 	}
-	defer func() {
-		if err != nil {
-			s.Close()
-		}
-	}()
 	if err := s.checkIdentity(identity); err != nil {
+		s.Close()
 		return nil, Saved{}, err
 	}
-	if saved.Snapshot, err = s.readSnapshot(); err != nil {
+	if saved, err = s.read(); err != nil {
+		s.Close()
 		return nil, Saved{}, err
 	}
-	if err := s.readLog(&saved); err != nil {
-		return nil, Saved{}, err
+	return s, saved, nil
+}
+
+func (s *Store) read() (saved Saved, err error) {
+	if saved.Snapshot, err = s.readSnapshot(); err != nil {
+		return saved, err
 	}
-	if saved.Withdrawn, err = s.readWithdrawn(); err != nil {
-		return nil, Saved{}, err
+	if err := s.readLog(&saved); err != nil {
+		return saved, err
 	}
-	return s, saved, nil
+	saved.Withdrawn, err = s.readWithdrawn()
+	return saved, err
 }
 
 func (s *Store) path(name string) string {
--- /dev/null
+++ b/io/disk/store_test.go
@@ -0,0 +1,211 @@
+package disk_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"kingcuprill/core/raft"
+	"kingcuprill/io/disk"
+)
+
+var identity = disk.Identity{ClusterID: "test", VM: "vm-1"}
+
+func open(t *testing.T, folder string) (*disk.Store, disk.Saved) {
+	t.Helper()
+	store, saved, err := disk.Open(folder, identity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	return store, saved
+}
+
+func fresh(t *testing.T) string {
+	t.Helper()
+	folder := filepath.Join(t.TempDir(), "data")
+	if err := disk.Format(folder, identity, raft.Membership{Voters: []string{"vm-1"}}); err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
+
+func entry(index, term uint64) raft.Entry {
+	return raft.Entry{Index: index, Term: term, Kind: raft.EntryCommand, Data: []byte(fmt.Sprintf("command %d of term %d", index, term))}
+}
+
+// fill writes five entries, each synced, and closes the folder. It returns the
+// size of the log after each.
+func fill(t *testing.T, folder string) (sizes []int64) {
+	t.Helper()
+	store, _ := open(t, folder)
+	for i := uint64(1); i <= 5; i++ {
+		if err := store.Save(raft.HardState{Term: 1, Vote: "vm-1", Commit: i - 1}, []raft.Entry{entry(i, 1)}, true); err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, store.Size())
+	}
+	store.Close()
+	return sizes
+}
+
+// TestTornTail cuts the log at every byte: what was synced before the cut is
+// there, and nothing else.
+func TestTornTail(t *testing.T) {
+	folder := fresh(t)
+	sizes := fill(t, folder)
+	whole, err := os.ReadFile(filepath.Join(folder, "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for length := range whole {
+		if err := os.WriteFile(filepath.Join(folder, "log"), whole[:length], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		store, saved := open(t, folder)
+		store.Close()
+		want := 0
+		for _, size := range sizes {
+			if int64(length) >= size {
+				want++
+			}
+		}
+		if len(saved.Entries) < want || len(saved.Entries) > want+1 {
+			t.Fatalf("cut at byte %d: %d entries, want %d or one more", length, len(saved.Entries), want)
+		}
+		for i, e := range saved.Entries {
+			if e.Index != uint64(i+1) || string(e.Data) != string(entry(e.Index, 1).Data) {
+				t.Fatalf("cut at byte %d: entry %d is %+v", length, i+1, e)
+			}
+		}
+	}
+}
+
+// TestDamagedMiddle flips each byte before the last write: the folder is
+// refused with file and offset, never read short.
+func TestDamagedMiddle(t *testing.T) {
+	folder := fresh(t)
+	sizes := fill(t, folder)
+	path := filepath.Join(folder, "log")
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range sizes[3] {
+		broken := slices.Clone(whole)
+		broken[at] ^= 0x20
+		if err := os.WriteFile(path, broken, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, _, err := disk.Open(folder, identity)
+		if !errors.Is(err, disk.ErrDamaged) || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), "offset") {
+			t.Fatalf("byte %d flipped: error %v, want one that names the file and the offset", at, err)
+		}
+	}
+}
+
+// TestFullDisk refuses a write half-way and expects the log to be as before,
+// and to take the same write later.
+func TestFullDisk(t *testing.T) {
+	folder := fresh(t)
+	fill(t, folder)
+	store, _ := open(t, folder)
+	full := errors.New("no space left on device")
+	store.BeforeWrite = func(int) error { return full }
+	next := []raft.Entry{entry(6, 1)}
+	if err := store.Save(raft.HardState{Term: 1}, next, true); !errors.Is(err, full) || errors.Is(err, disk.ErrSync) {
+		t.Fatalf("error %v, want the disk's own", err)
+	}
+	store.BeforeWrite = nil
+	if err := store.Save(raft.HardState{Term: 1}, next, true); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	if _, saved := open(t, folder); len(saved.Entries) != 6 {
+		t.Fatalf("%d entries, want 6", len(saved.Entries))
+	}
+}
+
+// TestSnapshotReplacesLog expects a new snapshot, the entries behind it and the
+// overwriting of entries to survive.
+func TestSnapshotReplacesLog(t *testing.T) {
+	folder := fresh(t)
+	fill(t, folder)
+	store, _ := open(t, folder)
+	snapshot := raft.Snapshot{Index: 3, Term: 1, Membership: raft.Membership{Voters: []string{"vm-1"}}, Data: []byte("state")}
+	if err := store.SaveSnapshot(snapshot, raft.HardState{Term: 1, Commit: 5}, []raft.Entry{entry(4, 1), entry(5, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Save(raft.HardState{Term: 2}, []raft.Entry{entry(5, 2)}, true); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	_, saved := open(t, folder)
+	if saved.Snapshot.Index != 3 || string(saved.Snapshot.Data) != "state" || saved.HardState.Term != 2 {
+		t.Fatalf("snapshot %+v, hard state %+v", saved.Snapshot, saved.HardState)
+	}
+	if len(saved.Entries) != 2 || saved.Entries[1].Term != 2 {
+		t.Fatalf("entries %+v, want 4 of term 1 and 5 of term 2", saved.Entries)
+	}
+}
+
+// TestSnapshotBeforeLogCrash leaves the log of before an installed snapshot, as
+// a crash between the two files does: entries of the old log are not taken for
+// entries behind the snapshot.
+func TestSnapshotBeforeLogCrash(t *testing.T) {
+	folder := fresh(t)
+	fill(t, folder)
+	old, err := os.ReadFile(filepath.Join(folder, "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store, _ := open(t, folder)
+	if err := store.SaveSnapshot(raft.Snapshot{Index: 4, Term: 3}, raft.HardState{Term: 3}, nil); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	if err := os.WriteFile(filepath.Join(folder, "log"), old, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, saved := open(t, folder); len(saved.Entries) != 0 {
+		t.Fatalf("entries %+v of the old log follow a snapshot of term 3", saved.Entries)
+	}
+}
+
+// TestBinding refuses a second process, another VM, another cluster and a
+// second format.
+func TestBinding(t *testing.T) {
+	folder := fresh(t)
+	store, _ := open(t, folder)
+	if _, _, err := disk.Open(folder, identity); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("second open: %v", err)
+	}
+	store.Close()
+	for _, other := range []disk.Identity{{ClusterID: "test", VM: "vm-2"}, {ClusterID: "other", VM: "vm-1"}} {
+		if _, _, err := disk.Open(folder, other); err == nil || !strings.Contains(err.Error(), "belongs to") {
+			t.Errorf("open as %+v: %v", other, err)
+		}
+	}
+	if err := disk.Format(folder, identity, raft.Membership{}); err == nil {
+		t.Error("a folder that holds a replica was formatted again")
+	}
+}
+
+// TestWithdrawnSurvives expects withdrawn keys after a restart.
+func TestWithdrawnSurvives(t *testing.T) {
+	folder := fresh(t)
+	store, _ := open(t, folder)
+	for _, key := range []string{"a", "b"} {
+		if err := store.SaveWithdrawn([]string{key}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store.Close()
+	if _, saved := open(t, folder); !slices.Equal(saved.Withdrawn, []string{"a", "b"}) {
+		t.Fatalf("withdrawn %v", saved.Withdrawn)
+	}
+}
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -125,7 +125,7 @@
 			return usage, nil
 		}
 		if !r.again(ctx, place, err) {
-			return usage, r.failure(err)
+			return usage, r.failure(r.quarantined(err))
 		}
 	}
 }
@@ -149,6 +149,14 @@
 	}
 }
 
+// quarantined names the quarantine as the cause where it ended the attempts.
+func (r *run) quarantined(err error) error {
+	if r.d.Board.Quarantine.Refused(r.request.Fingerprint) {
+		return fault.New(fault.Quarantined, "the request is refused from now on: targets have crashed each time they ran it")
+	}
+	return err
+}
+
 // failure states truly whether the request may have run.
 func (r *run) failure(err error) error {
 	if r.request.Generation != nil && r.request.Generation.ResumeFrom > 0 {
--- a/io/forward/client.go
+++ b/io/forward/client.go
@@ -41,7 +41,7 @@
 		return usage, err
 	}
 	defer response.Body.Close()
-	frames := &frameReader{reader: newReader(response.Body), silence: c.Peers.Timeouts.FirstToken, body: response.Body}
+	frames := &frameReader{reader: newReader(response.Body), body: response.Body}
 	next := request.Generation.ResumeFrom
 	for {
 		frame, err := frames.next()
@@ -74,8 +74,9 @@
 		return answer, err
 	}
 	defer response.Body.Close()
-	frame := &vm.ForwardFrame{}
-	if err := readFrame(newReader(response.Body), frame); err != nil {
+	frames := &frameReader{reader: newReader(response.Body), body: response.Body}
+	frame, err := frames.next()
+	if err != nil {
 		return answer, &exchange.Failure{Err: fmt.Errorf("vm %s: %w", m.ID, err)}
 	}
 	if frame.GetRequestId() != request.ID {
@@ -92,17 +93,27 @@
 	if err != nil {
 		return nil, &exchange.Failure{NotRun: true, Final: true, Err: err}
 	}
+	ctx, cancel := context.WithCancel(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.PeerAddress+path, bytes.NewReader(body))
 	if err != nil {
+		cancel()
 		return nil, &exchange.Failure{NotRun: true, Final: true, Err: err}
 	}
+	// A VM answers with its header at once, before the request runs.
+	silent := time.AfterFunc(c.Peers.Timeouts.Peer, cancel)
 	response, err := c.Peers.HTTP().Do(request)
+	if !silent.Stop() && err == nil {
+		response.Body.Close()
+		err = errSilent
+	}
 	if err != nil {
+		cancel()
 		c.Peers.DropIdle()
 		var operation *net.OpError
 		dial := errors.As(err, &operation) && operation.Op == "dial"
 		return nil, &exchange.Failure{NotRun: dial, Err: err}
 	}
+	response.Body = cancelledBody{ReadCloser: response.Body, cancel: cancel}
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
@@ -111,6 +122,18 @@
 	return response, nil
 }
 
+// cancelledBody ends its request's context when it is closed.
+type cancelledBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body and ends the request.
+func (b cancelledBody) Close() error {
+	b.cancel()
+	return b.ReadCloser.Close()
+}
+
 func (c *Client) message(r exchange.Request, suspect bool) *vm.ForwardRequest {
 	m := &vm.ForwardRequest{
 		RequestId: r.ID, Organisation: r.Organisation, KeyId: r.KeyID, Route: r.Route.Name, Path: r.Path.String(),
--- a/io/forward/frames.go
+++ b/io/forward/frames.go
@@ -26,9 +26,8 @@
 
 // frameReader reads frames and gives up on a silent connection.
 type frameReader struct {
-	reader  *bufio.Reader
-	body    io.Closer
-	silence time.Duration
+	reader *bufio.Reader
+	body   io.Closer
 }
 
 // next returns the next frame that carries something.
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -46,7 +46,7 @@
 	defer leave()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	stop := writer.keepAlive()
+	stop := writer.begin()
 	usage, err := s.Runner.Generate(ctx, request, message.GetSuspect(), func(t exchange.Token) error {
 		return writer.write(&vm.ForwardFrame{Index: int32(t.Index), Text: t.Text})
 	})
@@ -70,7 +70,9 @@
 	defer leave()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	stop := writer.begin()
 	answer, err := s.Runner.Call(ctx, request)
+	stop()
 	if err != nil {
 		writer.fail(err)
 		return
@@ -158,8 +160,10 @@
 	_ = f.write(&vm.ForwardFrame{ErrorCode: string(fault.CodeOf(err)), ErrorText: err.Error(), NotRun: exchange.NotRun(err)})
 }
 
-// keepAlive writes an empty frame whenever nothing else is written for long.
-func (f *frameWriter) keepAlive() (stop func()) {
+// begin sends the header at once, then an empty frame whenever nothing else is
+// written for long.
+func (f *frameWriter) begin() (stop func()) {
+	_ = f.control.Flush()
 	done := make(chan struct{})
 	var group sync.WaitGroup
 	group.Go(func() {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -58,6 +58,7 @@
 
 func (g *Gossip) tick(ctx context.Context) {
 	g.round++
+	g.noteRevision()
 	g.summarize()
 	lost := g.round%roundsUntilDead == 0
 	if lost || !g.joined {
@@ -189,8 +190,7 @@
 func (g *Gossip) message() *vm.GossipMessage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	revision := g.Board.Catalogue.Read().Revision
-	g.Board.Members.Update(func(m *membership.Member) { m.Revision = revision })
+	revision := g.updateRevision()
 	rows := g.Board.Members.Updates(rowsPerMessage)
 	self := g.Board.SelfMember()
 	message := &vm.GossipMessage{From: self.ID, Revision: revision, Members: fromMembers(append(rows, self))}
@@ -202,6 +202,20 @@
 	return message
 }
 
+// noteRevision brings this VM's own row up to date, also where there is no
+// other VM to tell.
+func (g *Gossip) noteRevision() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.updateRevision()
+}
+
+func (g *Gossip) updateRevision() (revision uint64) {
+	revision = g.Board.Catalogue.Read().Revision
+	g.Board.Members.Update(func(m *membership.Member) { m.Revision = revision })
+	return revision
+}
+
 // take takes in a message; answered tells that its sender has just answered
 // this VM.
 func (g *Gossip) take(message *vm.GossipMessage, answered bool) {
--- a/io/propose/replicas.go
+++ b/io/propose/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"kingcuprill/core/fault"
 	"kingcuprill/core/raft"
@@ -26,8 +27,23 @@
 	return rows
 }
 
-// ChangeReplicas commits one change of the replica set at the leader.
+// ChangeReplicas commits one change of the replica set at the leader, and tries
+// again while there is none.
 func (p *Proposer) ChangeReplicas(ctx context.Context, request *operator.ChangeReplicasRequest) (answer *operator.ChangeReplicasResponse, err error) {
+	for {
+		answer, err = p.changeOnce(ctx, request)
+		if err == nil || fault.CodeOf(err) != fault.NoQuorum {
+			return answer, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(pauseBetweenTries):
+		}
+	}
+}
+
+func (p *Proposer) changeOnce(ctx context.Context, request *operator.ChangeReplicasRequest) (answer *operator.ChangeReplicasResponse, err error) {
 	if p.Replica != nil && p.Replica.Status().Role == raft.Leader {
 		return p.changeLocal(ctx, request)
 	}
--- a/io/rig/cluster/cluster.go
+++ b/io/rig/cluster/cluster.go
@@ -61,7 +61,8 @@
 	Log        string // path of its log
 	Control    bool
 	command    *exec.Cmd
-	ended      chan error
+	ended      chan struct{} // closed when the process has ended
+	endedWith  error
 }
 
 // Cluster is a running deployment.
@@ -312,8 +313,12 @@
 		return err
 	}
 	v.command = command
-	v.ended = make(chan error, 1)
-	go func(ended chan error) { ended <- command.Wait() }(v.ended)
+	ended := make(chan struct{})
+	v.ended = ended
+	go func() {
+		v.endedWith = command.Wait()
+		close(ended)
+	}()
 	return nil
 }
 
@@ -330,8 +335,8 @@
 			}
 		}
 		select {
-		case err := <-v.ended:
-			return fmt.Errorf("vm %s ended before it was ready: %w; see %s", v.ID, err, v.Log)
+		case <-v.ended:
+			return fmt.Errorf("vm %s ended before it was ready: %w; see %s", v.ID, v.endedWith, v.Log)
 		case <-time.After(pollEvery):
 		}
 	}
@@ -346,9 +351,9 @@
 // Wait waits for a daemon to end.
 func (c *Cluster) Wait(v *VM, most time.Duration) error {
 	select {
-	case err := <-v.ended:
+	case <-v.ended:
 		v.command = nil
-		return err
+		return v.endedWith
 	case <-time.After(most):
 		return fmt.Errorf("vm %s did not end within %v", v.ID, most)
 	}
--- a/io/rig/fakeservice/service.go
+++ b/io/rig/fakeservice/service.go
@@ -71,10 +71,9 @@
 type Service struct {
 	Options Options
 	Address string
-	// Fault, if set, is asked at each booking, after it has run.
-	Fault func(item string) Fault
 
 	mu        sync.Mutex
+	fault     Fault
 	seen      []http.Header
 	bootID    string
 	server    *http.Server
@@ -126,6 +125,19 @@
 	}
 }
 
+// SetFault sets what happens to the answers of bookings from now on.
+func (s *Service) SetFault(what Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = what
+}
+
+func (s *Service) currentFault() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
 // Headers returns the headers of all calls.
 func (s *Service) Headers() []http.Header {
 	s.mu.Lock()
@@ -163,11 +175,7 @@
 		return
 	}
 	count := s.Options.Ledger.Run(booking.Item)
-	what := NoFault
-	if s.Fault != nil {
-		what = s.Fault(booking.Item)
-	}
-	switch what {
+	switch s.currentFault() {
 	case LoseAnswer:
 		panic(http.ErrAbortHandler)
 	case Hang:
--- a/io/rig/link/link.go
+++ b/io/rig/link/link.go
@@ -4,7 +4,9 @@
 package link
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -153,12 +155,21 @@
 	}
 }
 
+// Ports below those that the system gives to outgoing connections, which could
+// take an address between its choice and its use.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
 // FreeAddress returns a loopback address that no process listens on.
 func FreeAddress() (address string, err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		address = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
