Keep a booking's answer and key inside its regions

Cause: the control log stored the answer and the caller's idempotency key on every control VM, so that data of an organisation bound to two regions lay on the disk of a third. Change: keys are stored as hashes; an answer that may not be in every control VM's region stays in the memory of the VM that ran the call, and other permitted VMs fetch it from there. If it is gone, a resend learns that the booking ran once (code answer_lost). The ledger stays global, so that a booking is claimed by one majority wherever it enters.

--- a/acceptance/scenario_test.go
+++ b/acceptance/scenario_test.go
@@ -85,7 +85,7 @@
 		"complete": complete, "call": call, "get": get, "background": background, "tokens": awaitTokens, "await": await,
 		"signal": signal, "ended": ended, "restart": restart, "cut": cut, "heal": heal, "silence-open": silenceOpen,
 		"leave": leave, "crash": crash, "runs": runs, "saw": saw, "leaked": leaked, "fault": setFault, "vms": vms, "wipe": wipe,
-		"crashes": crashes, "logged": logged, "settled": settled, "format": format, "damage": damage,
+		"crashes": crashes, "logged": logged, "settled": settled, "format": format, "damage": damage, "stored": stored,
 	}
 }
 
@@ -555,3 +555,17 @@
 	}
 	return "", nil
 }
+
+// stored checks whether a text is in the files of a VM's data folder: VM TEXT.
+func stored(s *scenario, args []string) (string, error) {
+	files, err := filepath.Glob(filepath.Join(s.cluster.DataDir(s.cluster.VM(args[0])), "*"))
+	if err != nil || len(files) == 0 {
+		return "", fmt.Errorf("no files: %w", err)
+	}
+	for _, file := range files {
+		if data, err := os.ReadFile(file); err == nil && bytes.Contains(data, []byte(args[1])) {
+			return file, nil
+		}
+	}
+	return "", fmt.Errorf("%q is in none of %d files", args[1], len(files))
+}
--- a/core/booking/booking.go
+++ b/core/booking/booking.go
@@ -29,7 +29,7 @@
 // Claim asks for the right to run a call once.
 type Claim struct {
 	Organisation   string
-	IdempotencyKey string
+	IdempotencyKey string // hashed, as it may be any text of the caller
 	Digest         string // of method, route, path and body
 	Owner          string // VM
 	ClaimID        string
@@ -45,6 +45,7 @@
 	Status         int
 	ContentType    string
 	Body           []byte
+	Withheld       bool // the answer may not leave its regions; the owner keeps it
 	Now            time.Time
 }
 
@@ -59,6 +60,7 @@
 	Status         int
 	ContentType    string
 	Body           []byte
+	Withheld       bool // the answer is kept by the owner only
 	Changed        time.Time
 }
 
@@ -95,7 +97,7 @@
 		return Booking{}, false, fault.New(fault.Conflict, "claim %q was given up", claim.ClaimID)
 	}
 	if found && old.Outcome != NotRun && old.Digest != claim.Digest {
-		return Booking{}, false, fault.New(fault.Conflict, "idempotency key %q was used with other content", claim.IdempotencyKey)
+		return Booking{}, false, fault.New(fault.Conflict, "the idempotency key was used with other content")
 	}
 	if found && old.ClaimID == claim.ClaimID && old.Outcome == Claimed {
 		return old, true, nil // the same claim, committed twice by a resend of its owner
@@ -126,7 +128,7 @@
 		found = true
 	}
 	if !found || old.ClaimID != finish.ClaimID {
-		return Booking{}, fault.New(fault.Conflict, "claim %q does not own idempotency key %q", finish.ClaimID, finish.IdempotencyKey)
+		return Booking{}, fault.New(fault.Conflict, "claim %q does not own its idempotency key", finish.ClaimID)
 	}
 	if old.Outcome == Done || old.Outcome == NotRun {
 		return old, nil
@@ -138,6 +140,7 @@
 	old.Status = finish.Status
 	old.ContentType = finish.ContentType
 	old.Body = finish.Body
+	old.Withheld = finish.Withheld
 	l.put(key, old)
 	return l.rows[key], nil
 }
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -24,6 +24,7 @@
 	NoTarget        Code = "no_target"
 	NoQuorum        Code = "no_quorum"
 	OutcomeUnknown  Code = "outcome_unknown"
+	AnswerLost      Code = "answer_lost" // it ran once; its answer can't be had here
 	Deadline        Code = "deadline"
 	Overloaded      Code = "overloaded"
 	Interrupted     Code = "interrupted"
--- a/io/book/book.go
+++ b/io/book/book.go
@@ -15,6 +15,7 @@
 	"kingcuprill/core/exchange"
 	"kingcuprill/core/fault"
 	"kingcuprill/core/membership"
+	"kingcuprill/core/residency"
 	"kingcuprill/rpc/state"
 )
 
@@ -40,6 +41,7 @@
 	Board    *board.Board
 	Proposer Proposer
 	Caller   Caller
+	Answers  *Answers
 	Commit   time.Duration // bound for one claim
 	Log      *slog.Logger
 	// Background runs work that outlives its request and that a planned stop
@@ -50,7 +52,8 @@
 // Order is one call under its idempotency key.
 type Order struct {
 	Organisation   string
-	IdempotencyKey string
+	IdempotencyKey string // hashed
+	Shown          string // the key as the caller sent it, for errors
 	Digest         string
 	Request        exchange.Request
 }
@@ -71,7 +74,7 @@
 		if result.Fresh {
 			return b.dispatch(order, claimID)
 		}
-		answer, settled, err := b.replay(result.Booking)
+		answer, settled, err := b.replay(order, result.Booking)
 		if settled {
 			return answer, err
 		}
@@ -113,29 +116,37 @@
 
 // replay answers from a booking that exists. Settled is false while its owner
 // may still finish it.
-func (b *Booker) replay(row booking.Booking) (answer exchange.Answer, settled bool, err error) {
+func (b *Booker) replay(order Order, row booking.Booking) (answer exchange.Answer, settled bool, err error) {
 	switch row.Outcome {
 	case booking.Done:
-		headers := []exchange.Header{{Name: "Content-Type", Value: row.ContentType}, {Name: "Idempotent-Replayed", Value: "true"}}
-		return exchange.Answer{Status: row.Status, Headers: headers, Body: row.Body}, true, nil
+		if row.Withheld {
+			answer, err = b.Answers.Fetch(row)
+			return answer, true, err
+		}
+		return replayed(row, row.ContentType, row.Body), true, nil
 	case booking.Unknown:
-		return answer, true, unknownRow(row, "its outcome was lost")
+		return answer, true, unknownRow(order, "its outcome was lost")
 	}
 	owner, known := b.Board.Members.View.Read().Members[row.Owner]
 	if !known || owner.State == membership.Dead {
-		return answer, true, unknownRow(row, "VM "+row.Owner+", which ran it, can't be reached")
+		return answer, true, unknownRow(order, "VM "+row.Owner+", which ran it, can't be reached")
 	}
 	return answer, false, nil
 }
 
-func unknownRow(row booking.Booking, why string) error {
+func replayed(row booking.Booking, contentType string, body []byte) exchange.Answer {
+	headers := []exchange.Header{{Name: "Content-Type", Value: contentType}, {Name: "Idempotent-Replayed", Value: "true"}}
+	return exchange.Answer{Status: row.Status, Headers: headers, Body: body}
+}
+
+func unknownRow(order Order, why string) error {
 	return &exchange.Failure{Final: true, Err: fault.New(fault.OutcomeUnknown,
-		"the booking with idempotency key %q may have run: %s; it will not run again", row.IdempotencyKey, why)}
+		"the booking with idempotency key %q may have run: %s; it will not run again", order.Shown, why)}
 }
 
 func unknown(order Order, why string) error {
 	return &exchange.Failure{Final: true, Err: fault.New(fault.OutcomeUnknown,
-		"the booking with idempotency key %q may have run: %s; send it again with the same key to learn its outcome", order.IdempotencyKey, why)}
+		"the booking with idempotency key %q may have run: %s; send it again with the same key to learn its outcome", order.Shown, why)}
 }
 
 // dispatch runs the call and records what became of it.
@@ -157,18 +168,34 @@
 	switch {
 	case err == nil:
 		finish.Outcome = string(booking.Done)
-		finish.Status, finish.ContentType, finish.Body = stored(answer)
+		b.keep(order, finish, answer)
 	case exchange.NotRun(err):
 		finish.Outcome = string(booking.NotRun)
 	default:
 		finish.Outcome = string(booking.Unknown)
 		err = &exchange.Failure{Final: true, Err: fault.New(fault.OutcomeUnknown,
-			"the booking with idempotency key %q may have run, its answer was lost (%v); it will not run again", order.IdempotencyKey, err)}
+			"the booking with idempotency key %q may have run, its answer was lost (%v); it will not run again", order.Shown, err)}
 	}
 	b.finish(finish, b.Commit)
 	return answer, err
 }
 
+// keep puts an answer into its outcome. An answer that may not be in every
+// region where the control log is stays on this VM.
+func (b *Booker) keep(order Order, finish *state.Finish, answer exchange.Answer) {
+	finish.Status, finish.ContentType, finish.Body = stored(answer)
+	permitted := residency.Of(b.Board.Catalogue.Read(), order.Organisation, order.Request.Route.Name)
+	for _, m := range b.Board.Members.View.Read().Members {
+		if m.Control && !permitted.Allows(m.Region) {
+			finish.Withheld = true
+		}
+	}
+	if finish.Withheld {
+		b.Answers.Keep(finish.ClaimId, Kept{ContentType: finish.ContentType, Body: finish.Body, Permitted: permitted})
+		finish.ContentType, finish.Body = "", nil
+	}
+}
+
 // stored returns what is kept of an answer. A body that is too large is
 // replaced by a note, so that a replay still tells that the call ran.
 func stored(answer exchange.Answer) (status int32, contentType string, body []byte) {
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -26,6 +26,7 @@
 	fault.NoTarget:        http.StatusServiceUnavailable,
 	fault.NoQuorum:        http.StatusServiceUnavailable,
 	fault.OutcomeUnknown:  http.StatusGatewayTimeout,
+	fault.AnswerLost:      http.StatusGone,
 	fault.Deadline:        http.StatusGatewayTimeout,
 	fault.Overloaded:      http.StatusServiceUnavailable,
 	fault.Interrupted:     http.StatusBadGateway,
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -80,10 +80,17 @@
 	}
 	// The booking goes on when its caller goes away: its outcome must be recorded.
 	return s.Booker.Run(v.r.Context(), book.Order{
-		Organisation: v.key.Organisation, IdempotencyKey: key, Digest: callDigest(request), Request: request,
+		Organisation: v.key.Organisation, IdempotencyKey: hashKey(key), Shown: key, Digest: callDigest(request), Request: request,
 	})
 }
 
+// hashKey returns the form in which an idempotency key is kept on the control
+// VMs, which may be in any region.
+func hashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 func callDigest(request exchange.Request) string {
 	digest := sha256.New()
 	for _, part := range []string{request.Route.Name, request.Call.Method, request.Call.URL, string(request.Call.Body)} {
--- a/io/codec/control.go
+++ b/io/codec/control.go
@@ -42,7 +42,7 @@
 		m.Kind = &state.Command_Finish{Finish: &state.Finish{
 			Organisation: c.Finish.Organisation, IdempotencyKey: c.Finish.IdempotencyKey, ClaimId: c.Finish.ClaimID,
 			Outcome: string(c.Finish.Outcome), Status: int32(c.Finish.Status), ContentType: c.Finish.ContentType,
-			Body: c.Finish.Body, NowUnixNanoseconds: c.Finish.Now.UnixNano(),
+			Body: c.Finish.Body, Withheld: c.Finish.Withheld, NowUnixNanoseconds: c.Finish.Now.UnixNano(),
 		}}
 	case c.Orders != nil:
 		m.Kind = &state.Command_Orders{Orders: &state.Orders{
@@ -68,7 +68,7 @@
 		c.Finish = &booking.Finish{
 			Organisation: kind.Finish.GetOrganisation(), IdempotencyKey: kind.Finish.GetIdempotencyKey(), ClaimID: kind.Finish.GetClaimId(),
 			Outcome: booking.Outcome(kind.Finish.GetOutcome()), Status: int(kind.Finish.GetStatus()),
-			ContentType: kind.Finish.GetContentType(), Body: kind.Finish.GetBody(), Now: time.Unix(0, kind.Finish.GetNowUnixNanoseconds()),
+			ContentType: kind.Finish.GetContentType(), Body: kind.Finish.GetBody(), Withheld: kind.Finish.GetWithheld(), Now: time.Unix(0, kind.Finish.GetNowUnixNanoseconds()),
 		}
 	case *state.Command_Orders:
 		c.Orders = &orders.Request{
@@ -84,7 +84,7 @@
 	return &state.Booking{
 		Organisation: b.Organisation, IdempotencyKey: b.IdempotencyKey, Digest: b.Digest, Owner: b.Owner, ClaimId: b.ClaimID,
 		Outcome: string(b.Outcome), Status: int32(b.Status), ContentType: b.ContentType, Body: b.Body,
-		ChangedUnixNanoseconds: b.Changed.UnixNano(),
+		Withheld: b.Withheld, ChangedUnixNanoseconds: b.Changed.UnixNano(),
 	}
 }
 
@@ -93,7 +93,7 @@
 	return booking.Booking{
 		Organisation: m.GetOrganisation(), IdempotencyKey: m.GetIdempotencyKey(), Digest: m.GetDigest(), Owner: m.GetOwner(),
 		ClaimID: m.GetClaimId(), Outcome: booking.Outcome(m.GetOutcome()), Status: int(m.GetStatus()),
-		ContentType: m.GetContentType(), Body: m.GetBody(), Changed: time.Unix(0, m.GetChangedUnixNanoseconds()),
+		ContentType: m.GetContentType(), Body: m.GetBody(), Withheld: m.GetWithheld(), Changed: time.Unix(0, m.GetChangedUnixNanoseconds()),
 	}
 }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -60,6 +60,7 @@
 	gossiper   *gossip.Gossip
 	borrower   *borrow.Borrower
 	reporter   *report.Reporter
+	answers    *book.Answers
 	dispatcher *dispatch.Dispatcher
 
 	callers *http.Server
@@ -81,6 +82,7 @@
 	d.withdrawer = &withdraw.Withdrawer{Board: d.board, Peers: d.peers, Proposer: d.proposer, Log: log}
 	d.gossiper = &gossip.Gossip{Board: d.board, Peers: d.peers, Seeds: s.Seeds, Log: log, Withdrawn: func(keys []string) { d.withdrawer.Take(keys) }}
 	d.borrower = borrow.NewBorrower(d.board, d.peers, log)
+	d.answers = &book.Answers{Board: d.board, Peers: d.peers}
 	d.reporter = &report.Reporter{Board: d.board, Peers: d.peers}
 	d.dispatcher = &dispatch.Dispatcher{
 		Board: d.board, Engine: engine.NewClient(s.Timeouts), Service: service.NewClient(s.Timeouts, s.Limits),
@@ -162,7 +164,7 @@
 	forwarder := &forward.Server{Board: d.board, Runner: d.dispatcher, Enter: d.register.Enter}
 	peerServer := &vm.Server{
 		Board: d.board, Replica: d.replica, Proposer: d.proposer, Follower: d.follower, Gossiper: d.gossiper,
-		Withdrawer: d.withdrawer, Borrower: d.borrower, Reporter: d.reporter, Forwarder: forwarder,
+		Withdrawer: d.withdrawer, Borrower: d.borrower, Reporter: d.reporter, Forwarder: forwarder, Answers: d.answers,
 	}
 	operatorServer := &operator.Server{
 		Board: d.board, Proposer: d.proposer, Withdrawer: d.withdrawer, Reporter: d.reporter,
@@ -198,7 +200,7 @@
 		Board: d.board, Dispatcher: d.dispatcher, Reserver: reserver, Register: &d.register, Limits: s.Limits,
 		Metrics: d.metrics, Log: d.log, Ready: d.ready,
 		Booker: &book.Booker{
-			Board: d.board, Proposer: d.proposer, Caller: d.dispatcher, Commit: s.Timeouts.Commit, Log: d.log, Background: d.background,
+			Board: d.board, Proposer: d.proposer, Caller: d.dispatcher, Answers: d.answers, Commit: s.Timeouts.Commit, Log: d.log, Background: d.background,
 		},
 	}
 }
--- a/io/vm/server.go
+++ b/io/vm/server.go
@@ -9,6 +9,7 @@
 	"kingcuprill/core/control"
 	"kingcuprill/core/fault"
 	"kingcuprill/core/raft"
+	"kingcuprill/io/book"
 	"kingcuprill/io/borrow"
 	"kingcuprill/io/codec"
 	"kingcuprill/io/forward"
@@ -37,6 +38,7 @@
 	Borrower   *borrow.Borrower
 	Reporter   *report.Reporter
 	Forwarder  *forward.Server
+	Answers    *book.Answers
 }
 
 // Handler returns the routes of the peer listener. Only signed requests pass.
@@ -105,6 +107,15 @@
 	return &vm.QuarantineResponse{}, nil
 }
 
+// FetchAnswer reads the answer of a booking that is kept on this VM only.
+func (s *Server) FetchAnswer(_ context.Context, request *vm.FetchAnswerRequest) (*vm.FetchAnswerResponse, error) {
+	kept, found := s.Answers.Read(request.GetClaimId(), request.GetRegion())
+	if !found {
+		return &vm.FetchAnswerResponse{}, nil
+	}
+	return &vm.FetchAnswerResponse{Found: true, ContentType: kept.ContentType, Body: kept.Body}, nil
+}
+
 // Burn answers with this VM's own burn rows.
 func (s *Server) Burn(context.Context, *operator.BurnRequest) (*operator.BurnResponse, error) {
 	return &operator.BurnResponse{Rows: s.Reporter.Own()}, nil
