--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -88,12 +88,21 @@
 		Board: d.board, Engine: engine.NewClient(s.Timeouts), Service: service.NewClient(s.Timeouts, s.Limits),
 		Forward: &forward.Client{Board: d.board, Peers: d.peers}, Policy: s.Policy, Metrics: d.metrics, Log: log, Struck: d.spreadStrike,
 	}
+	d.addGauges()
 	if s.Control.DataDir != "" {
 		err = d.openReplica()
 	}
 	return d, err
 }
 
+// addGauges adds what this VM uses for control.
+func (d *Daemon) addGauges() {
+	d.metrics.Gauge("peer_bytes_sent", d.peers.Bytes.Sent.Load)
+	d.metrics.Gauge("peer_bytes_received", d.peers.Bytes.Received.Load)
+	d.metrics.Gauge("revision", func() int64 { return int64(d.board.Catalogue.Read().Revision) })
+	d.metrics.Gauge("running", d.register.Count)
+}
+
 func (d *Daemon) openReplica() error {
 	identity := disk.Identity{ClusterID: d.settings.Cluster.ID, VM: d.settings.VM.ID}
 	store, saved, err := disk.Open(d.settings.Control.DataDir, identity)
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -40,6 +40,11 @@
 	}
 }
 
+// Gauge adds a value that is read when the metrics are written.
+func (m *Metrics) Gauge(name string, read func() int64) {
+	gometrics.NewRegisteredFunctionalGauge(name, m.Registry, read)
+}
+
 // ServeHTTP writes all metrics as JSON.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- a/io/rig/cli/cli.go
+++ b/io/rig/cli/cli.go
@@ -6,12 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
 	"github.com/integrii/flaggy"
 
 	"kingcuprill/io/rig/demo"
+	"kingcuprill/io/rig/experiment"
 )
 
 // Exit codes.
@@ -39,11 +42,55 @@
 	show := flaggy.NewSubcommand("demo")
 	show.Description = "Show the way of a request on six VMs."
 	parser.AttachSubcommand(show, 1)
+	measure := flaggy.NewSubcommand("measure")
+	measure.Description = "Run experiments and print a table."
+	pattern, jsonPath := "experiments/*.json", ""
+	measure.String(&pattern, "", "experiments", "Settings files of the experiments, as a file pattern.")
+	measure.String(&jsonPath, "", "json", "Write the results as JSON to this file.")
+	parser.AttachSubcommand(measure, 1)
 	if err := parser.ParseArgs(args); err != nil {
 		return err
 	}
-	if show.Used {
+	switch {
+	case show.Used:
 		return demo.Run(ctx, daemon, out)
+	case measure.Used:
+		return runExperiments(ctx, daemon, pattern, jsonPath, out)
 	}
 	return errors.New("no command is given; see kingcuprill-rig --help")
 }
+
+// runExperiments runs one experiment after the other.
+func runExperiments(ctx context.Context, daemon, pattern, jsonPath string, out io.Writer) error {
+	paths, err := filepath.Glob(pattern)
+	if err != nil {
+		return err
+	}
+	if len(paths) == 0 {
+		return fmt.Errorf("--experiments: %q matches no file", pattern)
+	}
+	results := []experiment.Result{}
+	for _, path := range paths {
+		settings, err := experiment.Read(path)
+		if err != nil {
+			return err
+		}
+		result, err := experiment.Run(ctx, daemon, settings)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+		fmt.Fprintf(out, "%s: %d of %d answered, %v\n", result.Name, result.Answered, result.Requests, result.Codes)
+	}
+	if jsonPath != "" {
+		file, err := os.Create(jsonPath)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		if err := experiment.WriteJSON(file, results); err != nil {
+			return err
+		}
+	}
+	return experiment.Table(out, results)
+}
