Index residency rules, bound slow bodies, merge withdrawals by gossip; more proofs

Cause: reading the code again. (1) Dropping idle connections to other VMs did nothing, since the signing transport hid the call. (2) A VM that pulled the catalogue ignored the withdrawn keys in the answer, so that one which joined while the control VMs were away would have taken such a key. (3) A request looked through all residency rules. (4) A caller could send its body for ever. (5) Three guards of the limits had no test that fails without them.

--- /dev/null
+++ b/core/booking/booking_test.go
@@ -0,0 +1,91 @@
+package booking_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kingcuprill/core/booking"
+)
+
+// TestAtMostOneRun lets owners claim, finish, give up and repeat in any order,
+// with late and repeated commands, and expects at most one claim of each key
+// that may dispatch and that is not known to have run nothing.
+func TestAtMostOneRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledger := booking.NewLedger()
+		open := map[string]string{} // key to the claim that may have run
+		final := map[string]booking.Outcome{}
+		given := map[string]bool{} // claims given up
+		now := time.Unix(0, 0)
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3600).Draw(t, "seconds")) * time.Second)
+			key := fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "key"))
+			claim := fmt.Sprint("c", rapid.IntRange(0, 5).Draw(t, "claim"))
+			if rapid.Bool().Draw(t, "claims") {
+				row, fresh, err := ledger.Claim(booking.Claim{Organisation: "o", IdempotencyKey: key, Digest: "d", ClaimID: claim, Now: now})
+				if err != nil || !fresh {
+					if err == nil && row.Outcome == booking.NotRun {
+						t.Fatalf("a claim on a booking that did not run was refused")
+					}
+					continue
+				}
+				if other, running := open[key]; running && other != claim {
+					t.Fatalf("claims %s and %s may both run %s", other, claim, key)
+				}
+				if final[key] == booking.Done || final[key] == booking.Unknown {
+					t.Fatalf("%s may run again after %s", key, final[key])
+				}
+				if given[key+claim] {
+					t.Fatalf("claim %s may run %s after it was given up", claim, key)
+				}
+				open[key] = claim
+				continue
+			}
+			outcome := rapid.SampledFrom([]booking.Outcome{booking.Done, booking.NotRun, booking.Unknown}).Draw(t, "outcome")
+			row, err := ledger.Finish(booking.Finish{Organisation: "o", IdempotencyKey: key, ClaimID: claim, Outcome: outcome, Now: now})
+			if err != nil {
+				continue
+			}
+			final[key] = row.Outcome
+			if row.Outcome == booking.NotRun {
+				given[key+claim] = true
+				if open[key] == claim {
+					delete(open, key)
+				}
+			}
+		}
+	})
+}
+
+// TestSnapshotKeepsBookings expects a restored ledger to answer as the first.
+func TestSnapshotKeepsBookings(t *testing.T) {
+	ledger := booking.NewLedger()
+	now := time.Unix(100, 0)
+	for i := range 5 {
+		key := fmt.Sprint("k", i)
+		if _, _, err := ledger.Claim(booking.Claim{IdempotencyKey: key, Digest: "d", ClaimID: "c", Now: now}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ledger.Finish(booking.Finish{IdempotencyKey: key, ClaimID: "c", Outcome: booking.Done, Status: 200 + i, Now: now}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	restored := booking.NewLedger()
+	for _, row := range ledger.Rows() {
+		restored.Restore(row)
+	}
+	if got := len(restored.Rows()); got != 5 {
+		t.Fatalf("%d bookings, want 5", got)
+	}
+	row, fresh, err := restored.Claim(booking.Claim{IdempotencyKey: "k3", Digest: "d", ClaimID: "other", Now: now})
+	if err != nil || fresh || row.Status != 203 {
+		t.Fatalf("row %+v, fresh %t, error %v; want the stored answer", row, fresh, err)
+	}
+	later := now.Add(booking.Retention + time.Second)
+	if _, fresh, _ = restored.Claim(booking.Claim{IdempotencyKey: "k3", Digest: "d", ClaimID: "other", Now: later}); !fresh {
+		t.Fatal("a booking past its retention was kept")
+	}
+}
--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -21,7 +21,8 @@
 	Residencies   map[string]Residency
 	VMs           map[string]VM
 
-	keyBySecret  map[string]string // secret hash to key id
+	keyBySecret  map[string]string      // secret hash to key id
+	rulesOf      map[string][]Residency // by organisation; "" for all organisations
 	routeByModel map[string]string
 }
 
@@ -42,6 +43,21 @@
 func (c *Catalogue) Index() {
 	c.indexKeys()
 	c.indexRoutes()
+	c.indexRules()
+}
+
+func (c *Catalogue) indexRules() {
+	c.rulesOf = map[string][]Residency{}
+	for _, name := range SortedNames(c.Residencies) {
+		rule := c.Residencies[name]
+		c.rulesOf[rule.Organisation] = append(c.rulesOf[rule.Organisation], rule)
+	}
+}
+
+// RulesOf returns the residency rules of one organisation; the empty name
+// stands for the rules of all.
+func (c *Catalogue) RulesOf(organisation string) []Residency {
+	return c.rulesOf[organisation]
 }
 
 func (c *Catalogue) indexKeys() {
@@ -196,6 +212,7 @@
 		return fault.New(fault.NotFound, "residency.route %q does not exist", rule.Route)
 	}
 	c.Residencies = put(c.Residencies, rule.Name, rule)
+	c.indexRules()
 	return nil
 }
 
@@ -204,6 +221,7 @@
 		return fault.New(fault.NotFound, "residency rule %q does not exist", name)
 	}
 	c.Residencies = without(c.Residencies, name)
+	c.indexRules()
 	return nil
 }
 
@@ -297,6 +315,7 @@
 	c.Routes = fresh.Routes
 	c.Residencies = fresh.Residencies
 	c.indexRoutes()
+	c.indexRules()
 	return nil
 }
 
--- /dev/null
+++ b/core/limit/directed_test.go
@@ -0,0 +1,96 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"kingcuprill/core/blackboard"
+	"kingcuprill/core/catalogue"
+	"kingcuprill/core/limit"
+)
+
+// saturate sends more requests to the given VMs than they can bear.
+func (f *fleet) saturate(vms []int, lasting time.Duration) {
+	var group sync.WaitGroup
+	for elapsed := time.Duration(0); elapsed < lasting; elapsed += 20 * time.Millisecond {
+		for _, vm := range vms {
+			group.Go(func() { f.request(vm, 5, 5, 0) })
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+}
+
+// TestLenderRestartsAfterLoan restarts a VM right after it has lent all it has.
+// It must not accrue again while its borrower still uses the loan.
+func TestLenderRestartsAfterLoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(rand.New(rand.NewPCG(1, 1)), 2)
+		time.Sleep(20 * time.Second)
+		lender, _ := f.limiter(0).Account(organisation)
+		borrower, _ := f.limiter(1).Account(organisation)
+		asked := time.Now()
+		loan := lender.Lend(limit.Amount{RatePerSecond: rate, Burst: burst}, asked)
+		if loan.RatePerSecond != rate/2 {
+			t.Fatalf("the lender lent %v of its %v tokens a second", loan.RatePerSecond, rate/2)
+		}
+		borrower.Borrow(loan, asked, time.Now())
+		f.restart(0)
+		f.cut[[2]int{0, 1}], f.cut[[2]int{1, 0}] = true, true
+		f.saturate([]int{0, 1}, 6*time.Second)
+		f.history.check(t, 0, rate, burst)
+	})
+}
+
+// TestJoiningVMWaitsForAcknowledgements lets a VM see its own joining before
+// the others do. It must have no share while they still use theirs.
+func TestJoiningVMWaitsForAcknowledgements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := catalogue.New()
+		c, _ = c.With(catalogue.Change{PutOrganisation: &catalogue.Organisation{Name: organisation, RatePerSecond: rate, Burst: burst, Weight: 1}})
+		c = withVM(c, 0)
+		c, _ = c.With(catalogue.Change{SettleVMs: c.VMRevision})
+		joined := withVM(c, 1)
+		f := &fleet{random: rand.New(rand.NewPCG(1, 1)), cut: map[[2]int]bool{{0, 1}: true, {1, 0}: true}, history: &history{start: time.Now()}}
+		for i, seen := range []*catalogue.Catalogue{c, joined} {
+			f.sections = append(f.sections, blackboard.NewSection(seen))
+			f.limiters = append(f.limiters, limit.NewLimiter(vmName(i), f.sections[i]))
+		}
+		time.Sleep(20 * time.Second)
+		f.saturate([]int{0, 1}, 6*time.Second)
+		f.history.check(t, 0, rate, burst)
+	})
+}
+
+// TestSettledShareStartsEmpty settles a joined VM while the old one has spent
+// its burst: the new one must earn its part.
+func TestSettledShareStartsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(rand.New(rand.NewPCG(1, 1)), 1)
+		time.Sleep(20 * time.Second)
+		f.cut[[2]int{0, 1}], f.cut[[2]int{1, 0}] = true, true
+		f.saturate([]int{0}, time.Second)
+		f.change(withVM(f.current, 1))
+		f.saturate([]int{0, 1}, 4*time.Second)
+		f.history.check(t, 0, rate, burst)
+	})
+}
+
+// TestRefundOfSpilledTokens settles a reservation long after the bucket was
+// full again: what would have spilled without it can't come back.
+func TestRefundOfSpilledTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(rand.New(rand.NewPCG(1, 1)), 1)
+		f.cut[[2]int{0, 1}], f.cut[[2]int{1, 0}] = true, true
+		time.Sleep(20 * time.Second)
+		var group sync.WaitGroup
+		group.Go(func() { f.request(0, burst, burst/2, 10*time.Second) })
+		time.Sleep(9900 * time.Millisecond)
+		f.saturate([]int{0}, 2*time.Second)
+		group.Wait()
+		f.history.check(t, 0, rate, burst)
+	})
+}
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -16,15 +16,18 @@
 // Of returns where requests of an organisation on a route may be served. With
 // no matching rule every region is permitted.
 func Of(c *catalogue.Catalogue, organisation, route string) Permitted {
-	p := Permitted{all: true}
-	for _, rule := range c.Residencies {
-		if rule.Organisation != "" && rule.Organisation != organisation {
-			continue
-		}
-		if rule.Route != "" && rule.Route != route {
-			continue
+	p := Permitted{all: true}.restrict(c.RulesOf(""), route)
+	if organisation == "" {
+		return p
+	}
+	return p.restrict(c.RulesOf(organisation), route)
+}
+
+func (p Permitted) restrict(rules []catalogue.Residency, route string) Permitted {
+	for _, rule := range rules {
+		if rule.Route == "" || rule.Route == route {
+			p = p.intersect(rule.Regions)
 		}
-		p = p.intersect(rule.Regions)
 	}
 	return p
 }
--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -153,7 +153,13 @@
 	return request, nil
 }
 
+// bodyTime bounds how long a caller may take to send its body.
+const bodyTime = 30 * time.Second
+
 func (s *Server) readBody(v *visit) (data []byte, err error) {
+	control := http.NewResponseController(v.w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	data, err = io.ReadAll(http.MaxBytesReader(v.w, v.r.Body, s.Limits.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -78,9 +78,9 @@
 	}, s.Targets.Lease)
 	d.peers = peer.NewPeers(s)
 	d.proposer = &propose.Proposer{Board: d.board, Peers: d.peers}
-	d.follower = &spread.Follower{Board: d.board, Peers: d.peers, Log: log, Newer: d.newCatalogue}
+	d.follower = &spread.Follower{Board: d.board, Peers: d.peers, Log: log, Newer: d.newCatalogue, Withdrawn: d.takeWithdrawn}
 	d.withdrawer = &withdraw.Withdrawer{Board: d.board, Peers: d.peers, Proposer: d.proposer, Log: log}
-	d.gossiper = &gossip.Gossip{Board: d.board, Peers: d.peers, Seeds: s.Seeds, Log: log, Withdrawn: func(keys []string) { d.withdrawer.Take(keys) }}
+	d.gossiper = &gossip.Gossip{Board: d.board, Peers: d.peers, Seeds: s.Seeds, Log: log, Withdrawn: d.takeWithdrawn, Uncommitted: d.withdrawer.Uncommitted}
 	d.borrower = borrow.NewBorrower(d.board, d.peers, log)
 	d.answers = &book.Answers{Board: d.board, Peers: d.peers}
 	d.reporter = &report.Reporter{Board: d.board, Peers: d.peers}
@@ -95,6 +95,10 @@
 	return d, err
 }
 
+func (d *Daemon) takeWithdrawn(keys []string) {
+	d.withdrawer.Take(keys)
+}
+
 // addGauges adds what this VM uses for control.
 func (d *Daemon) addGauges() {
 	d.metrics.Gauge("peer_bytes_sent", d.peers.Bytes.Sent.Load)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -20,10 +20,12 @@
 )
 
 const (
-	period          = 500 * time.Millisecond
-	rowsPerMessage  = 24
-	indirectProbes  = 2
-	roundsUntilDead = 8 // rounds between tries to reach a dead member or a seed
+	period         = 500 * time.Millisecond
+	rowsPerMessage = 24
+	// withdrawnPerMessage bounds the withdrawn keys in a message.
+	withdrawnPerMessage = 64
+	indirectProbes      = 2
+	roundsUntilDead     = 8 // rounds between tries to reach a dead member or a seed
 )
 
 // Gossip keeps the membership table of this VM.
@@ -34,6 +36,9 @@
 	Log   *slog.Logger
 	// Withdrawn takes in withdrawn keys that others tell of.
 	Withdrawn func(keys []string)
+	// Uncommitted returns the withdrawn keys that the catalogue doesn't show;
+	// they go with each message until it does.
+	Uncommitted func() []string
 
 	mu     sync.Mutex // guards the membership table's writers
 	round  int
@@ -193,7 +198,8 @@
 	revision := g.updateRevision()
 	rows := g.Board.Members.Updates(rowsPerMessage)
 	self := g.Board.SelfMember()
-	message := &vm.GossipMessage{From: self.ID, Revision: revision, Members: fromMembers(append(rows, self))}
+	uncommitted := g.Uncommitted()
+	message := &vm.GossipMessage{Withdrawn: uncommitted[:min(len(uncommitted), withdrawnPerMessage)], From: self.ID, Revision: revision, Members: fromMembers(append(rows, self))}
 	for _, s := range g.Board.Summaries.Read().ByDataCentre {
 		if s.Region != "" && time.Since(s.Received) < summaryFresh {
 			message.Summaries = append(message.Summaries, fromSummary(s))
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -17,7 +17,6 @@
 	Retries  gometrics.Counter
 	Away     gometrics.Counter // sent to another region
 	Admitted gometrics.Counter // tokens, net of refunds
-	Loans    gometrics.Counter
 	Answer   gometrics.Timer
 	First    gometrics.Timer // to the first token
 }
@@ -34,7 +33,6 @@
 		Retries:  gometrics.NewRegisteredCounter("retries", registry),
 		Away:     gometrics.NewRegisteredCounter("away", registry),
 		Admitted: gometrics.NewRegisteredCounter("admitted_tokens", registry),
-		Loans:    gometrics.NewRegisteredCounter("loans", registry),
 		Answer:   gometrics.NewRegisteredTimer("answer", registry),
 		First:    gometrics.NewRegisteredTimer("first_token", registry),
 	}
--- a/io/peer/credentials.go
+++ b/io/peer/credentials.go
@@ -89,6 +89,13 @@
 	next        http.RoundTripper
 }
 
+// CloseIdleConnections passes the call of http.Client on to the connections.
+func (s signing) CloseIdleConnections() {
+	if closer, able := s.next.(interface{ CloseIdleConnections() }); able {
+		closer.CloseIdleConnections()
+	}
+}
+
 // RoundTrip signs and sends a request.
 func (s signing) RoundTrip(request *http.Request) (*http.Response, error) {
 	var body []byte
--- a/io/rig/cli/cli.go
+++ b/io/rig/cli/cli.go
@@ -15,6 +15,7 @@
 
 	"kingcuprill/io/rig/demo"
 	"kingcuprill/io/rig/experiment"
+	"kingcuprill/io/rig/scale"
 )
 
 // Exit codes.
@@ -48,10 +49,20 @@
 	measure.String(&pattern, "", "experiments", "Settings files of the experiments, as a file pattern.")
 	measure.String(&jsonPath, "", "json", "Write the results as JSON to this file.")
 	parser.AttachSubcommand(measure, 1)
+	grow := flaggy.NewSubcommand("scale")
+	grow.Description = "Measure what a daemon spends on control at several fleet sizes."
+	sizes := []int{}
+	grow.IntSlice(&sizes, "", "vms", "Numbers of VMs.")
+	parser.AttachSubcommand(grow, 1)
 	if err := parser.ParseArgs(args); err != nil {
 		return err
 	}
+	if len(sizes) == 0 {
+		sizes = []int{6, 24, 96}
+	}
 	switch {
+	case grow.Used:
+		return scale.Run(ctx, daemon, sizes, out)
 	case show.Used:
 		return demo.Run(ctx, daemon, out)
 	case measure.Used:
--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -34,6 +34,8 @@
 	Log   *slog.Logger
 	// Newer is called after each new catalogue.
 	Newer func()
+	// Withdrawn takes in the withdrawn keys that other VMs know.
+	Withdrawn func(keys []string)
 
 	mu      sync.Mutex
 	history []change // consecutive, the newest last
@@ -178,6 +180,7 @@
 
 // TakeAnswer puts in force what another VM has answered.
 func (f *Follower) TakeAnswer(answer *vm.PullResponse) error {
+	f.Withdrawn(answer.GetWithdrawn())
 	if answer.GetWhole() != nil {
 		f.Take(codec.ToCatalogue(answer.GetWhole()), nil)
 		return nil
