--- a/core/route/route.go
+++ b/core/route/route.go
@@ -39,17 +39,12 @@
 	Cost(request Request, candidate C, now time.Time) time.Duration
 }
 
-// sampled is how many candidates are compared.
+// sampled is how many targets are compared for one request.
 const sampled = 8
 
-// Choose returns the candidate with the lowest cost among a random sample.
+// Choose returns the candidate with the lowest cost.
 func Choose[C any](policy Policy[C], request Request, candidates []C, now time.Time) (best C, cost time.Duration, found bool) {
-	if len(candidates) == 0 {
-		return best, 0, false
-	}
-	start := rand.IntN(len(candidates))
-	for i := range min(sampled, len(candidates)) {
-		candidate := candidates[(start+i)%len(candidates)]
+	for _, candidate := range candidates {
 		candidateCost := policy.Cost(request, candidate, now)
 		if !found || candidateCost < cost {
 			best, cost, found = candidate, candidateCost, true
@@ -58,11 +53,18 @@
 	return best, cost, found
 }
 
-// Eligible returns the targets that may run a request.
+// Eligible returns a sample of the targets that may run a request. Requests
+// with the same prefix of their prompt start at the same place of the table, so
+// that their sample holds the targets that have it cached.
 func Eligible(snapshot *target.Snapshot, request Request, now time.Time) []*target.Target {
 	rows := snapshot.ByService[request.Service]
-	eligible := make([]*target.Target, 0, len(rows))
-	for _, row := range rows {
+	eligible := make([]*target.Target, 0, min(sampled, len(rows)))
+	start := firstOfSample(request, len(rows))
+	for i := range rows {
+		row := rows[(start+i)%len(rows)]
+		if len(eligible) == sampled {
+			break
+		}
 		if !row.Serves(request.Model, now) || slices.Contains(request.Avoid, row.ID) {
 			continue
 		}
@@ -77,6 +79,16 @@
 	return eligible
 }
 
+func firstOfSample(request Request, rows int) int {
+	if rows == 0 {
+		return 0
+	}
+	if len(request.Prefixes) > 0 {
+		return int(request.Prefixes[0] % uint64(rows))
+	}
+	return rand.IntN(rows)
+}
+
 // Predicted weighs the predicted wait, the cold part of the prompt and a ramp
 // after a target's start.
 type Predicted struct {
