--- a/acceptance/scenario_test.go
+++ b/acceptance/scenario_test.go
@@ -107,6 +107,10 @@
 	if err != nil {
 		fmt.Fprintln(ts.Stdout(), err)
 	}
+	if id := s.raced(); id != "" {
+		s.dumpLogs(ts)
+		ts.Fatalf("%s: the race detector has found a data race in %s", strings.Join(words, " "), id)
+	}
 	if neg != (err != nil) {
 		s.dumpLogs(ts)
 		ts.Fatalf("%s: error %v", strings.Join(words, " "), err)
@@ -140,6 +144,19 @@
 	}
 }
 
+// raced returns a daemon in which the race detector has found something.
+func (s *scenario) raced() (id string) {
+	if s.cluster == nil {
+		return ""
+	}
+	for _, v := range s.cluster.VMs {
+		if data, err := os.ReadFile(v.Log); err == nil && bytes.Contains(data, []byte("DATA RACE")) {
+			return v.ID
+		}
+	}
+	return ""
+}
+
 const logTail = 3000 // bytes
 
 func (s *scenario) dumpLogs(ts *testscript.TestScript) {
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -80,7 +80,7 @@
 	extraSends = 3
 	// revisionSends is how often an update is sent that brings a newer revision
 	// only. Each VM's own row is in all its messages anyway.
-	revisionSends = 3
+	revisionSends = 1
 )
 
 type spread struct {
--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -62,7 +62,7 @@
 	ctx, leave := s.enter(v, request.Deadline)
 	defer leave()
 	promptTokens := estimateTokens(generation.Prompt)
-	reservation, err := s.reserve(ctx, v, promptTokens+generation.MaxTokens)
+	reservation, err := s.Reserver.Reserve(ctx, v.key.Organisation, promptTokens+generation.MaxTokens)
 	if err != nil {
 		return ended(ctx, err)
 	}
--- a/io/caller/questions.go
+++ b/io/caller/questions.go
@@ -23,10 +23,12 @@
 }
 
 func (s *Server) health(v *visit) error {
+	v.question = true
 	return writeJSON(v.w, statusJSON{Status: "ok"})
 }
 
 func (s *Server) ready(v *visit) error {
+	v.question = true
 	if err := s.Ready(); err != nil {
 		return err
 	}
@@ -46,6 +48,7 @@
 
 // models lists the models that the key may use.
 func (s *Server) models(v *visit) (err error) {
+	v.question = true
 	if v.key, err = access.Authenticate(s.Board, secret(v.r.Request)); err != nil {
 		return err
 	}
@@ -78,6 +81,7 @@
 // vms answers which entry VMs the key's holder should use, the best first. A
 // route in the query leaves out the regions where its requests may not enter.
 func (s *Server) vms(v *visit) (err error) {
+	v.question = true
 	if v.key, err = access.Authenticate(s.Board, secret(v.r.Request)); err != nil {
 		return err
 	}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -22,7 +22,6 @@
 	"kingcuprill/core/fault"
 	"kingcuprill/core/hops"
 	"kingcuprill/core/inflight"
-	"kingcuprill/core/limit"
 	"kingcuprill/core/residency"
 	"kingcuprill/io/book"
 	"kingcuprill/io/dispatch"
@@ -71,8 +70,10 @@
 	route   catalogue.Route
 	status  int
 	used    int // tokens
-	w       http.ResponseWriter
-	r       bunrouter.Request
+	// question marks a question about the system itself.
+	question bool
+	w        http.ResponseWriter
+	r        bunrouter.Request
 }
 
 // wrap gives a request its id, bounds how many run, and logs its end.
@@ -97,8 +98,8 @@
 }
 
 func (s *Server) finish(v *visit, err error) {
-	if v.route.Name == "" && err == nil {
-		return // questions that run nothing
+	if v.question {
+		return // runs nothing, and is asked all the time
 	}
 	s.Metrics.Requests.Inc(1)
 	took := time.Since(v.started)
@@ -133,7 +134,7 @@
 	}
 }
 
-// Secret returns the key's secret of a request, from either usual header.
+// secret returns the key's secret of a request, from either usual header.
 func secret(r *http.Request) string {
 	if bearer, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); found {
 		return strings.TrimSpace(bearer)
@@ -174,11 +175,6 @@
 	return ctx, func() { cancel(); left() }
 }
 
-// reserve takes the tokens of a request from its organisation's limit.
-func (s *Server) reserve(ctx context.Context, v *visit, tokens int) (r *limit.Reservation, err error) {
-	return s.Reserver.Reserve(ctx, v.key.Organisation, tokens)
-}
-
 // ended returns the cause when a context was ended for a reason of its own.
 func ended(ctx context.Context, err error) error {
 	if err == nil || ctx.Err() == nil {
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -37,7 +37,7 @@
 	ctx, leave := s.enter(v, request.Deadline)
 	defer leave()
 	v.used = estimateTokens(string(data))
-	reservation, err := s.reserve(ctx, v, v.used)
+	reservation, err := s.Reserver.Reserve(ctx, v.key.Organisation, v.used)
 	if err != nil {
 		return ended(ctx, err)
 	}
--- a/io/cli/factory/factory.go
+++ b/io/cli/factory/factory.go
@@ -197,3 +197,27 @@
 	})
 	return c, err
 }
+
+// Status asks how the system stands.
+func (f *Factory) Status(ctx context.Context) (answer *operator.StatusResponse, err error) {
+	err = f.Call(func(client operator.Operator) (err error) {
+		answer, err = client.Status(ctx, &operator.StatusRequest{})
+		return err
+	})
+	return answer, err
+}
+
+// ChangeReplicas changes the replicas of the control log and prints what is in
+// force.
+func (f *Factory) ChangeReplicas(ctx context.Context, action, vm, done string) error {
+	var answer *operator.ChangeReplicasResponse
+	err := f.Call(func(client operator.Operator) (err error) {
+		answer, err = client.ChangeReplicas(ctx, &operator.ChangeReplicasRequest{Action: action, Vm: vm})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(f.Streams.Out, "replica %s %s; voters: %s; learners: %s\n", vm, done, strings.Join(answer.GetVoters(), ","), strings.Join(answer.GetLearners(), ","))
+	return nil
+}
--- a/io/cli/replica/remove/remove.go
+++ b/io/cli/replica/remove/remove.go
@@ -3,14 +3,11 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
 
 	"github.com/integrii/flaggy"
 
 	"kingcuprill/io/cli/command"
 	"kingcuprill/io/cli/factory"
-	"kingcuprill/rpc/operator"
 )
 
 // Options are the arguments of the command.
@@ -39,14 +36,5 @@
 }
 
 func run(ctx context.Context, o *Options) error {
-	var answer *operator.ChangeReplicasResponse
-	err := o.Factory.Call(func(client operator.Operator) (err error) {
-		answer, err = client.ChangeReplicas(ctx, &operator.ChangeReplicasRequest{Action: "remove", Vm: o.VM})
-		return err
-	})
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(o.Factory.Streams.Out, "replica %s is removed; voters: %s; learners: %s\n", o.VM, strings.Join(answer.GetVoters(), ","), strings.Join(answer.GetLearners(), ","))
-	return nil
+	return o.Factory.ChangeReplicas(ctx, "remove", o.VM, "is removed")
 }
--- a/io/cli/status/show/show.go
+++ b/io/cli/status/show/show.go
@@ -9,7 +9,6 @@
 
 	"kingcuprill/io/cli/command"
 	"kingcuprill/io/cli/factory"
-	"kingcuprill/rpc/operator"
 )
 
 // Options are the arguments of the command.
@@ -36,11 +35,7 @@
 }
 
 func run(ctx context.Context, o *Options) error {
-	var answer *operator.StatusResponse
-	err := o.Factory.Call(func(client operator.Operator) (err error) {
-		answer, err = client.Status(ctx, &operator.StatusRequest{})
-		return err
-	})
+	answer, err := o.Factory.Status(ctx)
 	if err != nil {
 		return err
 	}
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -209,3 +209,23 @@
 		t.Fatalf("withdrawn %v", saved.Withdrawn)
 	}
 }
+
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte("not a log"))
+	f.Add(make([]byte, 64))
+	folder := filepath.Join(f.TempDir(), "data")
+	if err := disk.Format(folder, identity, raft.Membership{Voters: []string{"vm-1"}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, log []byte) {
+		if err := os.WriteFile(filepath.Join(folder, "log"), log, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		store, saved, err := disk.Open(folder, identity) // must not panic
+		if err == nil {
+			store.Close()
+		} else if len(saved.Entries) > 0 {
+			t.Error("entries came with an error")
+		}
+	})
+}
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -67,7 +67,6 @@
 	wanted    route.Request
 	suspect   bool
 	attempt   int
-	started   time.Time
 	mayHaveIt bool // some target may have run it
 }
 
@@ -81,7 +80,7 @@
 }
 
 func (d *Dispatcher) newRun(request exchange.Request, suspect bool) *run {
-	r := &run{d: d, request: request, started: time.Now(), suspect: suspect}
+	r := &run{d: d, request: request, suspect: suspect}
 	r.wanted = route.Request{
 		Service:   request.Route.Service,
 		Permitted: residency.Of(d.Board.Catalogue.Read(), request.Organisation, request.Route.Name),
--- /dev/null
+++ b/io/forward/server_test.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/catalogue"
+	"kingcuprill/core/exchange"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/membership"
+	"kingcuprill/core/withdrawal"
+	"kingcuprill/rpc/vm"
+)
+
+// refusingRunner fails the test if a refused request runs.
+type refusingRunner struct {
+	ran int
+}
+
+func (r *refusingRunner) Generate(context.Context, exchange.Request, bool, func(exchange.Token) error) (exchange.Usage, error) {
+	r.ran++
+	return exchange.Usage{}, nil
+}
+
+func (r *refusingRunner) Call(context.Context, exchange.Request) (exchange.Answer, error) {
+	r.ran++
+	return exchange.Answer{Status: http.StatusOK}, nil
+}
+
+func newServer() (*Server, *refusingRunner) {
+	b := board.New(membership.Member{ID: "vm-2", Region: "siliguri", DataCentre: "d"}, time.Second)
+	c := catalogue.New()
+	c.Organisations["puja"] = catalogue.Organisation{Name: "puja"}
+	c.Organisations["other"] = catalogue.Organisation{Name: "other"}
+	c.Keys["web"] = catalogue.Key{ID: "web", Organisation: "puja"}
+	c.Keys["old"] = catalogue.Key{ID: "old", Organisation: "puja"}
+	c.Routes["plans"] = catalogue.Route{Name: "plans", Organisations: []string{"puja"}}
+	c.Routes["west"] = catalogue.Route{Name: "west"}
+	c.Residencies["west"] = catalogue.Residency{Name: "west", Route: "west", Regions: []string{"kolkata"}}
+	c.Revision = 1
+	c.Index()
+	b.Catalogue.Update(func(*catalogue.Catalogue) *catalogue.Catalogue { return c })
+	b.Withdrawn.Update(func(*withdrawal.Set) *withdrawal.Set { return withdrawal.New("old") })
+	runner := &refusingRunner{}
+	enter := func(ctx context.Context, _ string) (context.Context, func()) { return ctx, func() {} }
+	return &Server{Board: b, Runner: runner, Enter: enter}, runner
+}
+
+// TestAdmit checks at the second VM what the first must have checked: path,
+// access, key and residency.
+func TestAdmit(t *testing.T) {
+	for _, test := range []struct {
+		name, path, organisation, key, route string
+		want                                 fault.Code // empty: it runs
+	}{
+		{"allowed", "vm-1", "puja", "web", "plans", ""},
+		{"repeated VM", "vm-2", "puja", "web", "plans", fault.Loop},
+		{"second crossing", "vm-1,vm-3", "puja", "web", "plans", fault.Loop},
+		{"withdrawn key", "vm-1", "puja", "old", "plans", fault.Unauthenticated},
+		{"unknown key", "vm-1", "puja", "none", "plans", fault.Unauthenticated},
+		{"another organisation's key", "vm-1", "other", "web", "plans", fault.Forbidden},
+		{"residency", "vm-1", "puja", "web", "west", fault.Residency},
+		{"unknown route", "vm-1", "puja", "web", "nowhere", fault.NotFound},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			server, runner := newServer()
+			body, err := proto.Marshal(&vm.ForwardRequest{
+				RequestId: "r", Path: test.path, Organisation: test.organisation, KeyId: test.key, Route: test.route,
+				TimeLeftNanoseconds: int64(time.Minute), Method: http.MethodGet, Url: "/",
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			recorder := httptest.NewRecorder()
+			server.ServeCall(recorder, httptest.NewRequest(http.MethodPost, CallPath, bytes.NewReader(body)))
+			frame := &vm.ForwardFrame{}
+			if err := readFrame(bufio.NewReader(recorder.Body), frame); err != nil {
+				t.Fatal(err)
+			}
+			if fault.Code(frame.GetErrorCode()) != test.want {
+				t.Fatalf("code %q (%s), want %q", frame.GetErrorCode(), frame.GetErrorText(), test.want)
+			}
+			if refused := test.want != ""; refused != (runner.ran == 0) || refused != frame.GetNotRun() {
+				t.Fatalf("ran %d times, not_run %t", runner.ran, frame.GetNotRun())
+			}
+		})
+	}
+}
+
+func FuzzReadFrame(f *testing.F) {
+	recorder := httptest.NewRecorder()
+	_ = newFrameWriter(recorder, "r").write(&vm.ForwardFrame{Index: 1, Text: "a"})
+	f.Add(recorder.Body.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_ = readFrame(bufio.NewReader(bytes.NewReader(data)), &vm.ForwardFrame{}) // must not panic
+	})
+}
--- a/io/rig/cli/cli.go
+++ b/io/rig/cli/cli.go
@@ -13,6 +13,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"kingcuprill/io/rig/controlrun"
 	"kingcuprill/io/rig/demo"
 	"kingcuprill/io/rig/experiment"
 	"kingcuprill/io/rig/scale"
@@ -54,6 +55,9 @@
 	sizes := []int{}
 	grow.IntSlice(&sizes, "", "vms", "Numbers of VMs.")
 	parser.AttachSubcommand(grow, 1)
+	commit := flaggy.NewSubcommand("control")
+	commit.Description = "Measure the control log: commits, lost leaders, restarts."
+	parser.AttachSubcommand(commit, 1)
 	if err := parser.ParseArgs(args); err != nil {
 		return err
 	}
@@ -61,6 +65,8 @@
 		sizes = []int{6, 24, 96}
 	}
 	switch {
+	case commit.Used:
+		return controlrun.Run(ctx, daemon, out)
 	case grow.Used:
 		return scale.Run(ctx, daemon, sizes, out)
 	case show.Used:
