--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -43,7 +44,7 @@
 
 	mu     sync.Mutex // guards the membership table's writers
 	round  int
-	joined bool
+	joined atomic.Bool
 	passed map[string]passing // by data centre
 }
 
@@ -74,7 +75,7 @@
 	g.noteRevision()
 	g.summarize()
 	lost := g.round%roundsUntilDead == 0
-	if lost || !g.joined {
+	if lost || !g.joined.Load() {
 		go g.joinSeeds(ctx)
 	}
 	g.mu.Lock()
@@ -88,9 +89,7 @@
 
 // Joined tells whether a seed has answered since the start, or there is none.
 func (g *Gossip) Joined() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.joined || len(g.Seeds) == 0
+	return g.joined.Load() || len(g.Seeds) == 0
 }
 
 // joinSeeds asks seeds that are not known as members for all they know.
@@ -117,7 +116,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.Board.Members.All() {
-		if m.State == membership.Alive && g.joined {
+		if m.State == membership.Alive && g.joined.Load() {
 			known[m.PeerAddress] = true
 		}
 	}
@@ -259,7 +258,9 @@
 		}
 	}
 	g.Board.Members.Merge(members)
-	g.joined = g.joined || answered
+	if answered {
+		g.joined.Store(true)
+	}
 	g.mu.Unlock()
 	summaries := []summary.Summary{}
 	for _, s := range message.GetSummaries() {
