Wait for a new leader's first entry before a change of the replicas

Change: that refusal counts as 'no leader yet', so that the change is tried again until timeouts.commit.

--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -523,7 +523,8 @@
 }
 
 func membershipCode(err error) fault.Code {
-	if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrHandingOver) {
+	// A pending change ends soon: a new leader first commits an entry of its own.
+	if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrHandingOver) || errors.Is(err, raft.ErrChangePending) {
 		return fault.NoQuorum
 	}
 	return fault.Conflict
