Withhold every answer that a residency rule binds; no lock for an empty quarantine

Cause: reading the change again. (1) Whether a booking's answer may go into the control log was decided from the control VMs that this VM knows. (2) Each request took the quarantine's lock, though it is empty as a rule. Change: an answer that any rule binds is withheld, whoever is known. Requests look at a counter first and take no lock while nothing is in quarantine. A rule that allows all regions withholds too, which costs a replay after the owner's restart and is safe.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +31,7 @@
 
 // List holds the fingerprints that were in flight at crashes.
 type List struct {
+	entries  atomic.Int64 // of both maps; requests take no lock while there are none
 	mu       sync.Mutex
 	suspects map[string]strikes
 	refused  map[string]time.Time // until when
@@ -45,6 +47,7 @@
 func (l *List) Struck(fingerprint, boot string) (refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.count()
 	now := time.Now()
 	s := l.suspects[fingerprint]
 	if s.crashes == nil || !now.Before(s.until) {
@@ -62,8 +65,12 @@
 
 // Cleared notes that a request with the fingerprint ran to its end.
 func (l *List) Cleared(fingerprint string) {
+	if l.entries.Load() == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.count()
 	delete(l.suspects, fingerprint)
 }
 
@@ -71,6 +78,7 @@
 func (l *List) Refuse(fingerprints []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.count()
 	until := time.Now().Add(Duration)
 	for _, fingerprint := range fingerprints {
 		if _, known := l.refused[fingerprint]; !known {
@@ -81,6 +89,9 @@
 
 // Refused tells whether a fingerprint is refused.
 func (l *List) Refused(fingerprint string) bool {
+	if l.entries.Load() == 0 {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	until, found := l.refused[fingerprint]
@@ -89,6 +100,9 @@
 
 // IsSuspect tells whether a fingerprint was in flight at a crash.
 func (l *List) IsSuspect(fingerprint string) bool {
+	if l.entries.Load() == 0 {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, found := l.suspects[fingerprint]
@@ -99,7 +113,12 @@
 func (l *List) Expire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.count()
 	now := time.Now()
 	maps.DeleteFunc(l.suspects, func(_ string, s strikes) bool { return !now.Before(s.until) })
 	maps.DeleteFunc(l.refused, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
+
+func (l *List) count() {
+	l.entries.Store(int64(len(l.suspects) + len(l.refused)))
+}
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -32,6 +32,11 @@
 	return p
 }
 
+// Everywhere tells whether no rule restricts the regions.
+func (p Permitted) Everywhere() bool {
+	return p.all
+}
+
 // Allows tells whether a region is permitted.
 func (p Permitted) Allows(region string) bool {
 	return p.all || slices.Contains(p.regions, region)
--- a/io/book/book.go
+++ b/io/book/book.go
@@ -180,16 +180,13 @@
 	return answer, err
 }
 
-// keep puts an answer into its outcome. An answer that may not be in every
-// region where the control log is stays on this VM.
+// keep puts an answer into its outcome. An answer that is bound to regions
+// stays on this VM: the replicas of the control log may be in any region, and
+// this VM may not know them all.
 func (b *Booker) keep(order Order, finish *state.Finish, answer exchange.Answer) {
 	finish.Status, finish.ContentType, finish.Body = stored(answer)
 	permitted := residency.Of(b.Board.Catalogue.Read(), order.Organisation, order.Request.Route.Name)
-	for _, m := range b.Board.Members.View.Read().Members {
-		if m.Control && !permitted.Allows(m.Region) {
-			finish.Withheld = true
-		}
-	}
+	finish.Withheld = !permitted.Everywhere()
 	if finish.Withheld {
 		b.Answers.Keep(finish.ClaimId, Kept{ContentType: finish.ContentType, Body: finish.Body, Permitted: permitted})
 		finish.ContentType, finish.Body = "", nil
