--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -20,6 +20,8 @@
 	Routes        map[string]Route
 	Residencies   map[string]Residency
 	VMs           map[string]VM
+	Plan          Plan            // version 0: none yet
+	Evacuated     map[string]bool // by data centre
 
 	keyBySecret  map[string]string      // secret hash to key id
 	rulesOf      map[string][]Residency // by organisation; "" for all organisations
@@ -34,6 +36,7 @@
 		Routes:        map[string]Route{},
 		Residencies:   map[string]Residency{},
 		VMs:           map[string]VM{},
+		Evacuated:     map[string]bool{},
 	}
 	c.Index()
 	return c
@@ -137,12 +140,32 @@
 		return c.confirmStoppedVM(change.ConfirmStoppedVM)
 	case change.ApplyConfig != nil:
 		return c.applyConfig(*change.ApplyConfig)
+	case change.PutPlan != nil:
+		c.putPlan(*change.PutPlan)
+	case change.SetEvacuation != nil:
+		c.setEvacuation(*change.SetEvacuation)
 	case change.SettleVMs != 0:
 		return c.settleVMs(change.SettleVMs)
 	}
 	return nil
 }
 
+// putPlan keeps the plan with the highest version. An older one, or another
+// document under the version held, changes nothing.
+func (c *Catalogue) putPlan(plan Plan) {
+	if plan.Version > c.Plan.Version {
+		c.Plan = plan
+	}
+}
+
+func (c *Catalogue) setEvacuation(evacuation Evacuation) {
+	if evacuation.Ended {
+		c.Evacuated = without(c.Evacuated, evacuation.DataCentre)
+		return
+	}
+	c.Evacuated = put(c.Evacuated, evacuation.DataCentre, true)
+}
+
 func (c *Catalogue) removeOrganisation(name string) error {
 	if _, found := c.Organisations[name]; !found {
 		return fault.New(fault.NotFound, "organisation %q does not exist", name)
--- a/core/catalogue/rows.go
+++ b/core/catalogue/rows.go
@@ -80,6 +80,19 @@
 	Residencies   []Residency
 }
 
+// Plan is a whole traffic configuration, kept as its operator wrote it. The
+// catalogue doesn't look into the document.
+type Plan struct {
+	Version  uint64
+	Document []byte
+}
+
+// Evacuation starts or ends the evacuation of a data centre.
+type Evacuation struct {
+	DataCentre string
+	Ended      bool
+}
+
 // Change is one mutation of the catalogue. Exactly one field is set.
 type Change struct {
 	PutOrganisation    *Organisation
@@ -94,5 +107,7 @@
 	RemoveVM           string
 	ConfirmStoppedVM   string // a leaving VM that can't acknowledge any more
 	ApplyConfig        *Config
+	PutPlan            *Plan
+	SetEvacuation      *Evacuation
 	SettleVMs          uint64 // VM revision that every VM has acknowledged
 }
--- a/core/catalogue/validate.go
+++ b/core/catalogue/validate.go
@@ -30,6 +30,10 @@
 		return c.PutVM.validate()
 	case c.ApplyConfig != nil:
 		return c.ApplyConfig.Validate()
+	case c.PutPlan != nil && c.PutPlan.Version == 0:
+		return fault.New(fault.Invalid, "plan.version: 0 must be above 0")
+	case c.SetEvacuation != nil && c.SetEvacuation.DataCentre == "":
+		return fault.New(fault.Invalid, "evacuation.data_centre: it must be set")
 	}
 	return nil
 }
@@ -39,6 +43,7 @@
 		c.PutOrganisation != nil, c.RemoveOrganisation != "", c.GrantKey != nil, c.WithdrawKey != "",
 		c.PutRoute != nil, c.RemoveRoute != "", c.PutResidency != nil, c.RemoveResidency != "",
 		c.PutVM != nil, c.RemoveVM != "", c.ConfirmStoppedVM != "", c.ApplyConfig != nil, c.SettleVMs != 0,
+		c.PutPlan != nil, c.SetEvacuation != nil,
 	}
 	n := 0
 	for _, s := range set {
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -15,7 +15,8 @@
 const MaxAnswered = 20000
 
 // Command is one entry of the control log. Exactly one of Change, Claim,
-// Finish and Orders is set.
+// Finish and Orders is set. A change without a request id is one that may be
+// applied twice; its answer is not remembered.
 type Command struct {
 	RequestID        string
 	Digest           string // of the change; a resend must carry the same one
@@ -88,7 +89,7 @@
 }
 
 func (s *State) change(command Command) Result {
-	if earlier, found := s.answered[command.RequestID]; found {
+	if earlier, found := s.answered[command.RequestID]; found && command.RequestID != "" {
 		if earlier.Digest != command.Digest {
 			return Result{Err: fault.New(fault.Conflict, "request_id %q was used for another change", command.RequestID)}
 		}
@@ -104,7 +105,9 @@
 		s.Catalogue = next
 	}
 	answer := Answered{RequestID: command.RequestID, Digest: command.Digest, Revision: s.Catalogue.Revision, Err: coded(err)}
-	s.Remember(answer)
+	if command.RequestID != "" {
+		s.Remember(answer)
+	}
 	return Result{Revision: answer.Revision, Err: answer.Err}
 }
 
--- /dev/null
+++ b/core/entry/entry.go
@@ -0,0 +1,68 @@
+// Package entry holds what entry VMs tell of themselves, and which of them a
+// caller is sent to.
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// VM is an entry VM as it describes itself.
+type VM struct {
+	ID            string
+	Region        string
+	DataCentre    string
+	CallerAddress string
+	PeerAddress   string
+	Ready         bool
+}
+
+// Seen is an entry VM and when it was last heard.
+type Seen struct {
+	VM
+	At time.Time
+}
+
+// MaxAddresses bounds an answer of the directory.
+const MaxAddresses = 64
+
+// Resolve returns the caller addresses that a caller should use: those of its
+// region, or all where its region has none.
+func Resolve(vms []VM, region string) (addresses []string) {
+	var far []string
+	for _, v := range vms {
+		switch {
+		case !v.Ready || v.CallerAddress == "":
+		case v.Region == region:
+			addresses = append(addresses, v.CallerAddress)
+		default:
+			far = append(far, v.CallerAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		addresses = far
+	}
+	slices.Sort(addresses)
+	return addresses[:min(len(addresses), MaxAddresses)]
+}
+
+// Union returns every VM that any of several control VMs tells of. It is ready
+// if any of them says so.
+func Union(views map[string][]VM) []VM {
+	all := map[string]VM{}
+	for _, rows := range views {
+		for _, row := range rows {
+			if known, found := all[row.ID]; found {
+				row.Ready = row.Ready || known.Ready
+			}
+			all[row.ID] = row
+		}
+	}
+	ids := slices.Sorted(maps.Keys(all))
+	vms := make([]VM, 0, len(ids))
+	for _, id := range ids {
+		vms = append(vms, all[id])
+	}
+	return vms
+}
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -266,6 +266,12 @@
 	return rows
 }
 
+// Address returns the peer address of a VM.
+func (t *Table) Address(id string) (address string, known bool) {
+	m, known := t.View.Read().Members[id]
+	return m.PeerAddress, known
+}
+
 // All returns every row, for a VM that joins.
 func (t *Table) All() []Member {
 	members := t.View.Read().Members
--- /dev/null
+++ b/core/plan/index.go
@@ -0,0 +1,103 @@
+package plan
+
+import (
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Index finds routes, services and organisations of a plan. It is immutable.
+type Index struct {
+	Plan     Plan
+	byHost   map[string][]Route // the longest prefix first
+	services map[string]Service
+	byKey    map[string]Organisation
+}
+
+// NewIndex returns the index of a plan.
+func NewIndex(p Plan) *Index {
+	x := &Index{Plan: p, byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]Organisation{}}
+	for _, r := range p.Routes {
+		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+	}
+	for _, routes := range x.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for _, s := range p.Services {
+		x.services[s.Name] = s
+	}
+	for _, o := range p.Organisations {
+		for _, key := range o.Keys {
+			x.byKey[key] = o
+		}
+	}
+	return x
+}
+
+// Match returns the route with the longest prefix of a path.
+func (x *Index) Match(host, path string) (route Route, found bool) {
+	for _, r := range x.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// NeedsKey tells whether requests of a route carry a key.
+func (x *Index) NeedsKey(r Route) bool {
+	return len(x.Plan.Organisations) > 0 && !r.Open
+}
+
+// ByKey returns the organisation that holds a key.
+func (x *Index) ByKey(key string) (organisation Organisation, found bool) {
+	organisation, found = x.byKey[key]
+	return organisation, found
+}
+
+// Service returns a service by its name.
+func (x *Index) Service(name string) (service Service, found bool) {
+	service, found = x.services[name]
+	return service, found
+}
+
+// Choose returns the service that a request goes to. Requests are spread over
+// the splits by their ids, so that every VM chooses alike.
+func (r Route) Choose(requestID string) string {
+	if len(r.Splits) == 1 {
+		return r.Splits[0].Service
+	}
+	total := 0.0
+	for _, s := range r.Splits {
+		total += s.Weight
+	}
+	const resolution = 1 << 20
+	point := float64(xxhash.Sum64String(requestID)%resolution) / resolution * total
+	for _, s := range r.Splits {
+		if point -= s.Weight; point < 0 {
+			return s.Service
+		}
+	}
+	return r.Splits[len(r.Splits)-1].Service
+}
+
+// Regions returns the regions in which a request may run, given the homes of
+// its route and of its organisation. all tells that it may run anywhere.
+func Regions(route, organisation []string) (regions []string, all bool) {
+	switch {
+	case len(route) == 0 && len(organisation) == 0:
+		return nil, true
+	case len(route) == 0:
+		return organisation, false
+	case len(organisation) == 0:
+		return route, false
+	}
+	for _, region := range route {
+		if slices.Contains(organisation, region) {
+			regions = append(regions, region)
+		}
+	}
+	return regions, false
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -5,22 +5,39 @@
 import "sync/atomic"
 
 const (
-	creditPerRequest = 200   // thousandths of a retry
-	costOfRetry      = 1000  // thousandths of a retry
-	largestBudget    = 20000 // thousandths of a retry
+	defaultRatio   = 200   // thousandths of a retry for each request
+	defaultLargest = 20000 // thousandths of a retry
+	costOfRetry    = 1000  // thousandths of a retry
 )
 
 // Budget is the retry budget of one route. Requests add to it, retries take
-// from it.
+// from it. The zero value has a fifth of a retry for each request and 20 at most.
 type Budget struct {
+	Ratio   int64 // thousandths of a retry for each request
+	Largest int64 // thousandths of a retry
+
 	spent atomic.Int64 // thousandths of a retry below the largest budget
 }
 
+func (b *Budget) ratio() int64 {
+	if b.Ratio == 0 {
+		return defaultRatio
+	}
+	return b.Ratio
+}
+
+func (b *Budget) largest() int64 {
+	if b.Largest == 0 {
+		return defaultLargest
+	}
+	return b.Largest
+}
+
 // Request adds the credit of a new request.
 func (b *Budget) Request() {
 	for {
 		spent := b.spent.Load()
-		if b.spent.CompareAndSwap(spent, max(0, spent-creditPerRequest)) {
+		if b.spent.CompareAndSwap(spent, max(0, spent-b.ratio())) {
 			return
 		}
 	}
@@ -30,7 +47,7 @@
 func (b *Budget) Retry() bool {
 	for {
 		spent := b.spent.Load()
-		if spent+costOfRetry > largestBudget {
+		if spent+costOfRetry > b.largest() {
 			return false
 		}
 		if b.spent.CompareAndSwap(spent, spent+costOfRetry) {
--- a/io/codec/catalogue.go
+++ b/io/codec/catalogue.go
@@ -105,6 +105,8 @@
 		Routes:        mapRows(c.Routes, FromRoute),
 		Residencies:   mapRows(c.Residencies, FromResidency),
 		Vms:           mapRows(c.VMs, FromVM),
+		Plan:          FromPlan(c.Plan),
+		Evacuated:     catalogue.SortedNames(c.Evacuated),
 	}
 }
 
@@ -128,10 +130,34 @@
 	for _, row := range m.GetVms() {
 		c.VMs[row.GetId()] = ToVM(row)
 	}
+	c.Plan = ToPlan(m.GetPlan())
+	for _, dataCentre := range m.GetEvacuated() {
+		c.Evacuated[dataCentre] = true
+	}
 	c.Index()
 	return c
 }
 
+// FromPlan maps a traffic configuration to its message.
+func FromPlan(p catalogue.Plan) *state.Plan {
+	return &state.Plan{Version: p.Version, Document: p.Document}
+}
+
+// ToPlan maps a message to a traffic configuration.
+func ToPlan(m *state.Plan) catalogue.Plan {
+	return catalogue.Plan{Version: m.GetVersion(), Document: m.GetDocument()}
+}
+
+// FromEvacuation maps an evacuation to its message.
+func FromEvacuation(e catalogue.Evacuation) *state.Evacuation {
+	return &state.Evacuation{DataCentre: e.DataCentre, Ended: e.Ended}
+}
+
+// ToEvacuation maps a message to an evacuation.
+func ToEvacuation(m *state.Evacuation) catalogue.Evacuation {
+	return catalogue.Evacuation{DataCentre: m.GetDataCentre(), Ended: m.GetEnded()}
+}
+
 // FromChange maps a change to its message.
 func FromChange(c catalogue.Change) *state.Change {
 	m := &state.Change{}
@@ -160,6 +186,10 @@
 		m.Kind = &state.Change_ConfirmStoppedVm{ConfirmStoppedVm: c.ConfirmStoppedVM}
 	case c.ApplyConfig != nil:
 		m.Kind = &state.Change_ApplyConfig{ApplyConfig: FromConfig(*c.ApplyConfig)}
+	case c.PutPlan != nil:
+		m.Kind = &state.Change_PutPlan{PutPlan: FromPlan(*c.PutPlan)}
+	case c.SetEvacuation != nil:
+		m.Kind = &state.Change_SetEvacuation{SetEvacuation: FromEvacuation(*c.SetEvacuation)}
 	case c.SettleVMs != 0:
 		m.Kind = &state.Change_SettleVms{SettleVms: c.SettleVMs}
 	}
@@ -193,6 +223,10 @@
 		c.ConfirmStoppedVM = kind.ConfirmStoppedVm
 	case *state.Change_ApplyConfig:
 		c.ApplyConfig = ptr(ToConfig(kind.ApplyConfig))
+	case *state.Change_PutPlan:
+		c.PutPlan = ptr(ToPlan(kind.PutPlan))
+	case *state.Change_SetEvacuation:
+		c.SetEvacuation = ptr(ToEvacuation(kind.SetEvacuation))
 	case *state.Change_SettleVms:
 		c.SettleVMs = kind.SettleVms
 	}
--- /dev/null
+++ b/io/controlvm/controlvm.go
@@ -0,0 +1,317 @@
+// Package controlvm runs a control VM: a replica of the control log, the
+// registry of the targets, and the answers to entry VMs and callers that look
+// for one.
+package controlvm
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/catalogue"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/instance"
+	"kingcuprill/core/membership"
+	"kingcuprill/core/raft"
+	"kingcuprill/io/disk"
+	"kingcuprill/io/follow"
+	"kingcuprill/io/forward"
+	"kingcuprill/io/metrics"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/propose"
+	"kingcuprill/io/replica"
+	"kingcuprill/io/settings"
+	"kingcuprill/io/vm"
+	"kingcuprill/io/vmconfig"
+	"kingcuprill/rpc/operator"
+)
+
+const (
+	// tick is the step of the control log's clock. Elections begin after 10 to 20
+	// ticks without a leader, which covers round trips between regions.
+	tick = 60 * time.Millisecond
+	// dialTimeout and callTimeout bound a call between control VMs.
+	dialTimeout = 500 * time.Millisecond
+	callTimeout = time.Second
+	// expireEvery is how often silent targets and entry VMs are looked for.
+	expireEvery = 250 * time.Millisecond
+	// rosterEvery is how often the set of replicas is looked at.
+	rosterEvery = 500 * time.Millisecond
+	// stopTime bounds the hand-over and the end of running calls at a stop.
+	stopTime = time.Second
+	// clusterID names the data folders; a deployment has one system.
+	clusterID = "kingcuprill"
+)
+
+// VM is a running control VM.
+type VM struct {
+	Config   vmconfig.Config
+	Board    *board.Board
+	Proposer *propose.Proposer
+	Follow   *follow.Server
+	Metrics  *metrics.Metrics
+	Log      *slog.Logger
+
+	id       string // of the replica
+	tomb     tomb.Tomb
+	peers    *peer.Peers
+	replica  *replica.Replica
+	mu       sync.Mutex // guards the writers of the registry
+	registry *instance.Registry
+	servers  []*http.Server
+}
+
+// New opens the data folder, or makes it, and returns a control VM.
+func New(c vmconfig.Config, log *slog.Logger) (v *VM, err error) {
+	defer fault.Annotate(&err, "control VM %s", c.ID)
+	store, saved, id, err := openStore(c, log)
+	if err != nil {
+		return nil, err
+	}
+	v = &VM{Config: c, Log: log, id: id, Metrics: metrics.New(), registry: instance.NewRegistry(c.Heartbeat)}
+	v.Board = board.New(membership.Member{
+		ID: id, Region: c.Region, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Incarnation: 1, Control: true,
+	}, c.Heartbeat)
+	v.peers = newPeers(c)
+	v.meet(c.Seeds)
+	v.replica, err = replica.New(replica.Options{
+		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tick,
+		Transport: &replica.Sender{Address: addressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
+		Published: v.publish,
+	})
+	if err != nil {
+		store.Close()
+		return nil, err
+	}
+	v.Proposer = &propose.Proposer{Board: v.Board, Peers: v.peers, Replica: v.replica}
+	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
+	v.Follow = follow.NewServer(v.Board, epoch, v.registry.Table, v.Proposer.Confirm, v.controls, log)
+	return v, nil
+}
+
+func newPeers(c vmconfig.Config) *peer.Peers {
+	return peer.NewPeers(settings.Settings{
+		VM:       settings.VM{ID: c.ID},
+		Timeouts: settings.Timeouts{Dial: dialTimeout, Peer: callTimeout},
+	})
+}
+
+// openStore opens the replica of the data folder. An empty folder at the first
+// start of the system holds a first replica; later it holds a new one, which
+// joins under an id of its own: what the lost one has voted and acknowledged
+// must not count for it.
+func openStore(c vmconfig.Config, log *slog.Logger) (store *disk.Store, saved disk.Saved, id string, err error) {
+	identity, found, err := disk.ReadIdentity(c.DataDir)
+	if err != nil {
+		return nil, saved, "", err
+	}
+	if !found {
+		identity = disk.Identity{ClusterID: clusterID, VM: c.PeerAddress}
+		first := raft.Membership{Voters: c.Seeds}
+		if !c.FirstStart || !slices.Contains(c.Seeds, c.PeerAddress) {
+			identity.VM = c.PeerAddress + idSeparator + strconv.FormatInt(time.Now().UnixNano(), 36)
+			first = raft.Membership{}
+		}
+		log.Info("data folder is made", "replica", identity.VM, "first_start", c.FirstStart, "voters", first.Voters)
+		if err := disk.Format(c.DataDir, identity, first); err != nil {
+			return nil, saved, "", err
+		}
+	}
+	store, saved, err = disk.Open(c.DataDir, identity)
+	return store, saved, identity.VM, err
+}
+
+// idSeparator stands between the address of a replica that has joined later and
+// what tells it from others that had the address.
+const idSeparator = "#"
+
+func addressOf(id string) (address string, known bool) {
+	address, _, _ = strings.Cut(id, idSeparator)
+	return address, address != ""
+}
+
+// meet adds control VMs to those that are asked.
+func (v *VM) meet(ids []string) {
+	rows := []membership.Member{}
+	for _, id := range ids {
+		if address, known := addressOf(id); known {
+			rows = append(rows, membership.Member{ID: id, PeerAddress: address, Control: true, Incarnation: 1})
+		}
+	}
+	v.Board.Members.Merge(rows)
+}
+
+// controls returns the peer addresses of the control VMs.
+func (v *VM) controls() (addresses []string) {
+	m := v.replica.Status().Membership
+	for _, id := range append(slices.Clone(m.Voters), m.Learners...) {
+		if address, known := addressOf(id); known && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	if !slices.Contains(addresses, v.Config.PeerAddress) {
+		addresses = append(addresses, v.Config.PeerAddress)
+	}
+	return addresses
+}
+
+func (v *VM) publish(c *catalogue.Catalogue, _ *catalogue.Change) {
+	before := v.Board.Catalogue.Read()
+	v.Board.Catalogue.Update(func(*catalogue.Catalogue) *catalogue.Catalogue { return c })
+	v.Log.Info("catalogue is in force", "revision", c.Revision, "plan", c.Plan.Version, "before", before.Revision, "evacuated", len(c.Evacuated))
+}
+
+// Report takes in what a target says of itself.
+func (v *VM) Report(report instance.Registration) {
+	v.mu.Lock()
+	merged, changed := v.registry.Report(report)
+	v.mu.Unlock()
+	if changed {
+		v.Log.Info("target reports", "target", merged.ID, "service", merged.Service, "state", merged.State.String(),
+			"address", merged.Address, "data_centre", merged.DataCentre, "born", merged.Born, "sequence", merged.Sequence, "cold_until", merged.ColdUntil)
+	}
+}
+
+// Registered returns what is known of a target.
+func (v *VM) Registered(id string) (row instance.Registration, found bool) {
+	return v.registry.Table.Get(id)
+}
+
+// ReadNewest returns the catalogue after a majority has confirmed that it is
+// the newest.
+func (v *VM) ReadNewest(ctx context.Context) (c *catalogue.Catalogue, err error) {
+	defer fault.Annotate(&err, "read the newest catalogue")
+	revision, err := v.Proposer.Confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		changed := v.Board.Catalogue.Changed()
+		if c := v.Board.Catalogue.Read(); c.Revision >= revision {
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, fault.New(fault.NoQuorum, "revision %d has not come in time", revision)
+		}
+	}
+}
+
+// Run serves until the context ends, then stops as planned. Handlers are those
+// of the control and the directory address.
+func (v *VM) Run(ctx context.Context, control, directory http.Handler) (err error) {
+	defer fault.Annotate(&err, "control VM %s", v.Config.ID)
+	server := &vm.Server{Board: v.Board, Replica: v.replica, Proposer: v.Proposer, Leader: v.Follow, Forwarder: &forward.Server{}}
+	listeners := map[string]http.Handler{
+		v.Config.PeerAddress: server.Handler(v.peers.Credentials), v.Config.ControlAddress: control, v.Config.DirectoryAddress: directory,
+	}
+	for address, handler := range listeners {
+		if address == "" {
+			continue
+		}
+		if err := v.serve(address, handler); err != nil {
+			v.tomb.Kill(err)
+			return err
+		}
+	}
+	v.tomb.Go(func() error { return v.replica.Run(&v.tomb) })
+	v.tomb.Go(v.expire)
+	v.tomb.Go(v.roster)
+	v.Log.Info("control VM serves", "vm", v.Config.ID, "replica", v.id, "first_start", v.Config.FirstStart)
+	select {
+	case <-ctx.Done():
+		v.stop()
+		v.tomb.Kill(nil)
+	case <-v.tomb.Dying():
+	}
+	for _, s := range v.servers {
+		s.Close()
+	}
+	return v.tomb.Wait()
+}
+
+func (v *VM) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+		ErrorLog: slog.NewLogLogger(v.Log.Handler(), slog.LevelDebug),
+	}
+	v.servers = append(v.servers, server)
+	v.tomb.Go(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// stop hands leadership over and ends the calls that run.
+func (v *VM) stop() {
+	v.Log.Info("control VM stops", "vm", v.Config.ID)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	v.replica.HandOver(ctx)
+	for _, s := range v.servers {
+		// Calls that are still running after the time are cut; they are tried again
+		// elsewhere.
+		_ = s.Shutdown(ctx)
+	}
+}
+
+func (v *VM) expire() error {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-v.tomb.Dying():
+			return nil
+		case now := <-ticker.C:
+			v.mu.Lock()
+			silent := v.registry.Expire(now)
+			v.mu.Unlock()
+			for _, row := range silent {
+				v.Log.Warn("target is silent", "target", row.ID, "service", row.Service, "age", now.Sub(row.Heard))
+			}
+			v.Follow.Expire(now)
+		}
+	}
+}
+
+// roster brings this VM into the set of replicas, and as the leader completes
+// the set.
+func (v *VM) roster() error {
+	ticker := time.NewTicker(rosterEvery)
+	defer ticker.Stop()
+	ctx := v.tomb.Context(context.Background())
+	for {
+		select {
+		case <-v.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		status := v.replica.Status()
+		v.meet(append(slices.Clone(status.Membership.Voters), status.Membership.Learners...))
+		change, wanted := nextChange(status.Status, v.id, v.Config.Replicas)
+		if !wanted {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := v.Proposer.ChangeReplicas(bounded, &operator.ChangeReplicasRequest{Action: string(change.action), Vm: change.id})
+		cancel()
+		v.Log.Info("change of the replicas", "action", string(change.action), "replica", change.id, "error", err)
+	}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -121,7 +121,7 @@
 	d.board.Withdrawn.Update(func(*withdrawal.Set) *withdrawal.Set { return withdrawal.New(saved.Withdrawn...) })
 	d.replica, err = replica.New(replica.Options{
 		ID: d.settings.VM.ID, Store: store, Saved: saved, Log: d.log, TickEvery: d.settings.Control.Tick,
-		Transport: &replica.Sender{Members: d.board.Members, Peers: d.peers, Log: d.log, Tomb: &d.tomb},
+		Transport: &replica.Sender{Address: d.board.Members.Address, Peers: d.peers, Log: d.log, Tomb: &d.tomb},
 		Published: func(c *catalogue.Catalogue, change *catalogue.Change) { d.follower.Take(c, change) },
 	})
 	if err != nil {
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -101,6 +101,23 @@
 	return s.replaceFile(identityFile, data)
 }
 
+// ReadIdentity returns the replica that a data folder holds, if it holds one.
+func ReadIdentity(folder string) (identity Identity, found bool, err error) {
+	defer fault.Annotate(&err, "read the identity of data folder %s", folder)
+	data, err := os.ReadFile(filepath.Join(folder, identityFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return identity, false, nil
+	}
+	if err != nil {
+		return identity, false, err
+	}
+	var own identityJSON
+	if err := json.Unmarshal(data, &own); err != nil {
+		return identity, false, fmt.Errorf("%s: %w", identityFile, err)
+	}
+	return Identity(own), true, nil
+}
+
 // Open locks a data folder and reads it. The identity must be the one of the
 // folder.
 func Open(folder string, identity Identity) (s *Store, saved Saved, err error) {
--- /dev/null
+++ b/io/entryvm/entryvm.go
@@ -0,0 +1,273 @@
+// Package entryvm runs an entry VM for plain HTTP routes: it follows the
+// control VMs and serves callers and the entry VMs of other regions.
+package entryvm
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"kingcuprill/core/blackboard"
+	"kingcuprill/core/catalogue"
+	"kingcuprill/core/entry"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/instance"
+	"kingcuprill/core/lease"
+	"kingcuprill/core/place"
+	"kingcuprill/core/plan"
+	"kingcuprill/core/quota"
+	"kingcuprill/io/boottime"
+	"kingcuprill/io/follow"
+	"kingcuprill/io/front"
+	"kingcuprill/io/metrics"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/settings"
+	"kingcuprill/io/upstream"
+	"kingcuprill/io/vmconfig"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	callTimeout = time.Second
+	// revokeMargin is taken off the time within which a withdrawn key must be
+	// dead: the way of a request to its target after the last look at the lease.
+	revokeMargin = 900 * time.Millisecond
+	// pruneEvery is how often idle connections are looked through.
+	pruneEvery = 500 * time.Millisecond
+	// countFor is how long an entry VM that isn't seen any more is still counted
+	// among those that share the limits. Its lease has ended by then.
+	countFor = 6 * time.Second
+	// idleCallers is how long a caller's idle connection is kept.
+	idleCallers = 75 * time.Second
+	// readHeaders bounds the time in which a caller sends its headers.
+	readHeaders = 10 * time.Second
+	// stopMargin is kept at the end of a planned stop.
+	stopMargin = 700 * time.Millisecond
+	// drainShare is the part of a planned stop in which new connections are
+	// still taken, as callers learn of the stop with a delay.
+	drainShare = 2
+	// memoryShare is the part of the memory that the collector aims at.
+	memoryShare = 0.7
+	// budgetShare is the part of the retry slack that is given out, the rest
+	// covers windows that overlap two refills.
+	budgetShare = 0.5
+)
+
+// Options hold what an entry VM needs besides its settings.
+type Options struct {
+	Config  vmconfig.Config
+	Headers front.Headers
+	// Decode reads a plan from its document.
+	Decode func(document []byte) (plan.Plan, error)
+	Log    *slog.Logger
+}
+
+// VM is a running entry VM.
+type VM struct {
+	Options
+	Metrics *metrics.Metrics
+
+	tomb     tomb.Tomb
+	draining atomic.Bool
+	state    *blackboard.Section[front.State]
+	lease    *lease.Lease
+	placer   *place.Placer
+	quota    *quota.Book
+	entries  atomic.Pointer[[]entry.VM]
+	seen     map[string]time.Time // entry VMs that are ready, when last seen
+	count    atomic.Int64
+	client   *follow.Client
+	front    *front.Server
+	servers  []*http.Server
+	callers  *http.Server
+}
+
+// New returns an entry VM.
+func New(o Options) *VM {
+	c := o.Config
+	v := &VM{
+		Options: o, Metrics: metrics.New(), state: blackboard.NewSection(&front.State{}), placer: place.NewPlacer(c.ID, c.Region),
+		lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewBook(), seen: map[string]time.Time{},
+	}
+	v.entries.Store(&[]entry.VM{})
+	peers := peer.NewPeers(settings.Settings{
+		VM:       settings.VM{ID: c.ID},
+		Timeouts: settings.Timeouts{Dial: dialTimeout, Peer: callTimeout},
+	})
+	v.client = &follow.Client{
+		Peers: peers, Lease: v.lease, Log: o.Log, Self: v.self, Catalogue: v.takeCatalogue, Targets: v.takeTargets, Entries: v.takeEntries,
+	}
+	v.front = &front.Server{
+		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
+		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: &v.entries,
+		RetryAllowance: v.retryAllowance, RetryRatio: c.RetryRatio * budgetShare, Metrics: v.Metrics, Log: o.Log,
+	}
+	return v
+}
+
+func (v *VM) retryAllowance() float64 {
+	return v.Config.RetrySlack * budgetShare / float64(max(1, v.count.Load()))
+}
+
+func (v *VM) self() entry.VM {
+	c := v.Config
+	return entry.VM{
+		ID: c.ID, Region: c.Region, DataCentre: c.DataCentre, CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, Ready: v.Ready(),
+	}
+}
+
+// Ready tells whether callers should be sent here.
+func (v *VM) Ready() bool {
+	return !v.draining.Load() && v.state.Read().Plan != nil
+}
+
+func (v *VM) takeCatalogue(c *catalogue.Catalogue) {
+	old := v.state.Read()
+	next := &front.State{Plan: old.Plan, Revision: c.Revision, Evacuated: c.Evacuated}
+	if c.Plan.Version > 0 && (old.Plan == nil || c.Plan.Version > old.Plan.Plan.Version) {
+		decoded, err := v.Decode(c.Plan.Document)
+		if err != nil {
+			v.Log.Error("plan can't be read", "plan", c.Plan.Version, "error", err)
+			return
+		}
+		next.Plan = plan.NewIndex(decoded)
+	}
+	v.state.Update(func(*front.State) *front.State { return next })
+	v.Log.Info("catalogue is in force", "revision", c.Revision, "plan", c.Plan.Version, "before", old.Revision, "evacuated", len(c.Evacuated))
+}
+
+func (v *VM) takeTargets(rows map[string]instance.Registration) {
+	v.placer.SetTargets(rows, func(dataCentre string) string { return v.Config.Regions[dataCentre] })
+}
+
+func (v *VM) takeEntries(vms []entry.VM) {
+	now := time.Now()
+	var near []string
+	for _, e := range vms {
+		if !e.Ready {
+			continue
+		}
+		v.seen[e.ID] = now
+		if e.Region == v.Config.Region {
+			near = append(near, e.ID)
+		}
+	}
+	for id, at := range v.seen {
+		if now.Sub(at) > countFor {
+			delete(v.seen, id)
+		}
+	}
+	slices.Sort(near)
+	v.placer.SetVMs(near)
+	v.count.Store(int64(len(v.seen)))
+	v.quota.SetVMs(len(v.seen))
+	v.entries.Store(&vms)
+}
+
+// Run serves until the context ends, then stops as planned. readiness answers
+// at the readiness address.
+func (v *VM) Run(ctx context.Context, readiness http.Handler) (err error) {
+	defer fault.Annotate(&err, "entry VM %s", v.Config.ID)
+	debug.SetMemoryLimit(int64(memoryShare * float64(v.Config.Memory)))
+	if err := v.listen(readiness); err != nil {
+		v.tomb.Kill(err)
+		return err
+	}
+	v.client.Run(&v.tomb, v.Config.Seeds)
+	v.tomb.Go(v.prune)
+	v.Log.Info("entry VM serves", "vm", v.Config.ID, "region", v.Config.Region, "callers", v.Config.CallerAddress)
+	select {
+	case <-ctx.Done():
+		v.drain()
+		v.tomb.Kill(nil)
+	case <-v.tomb.Dying():
+	}
+	for _, s := range v.servers {
+		s.Close()
+	}
+	return v.tomb.Wait()
+}
+
+// Reload takes over the settings that may change while the VM runs.
+func (v *VM) Reload(c vmconfig.Config) {
+	v.Log.Info("settings are reloaded", "seeds", c.Seeds)
+	v.client.SetSeeds(c.Seeds)
+}
+
+func (v *VM) listen(readiness http.Handler) error {
+	if err := v.serve(v.Config.PeerAddress, http.HandlerFunc(v.front.ServeHop)); err != nil {
+		return err
+	}
+	if err := v.serve(v.Config.ReadinessAddress, readiness); err != nil {
+		return err
+	}
+	if err := v.serve(v.Config.CallerAddress, v.front); err != nil {
+		return err
+	}
+	v.callers = v.servers[len(v.servers)-1]
+	return nil
+}
+
+func (v *VM) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaders, IdleTimeout: idleCallers, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(v.Log.Handler(), slog.LevelDebug), DisableGeneralOptionsHandler: true,
+	}
+	v.servers = append(v.servers, server)
+	v.tomb.Go(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// maxHeader bounds the headers of a request, in bytes. The library allows 4 KiB
+// more.
+const maxHeader = 12 << 10
+
+// drain stops as planned: the directory names this VM no more, requests that
+// come are still served, and the VM ends with its last request.
+func (v *VM) drain() {
+	v.Log.Info("entry VM stops", "vm", v.Config.ID, "running", v.front.Running())
+	v.draining.Store(true)
+	end := time.Now().Add(v.Config.Grace - stopMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	v.callers.SetKeepAlivesEnabled(false)
+	v.client.Tell(ctx)
+	time.Sleep(v.Config.Grace / (2 * drainShare))
+	for _, s := range v.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			v.Log.Warn("requests are cut off by the end of a planned stop", "running", v.front.Running(), "error", err)
+		}
+	}
+	v.Log.Info("entry VM has stopped", "vm", v.Config.ID, "running", v.front.Running())
+}
+
+// prune gives up idle connections.
+func (v *VM) prune() error {
+	ticker := time.NewTicker(pruneEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-v.tomb.Dying():
+			return nil
+		case now := <-ticker.C:
+			v.front.Targets.Prune(now, v.placer.Knows)
+			v.front.Peers.Prune(now, func(string) bool { return true })
+		}
+	}
+}
--- /dev/null
+++ b/io/follow/client.go
@@ -0,0 +1,229 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"kingcuprill/core/catalogue"
+	"kingcuprill/core/entry"
+	"kingcuprill/core/instance"
+	"kingcuprill/core/lease"
+	"kingcuprill/io/codec"
+	"kingcuprill/io/peer"
+	"kingcuprill/rpc/vm"
+)
+
+const (
+	// pollWait is how long a question waits for news. The lease is renewed once
+	// in each such time.
+	pollWait = time.Second
+	// pollTimeout bounds a question: its wait, a confirmation and the way.
+	pollTimeout = pollWait + confirmWait + 500*time.Millisecond
+	// firstPause and longestPause are the pauses after failed questions.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+	// dropAfter is how long a control VM that was learned from others may be
+	// silent before it is asked no more.
+	dropAfter = 30 * time.Second
+)
+
+// Client keeps an entry VM up to date. Its callbacks run one at a time.
+type Client struct {
+	Peers *peer.Peers
+	Lease *lease.Lease
+	Log   *slog.Logger
+	// Self describes this VM.
+	Self func() entry.VM
+	// Catalogue takes in a catalogue that is newer than the one before.
+	Catalogue func(c *catalogue.Catalogue)
+	// Targets takes in all targets that are known.
+	Targets func(rows map[string]instance.Registration)
+	// Entries takes in all entry VMs that are known.
+	Entries func(vms []entry.VM)
+
+	mu       sync.Mutex
+	tomb     *tomb.Tomb
+	seeds    []string
+	polls    map[string]context.CancelFunc // by control VM's peer address
+	revision uint64
+	fleet    *instance.Fleet
+	entries  map[string][]entry.VM
+}
+
+// Run asks all control VMs until the tomb dies.
+func (c *Client) Run(t *tomb.Tomb, seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tomb = t
+	c.polls = map[string]context.CancelFunc{}
+	c.fleet = instance.NewFleet()
+	c.entries = map[string][]entry.VM{}
+	c.seeds = seeds
+	c.follow(seeds)
+	t.Go(c.refresh)
+}
+
+// SetSeeds adds the control VMs that the settings name now.
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+	c.follow(seeds)
+}
+
+// follow starts to ask the control VMs that are not asked yet.
+func (c *Client) follow(addresses []string) {
+	for _, address := range addresses {
+		if _, asked := c.polls[address]; asked || address == "" {
+			continue
+		}
+		ctx, cancel := context.WithCancel(c.tomb.Context(context.Background()))
+		c.polls[address] = cancel
+		c.tomb.Go(func() error { return c.poll(ctx, address) })
+	}
+}
+
+// refresh recomputes what depends on time alone.
+func (c *Client) refresh() error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.tomb.Dying():
+			return nil
+		case now := <-ticker.C:
+			c.mu.Lock()
+			c.Targets(c.fleet.All(now))
+			c.Entries(entry.Union(c.entries))
+			c.mu.Unlock()
+		}
+	}
+}
+
+// position is what one control VM has told so far.
+type position struct {
+	epoch   string
+	targets uint64
+	entries uint64
+}
+
+func (c *Client) poll(ctx context.Context, address string) error {
+	var at position
+	pause := firstPause
+	reached := time.Now()
+	lost := false
+	for ctx.Err() == nil {
+		err := c.ask(ctx, address, &at, pollWait)
+		if err == nil {
+			if lost {
+				c.Log.Info("control VM answers again", "control", address, "after", time.Since(reached))
+			}
+			pause, reached, lost = firstPause, time.Now(), false
+			continue
+		}
+		if !lost && ctx.Err() == nil {
+			c.Log.Warn("control VM does not answer", "control", address, "error", err, "lease_left", c.Lease.Left())
+		}
+		lost = true
+		if c.drop(address, reached) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, longestPause)
+	}
+	return nil
+}
+
+// drop stops asking a control VM that the settings don't name and that has
+// been silent for long.
+func (c *Client) drop(address string, reached time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.seeds, address) || time.Since(reached) < dropAfter {
+		return false
+	}
+	c.polls[address]()
+	delete(c.polls, address)
+	delete(c.entries, address)
+	c.fleet.Forget(address)
+	c.Log.Warn("control VM is given up", "control", address, "silent", time.Since(reached))
+	return true
+}
+
+// ask puts one question to a control VM and takes in the answer.
+func (c *Client) ask(ctx context.Context, address string, at *position, wait time.Duration) error {
+	c.mu.Lock()
+	revision := c.revision
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	sent := c.Lease.Now()
+	answer, err := c.Peers.At(address).Follow(ctx, &vm.FollowRequest{
+		Entry: codec.FromEntryVM(c.Self()), Revision: revision, Epoch: at.epoch,
+		TargetsVersion: at.targets, EntriesVersion: at.entries, WaitNanoseconds: int64(wait),
+	})
+	if err != nil {
+		return err
+	}
+	c.take(address, answer, sent, at)
+	return nil
+}
+
+func (c *Client) take(address string, answer *vm.FollowResponse, sent time.Duration, at *position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if answer.GetCatalogue() != nil && answer.GetRevision() > c.revision {
+		c.revision = answer.GetRevision()
+		c.Catalogue(codec.ToCatalogue(answer.GetCatalogue()))
+	}
+	if answer.GetConfirmed() && c.revision >= answer.GetRevision() {
+		c.Lease.Confirm(sent)
+	}
+	if len(answer.GetTargets()) > 0 || answer.GetWhole() {
+		rows := make([]instance.Registration, 0, len(answer.GetTargets()))
+		for _, m := range answer.GetTargets() {
+			rows = append(rows, codec.ToRegistration(m, now))
+		}
+		c.fleet.Update(address, answer.GetEpoch(), rows, now)
+		c.Targets(c.fleet.All(now))
+	}
+	if len(answer.GetEntries()) > 0 {
+		vms := make([]entry.VM, 0, len(answer.GetEntries()))
+		for _, m := range answer.GetEntries() {
+			vms = append(vms, codec.ToEntryVM(m))
+		}
+		c.entries[address] = vms
+		c.Entries(entry.Union(c.entries))
+	}
+	*at = position{epoch: answer.GetEpoch(), targets: answer.GetTargetsVersion(), entries: answer.GetEntriesVersion()}
+	c.follow(answer.GetControlAddresses())
+}
+
+// Tell tells every control VM at once how this VM stands now.
+func (c *Client) Tell(ctx context.Context) {
+	c.mu.Lock()
+	addresses := slices.Collect(maps.Keys(c.polls))
+	c.mu.Unlock()
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		group.Go(func() {
+			bounded, cancel := context.WithTimeout(ctx, pollWait)
+			defer cancel()
+			_, err := c.Peers.At(address).Follow(bounded, &vm.FollowRequest{Entry: codec.FromEntryVM(c.Self())})
+			if err != nil {
+				c.Log.Warn("control VM was not told of a change of this VM", "control", address, "error", err)
+			}
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/io/front/deliver.go
@@ -0,0 +1,160 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"kingcuprill/core/eventstream"
+	"kingcuprill/core/place"
+	"kingcuprill/core/plan"
+	"kingcuprill/io/upstream"
+)
+
+// gapsUntilBroken is the number of the route's longest pauses after which a
+// stream that can be resumed counts as broken.
+const gapsUntilBroken = 3
+
+// errCaller tells that the caller's connection takes no more bytes.
+var errCaller = errors.New("the caller has left")
+
+// deliver passes an answer on to the caller. visit and patience are nil for the
+// answer of another entry VM.
+func (x *exchange) deliver(response *upstream.Response, visit *place.Visit, patience *time.Timer) outcome {
+	streamed := x.route.Kind == plan.Stream && response.StatusCode == http.StatusOK &&
+		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	if streamed {
+		return x.deliverStream(response, visit, patience)
+	}
+	return x.deliverWhole(response, visit)
+}
+
+// deliverWhole reads an answer to its end before the caller sees any of it.
+func (x *exchange) deliverWhole(response *upstream.Response, visit *place.Visit) outcome {
+	body, err := response.ReadAll(maxAnswer)
+	response.Finish(err == nil)
+	if visit != nil {
+		visit.Answered()
+	}
+	if err != nil || x.begun {
+		x.server.Log.Warn("answer has broken off", "request", x.id, "target", x.target, "error", err, "bytes", len(body))
+		if x.begun {
+			return broken
+		}
+		return mayHaveRun
+	}
+	x.copyHeader(response)
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(response.StatusCode)
+	x.begun = true
+	if _, err := x.writer.Write(body); err != nil {
+		x.log("caller has left", "status", response.StatusCode)
+		return delivered
+	}
+	x.server.Metrics.Answer.UpdateSince(x.arrived)
+	x.log("request is answered", "status", response.StatusCode, "bytes", len(body))
+	return delivered
+}
+
+func (x *exchange) copyHeader(response *upstream.Response) {
+	header := x.writer.Header()
+	for name, values := range endToEnd(response.Header) {
+		header[name] = values
+	}
+	if _, dated := header["Date"]; !dated {
+		// Answers carry the target's headers and no others.
+		header["Date"] = nil
+	}
+}
+
+// deliverStream passes whole events on as they come.
+func (x *exchange) deliverStream(response *upstream.Response, visit *place.Visit, patience *time.Timer) outcome {
+	last, begun := x.last, x.hasLast
+	if !begun {
+		last, begun = x.resumePoint()
+	}
+	reader := eventstream.NewReader(response.Body, last, begun)
+	controller := http.NewResponseController(x.writer)
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return x.endStream(response, err)
+		}
+		x.waitForNext(patience)
+		if visit != nil {
+			visit.Answered()
+		}
+		if err := x.send(controller, response, event); err != nil {
+			response.Finish(false)
+			x.log("caller has left", "reason", err.Error(), "last_event", x.last)
+			return delivered
+		}
+	}
+}
+
+// waitForNext sets how long the next event may take. Streams that can't be
+// resumed are waited for until the deadline.
+func (x *exchange) waitForNext(patience *time.Timer) {
+	if patience == nil {
+		return
+	}
+	left := time.Until(x.deadline)
+	if x.couldRepeat() && x.route.MaxGap > 0 {
+		left = min(left, gapsUntilBroken*x.route.MaxGap)
+	}
+	patience.Reset(left)
+}
+
+// resumePoint returns the last event that the caller has from an earlier
+// request.
+func (x *exchange) resumePoint() (last int64, found bool) {
+	last, err := strconv.ParseInt(x.header.Get(x.server.Headers.LastEvent), 10, 64)
+	return last, err == nil
+}
+
+func (x *exchange) send(controller *http.ResponseController, response *upstream.Response, event eventstream.Event) error {
+	if !x.begun {
+		x.copyHeader(response)
+		x.writer.WriteHeader(response.StatusCode)
+		x.begun = true
+		x.server.Metrics.First.UpdateSince(x.arrived)
+	}
+	if _, err := x.writer.Write(event.Raw); err != nil {
+		return errCaller
+	}
+	if err := controller.Flush(); err != nil {
+		return errCaller
+	}
+	if event.HasID {
+		x.last, x.hasLast = event.ID, true
+	}
+	return nil
+}
+
+// endStream ends a stream after its last event, or where it broke off.
+func (x *exchange) endStream(response *upstream.Response, err error) outcome {
+	if errors.Is(err, io.EOF) {
+		response.Finish(true)
+		if !x.begun {
+			x.copyHeader(response)
+			x.writer.WriteHeader(response.StatusCode)
+			x.begun = true
+		}
+		x.server.Metrics.Answer.UpdateSince(x.arrived)
+		x.log("request is answered", "status", response.StatusCode, "last_event", x.last)
+		return delivered
+	}
+	response.Finish(false)
+	if x.caller.Context().Err() != nil {
+		x.log("caller has left", "last_event", x.last)
+		return delivered
+	}
+	x.server.Log.Warn("stream has broken off", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "error", err)
+	if x.begun {
+		return broken
+	}
+	return mayHaveRun
+}
--- /dev/null
+++ b/io/front/exchange.go
@@ -0,0 +1,348 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"kingcuprill/core/entry"
+	"kingcuprill/core/place"
+	"kingcuprill/core/plan"
+	"kingcuprill/io/upstream"
+)
+
+const (
+	// waitShare is the part of its objective that a request waits for room.
+	waitShare = 8
+	// roomCheck is the pause between looks for room.
+	roomCheck = 20 * time.Millisecond
+	// extraTries is how many targets beyond the route's attempts may turn a
+	// request down without running it.
+	extraTries = 2
+	// shortestTry is the least time that a target has to begin its answer before
+	// a repeatable request is sent to another one.
+	shortestTry = time.Second
+	// hopHeadroom is the least time left that makes a way to another region
+	// worthwhile.
+	hopHeadroom = 250 * time.Millisecond
+)
+
+var errSlow = errors.New("the target has not answered in time")
+
+// exchange is one request of a caller on its way.
+type exchange struct {
+	server  *Server
+	writer  http.ResponseWriter
+	caller  *http.Request
+	arrived time.Time
+	id      string
+	from    string // entry VM that has handed the request over, empty for callers
+
+	state        *State
+	header       http.Header
+	route        plan.Route
+	organisation plan.Organisation
+	keyed        bool
+	service      string
+	demand       place.Demand
+	cost         float64 // tokens charged
+	deadline     time.Time
+	body         []byte
+
+	tries    int // sends to targets
+	runs     int // of these, those that may have run
+	excluded []string
+	target   string // the last one
+	begun    bool   // bytes of an answer have gone to the caller
+	last     int64  // id of the last event delivered
+	hasLast  bool
+}
+
+// outcome tells how a try ended.
+type outcome uint8
+
+const (
+	delivered outcome = iota // the caller has the whole answer, or has left
+	notRun
+	mayHaveRun
+	broken // the answer broke off after parts of it were delivered
+)
+
+// dispatch sends the request to targets until the caller has an answer.
+func (x *exchange) dispatch(ctx context.Context) {
+	s := x.server
+	s.budget(x.service).Request()
+	result := notRun
+	for x.tries < x.mostTries() {
+		if x.tries > 0 && !x.mayTryAgain(ctx, result) {
+			break
+		}
+		visit, reason := x.place(ctx)
+		if visit == nil {
+			if x.away(ctx, &result) {
+				return
+			}
+			x.giveUp(ctx, result, string(reason))
+			return
+		}
+		result = x.try(ctx, visit)
+		if result == delivered {
+			return
+		}
+	}
+	x.giveUp(ctx, result, "tries_used_up")
+}
+
+func (x *exchange) mostTries() int {
+	if x.from != "" {
+		return 1
+	}
+	return max(1, x.route.Attempts) + extraTries
+}
+
+// mayTryAgain decides whether a request may be sent once more.
+func (x *exchange) mayTryAgain(ctx context.Context, result outcome) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if x.runs > 0 && (!x.route.MayRepeat() || x.runs >= max(1, x.route.Attempts)) {
+		return false
+	}
+	if result == broken && !x.hasLast {
+		return false
+	}
+	if !x.server.budget(x.service).Retry() {
+		x.server.Log.Warn("no retry budget is left", "request", x.id, "service", x.service)
+		return false
+	}
+	x.server.Metrics.Retries.Inc(1)
+	return true
+}
+
+// giveUp tells the caller that there will be no answer of a target.
+func (x *exchange) giveUp(ctx context.Context, result outcome, reason string) {
+	switch {
+	case x.caller.Context().Err() != nil:
+		x.log("caller has left", "reason", reason)
+	case x.begun:
+		x.log("answer is broken off", "reason", reason, "last_event", x.last)
+		panic(http.ErrAbortHandler)
+	case x.runs > 0 && ctx.Err() != nil:
+		x.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline"})
+	case x.runs > 0:
+		x.refuse(&refusal{status: http.StatusBadGateway, reason: reason})
+	default:
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: reason, after: returnAfter(), notRun: true})
+	}
+}
+
+func (x *exchange) placement(now time.Time) place.Request {
+	service, _ := x.state.Plan.Service(x.service)
+	return place.Request{
+		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
+		Memory: service.MemoryTokens, Evacuated: x.server.State.Read().Evacuated, Now: now,
+	}
+}
+
+// regions returns where the request may run.
+func (x *exchange) regions() (homes []string, everywhere bool) {
+	return plan.Regions(x.route.Homes, x.organisation.Homes)
+}
+
+func (x *exchange) atHome(region string) bool {
+	homes, everywhere := x.regions()
+	return everywhere || slices.Contains(homes, region)
+}
+
+// place chooses a target in this region. While all are full it waits a short
+// part of the objective, if the request can't go to another region.
+func (x *exchange) place(ctx context.Context) (visit *place.Visit, reason place.Reason) {
+	if !x.atHome(x.server.Region) {
+		return nil, "not_at_home"
+	}
+	visit, reason = x.server.Placer.Pick(x.placement(time.Now()))
+	if visit != nil || reason != place.Full || x.begun || len(x.neighbours()) > 0 {
+		return visit, reason
+	}
+	until := x.arrived.Add(x.route.Objective / waitShare)
+	for visit == nil && ctx.Err() == nil && time.Now().Before(until) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(roomCheck):
+		}
+		visit, reason = x.server.Placer.Pick(x.placement(time.Now()))
+	}
+	return visit, reason
+}
+
+// neighbours returns entry VMs of other regions where the request may run, one
+// for each region, the best region first.
+func (x *exchange) neighbours() (vms []entry.VM) {
+	if x.from != "" || time.Until(x.deadline) < hopHeadroom {
+		return nil
+	}
+	known := *x.server.Entries.Load()
+	for _, region := range x.server.Placer.Regions(x.placement(time.Now())) {
+		if !x.atHome(region) {
+			continue
+		}
+		var there []entry.VM
+		for _, v := range known {
+			if v.Region == region && v.Ready {
+				there = append(there, v)
+			}
+		}
+		if len(there) > 0 {
+			vms = append(vms, there[rand.IntN(len(there))])
+		}
+	}
+	return vms
+}
+
+// away hands the request to an entry VM of another region. It returns false
+// where none took it.
+func (x *exchange) away(ctx context.Context, result *outcome) bool {
+	for _, v := range x.neighbours() {
+		if *result = x.hop(ctx, v); *result == delivered {
+			return true
+		}
+		if x.runs > 0 {
+			break
+		}
+	}
+	return false
+}
+
+func (x *exchange) hop(ctx context.Context, v entry.VM) outcome {
+	x.server.Metrics.Away.Inc(1)
+	x.target = "vm:" + v.ID
+	header := x.outgoing()
+	header.Set(hopFrom, x.server.Self)
+	if key := x.header.Get("Authorization"); key != "" {
+		header.Set("Authorization", key)
+	}
+	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
+	if err != nil {
+		return x.failed(err)
+	}
+	if reason := response.Header.Get(hopNotRun); reason != "" {
+		_, err := response.ReadAll(maxAnswer)
+		response.Finish(err == nil)
+		x.server.Log.Info("entry VM has not run the request", "request", x.id, "vm", v.ID, "reason", reason)
+		return notRun
+	}
+	x.runs++
+	return x.deliver(response, nil, nil)
+}
+
+// request returns the request as it goes to a target or an entry VM.
+func (x *exchange) request(header http.Header) upstream.Request {
+	return upstream.Request{
+		Method: x.caller.Method, URI: x.caller.RequestURI, Host: x.caller.Host, Header: header, Body: x.body,
+		Echo: x.server.Headers.RequestID, EchoValue: x.id,
+	}
+}
+
+// outgoing returns the headers that go on, with the time that is left now.
+func (x *exchange) outgoing() http.Header {
+	h := x.server.Headers
+	header := endToEnd(x.header)
+	for _, name := range h.Own {
+		header.Del(name)
+	}
+	left := max(1, time.Until(x.deadline).Milliseconds())
+	header[h.TimeLeft] = []string{strconv.FormatInt(left, 10)}
+	if x.begun && x.hasLast {
+		header[h.LastEvent] = []string{strconv.FormatInt(x.last, 10)}
+	}
+	return header
+}
+
+// failed maps an error of the connection to how the try ended.
+func (x *exchange) failed(err error) outcome {
+	var failure *upstream.Failure
+	sent := !errors.As(err, &failure) || failure.Sent
+	x.server.Log.Warn("try has failed", "request", x.id, "target", x.target, "try", x.tries, "sent", sent, "error", err)
+	if !sent {
+		return notRun
+	}
+	x.runs++
+	return mayHaveRun
+}
+
+// try sends the request to one target.
+func (x *exchange) try(ctx context.Context, visit *place.Visit) outcome {
+	s, t := x.server, visit.Target
+	x.tries++
+	x.target = t.ID
+	x.excluded = append(x.excluded, t.ID)
+	ok := false
+	defer func() { visit.Done(ok, time.Now()) }()
+	// The lease is checked again: waiting for room takes time.
+	if x.keyed && !s.Lease.Valid() {
+		return notRun
+	}
+	header := x.outgoing()
+	header[s.Headers.Target] = []string{t.ID}
+	if x.keyed {
+		header[s.Headers.Organisation] = []string{x.organisation.Name}
+	}
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := time.AfterFunc(x.patience(), func() { cancel(errSlow) })
+	defer patience.Stop()
+	response, err := s.Targets.Do(bounded, t.ID, t.Address, x.request(header))
+	if err != nil {
+		if x.caller.Context().Err() == nil {
+			t.Circuit.Failed()
+		} else {
+			t.Circuit.Released()
+		}
+		return x.failed(err)
+	}
+	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
+		_, err := response.ReadAll(maxAnswer)
+		response.Finish(err == nil)
+		t.Circuit.Released()
+		s.Log.Info("target has not run the request", "request", x.id, "target", t.ID, "status", response.StatusCode)
+		return notRun
+	}
+	x.runs++
+	if response.StatusCode >= http.StatusInternalServerError && x.couldRepeat() {
+		_, err := response.ReadAll(maxAnswer)
+		response.Finish(err == nil)
+		t.Circuit.Failed()
+		s.Log.Warn("target has failed the request", "request", x.id, "target", t.ID, "status", response.StatusCode)
+		return mayHaveRun
+	}
+	result := x.deliver(response, visit, patience)
+	ok = result == delivered && response.StatusCode < http.StatusInternalServerError
+	if ok {
+		t.Circuit.Succeeded()
+	} else {
+		t.Circuit.Failed()
+	}
+	return result
+}
+
+// patience is how long a target may take to begin its answer.
+func (x *exchange) patience() time.Duration {
+	left := time.Until(x.deadline)
+	if !x.couldRepeatAfter(x.runs + 1) {
+		return left
+	}
+	return min(left, max(shortestTry, x.route.Objective*3/2))
+}
+
+func (x *exchange) couldRepeat() bool {
+	return x.couldRepeatAfter(x.runs)
+}
+
+// couldRepeatAfter tells whether the route allows another run after some.
+func (x *exchange) couldRepeatAfter(runs int) bool {
+	return x.from == "" && x.route.MayRepeat() && runs < max(1, x.route.Attempts) && x.tries < x.mostTries()
+}
--- /dev/null
+++ b/io/front/server.go
@@ -0,0 +1,223 @@
+package front
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"kingcuprill/core/blackboard"
+	"kingcuprill/core/entry"
+	"kingcuprill/core/lease"
+	"kingcuprill/core/place"
+	"kingcuprill/core/plan"
+	"kingcuprill/core/quota"
+	"kingcuprill/core/retry"
+	"kingcuprill/io/metrics"
+	"kingcuprill/io/upstream"
+)
+
+// State is the configuration in force on this VM. It is immutable.
+type State struct {
+	Plan      *plan.Index // nil before the first one has come
+	Revision  uint64
+	Evacuated map[string]bool // by data centre
+}
+
+// Server serves the requests of plain HTTP routes.
+type Server struct {
+	Self    string
+	Region  string
+	Headers Headers
+	State   *blackboard.Section[State]
+	Lease   *lease.Lease
+	Placer  *place.Placer
+	Quota   *quota.Book
+	Targets *upstream.Client
+	Peers   *upstream.Client
+	Entries *atomic.Pointer[[]entry.VM]
+	// RetryAllowance is the number of retries that this VM may have in hand for
+	// one service; RetryRatio is earned with each request.
+	RetryAllowance func() float64
+	RetryRatio     float64
+	Metrics        *metrics.Metrics
+	Log            *slog.Logger
+
+	budgets sync.Map // service to *retry.Budget
+	running atomic.Int64
+}
+
+const (
+	// maxAnswer bounds an answer that is not a stream, in bytes.
+	maxAnswer = 16 << 20
+	// unknownWait is given to callers while this VM has no configuration or no
+	// confirmation that it is the newest.
+	unknownWait = 500 * time.Millisecond
+	// shortestReturn and longestReturn bound what a caller is told to wait when
+	// targets are full.
+	shortestReturn = 250 * time.Millisecond
+	longestReturn  = 900 * time.Millisecond
+)
+
+// Running returns the number of requests that are being served.
+func (s *Server) Running() int64 {
+	return s.running.Load()
+}
+
+// ServeHTTP answers a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, "")
+}
+
+// ServeHop answers another entry VM, which has let the request in.
+func (s *Server) ServeHop(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, r.Header.Get(hopFrom))
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, from string) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	x := &exchange{server: s, writer: w, caller: r, arrived: time.Now(), id: r.Header.Get(s.Headers.RequestID), from: from}
+	s.Metrics.Requests.Inc(1)
+	if refused := x.admit(); refused != nil {
+		x.refuse(refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.dispatch(ctx)
+}
+
+// refusal is an answer of this VM's own.
+type refusal struct {
+	status int
+	reason string
+	after  time.Duration // when to come back, 0 where it is of no use
+	notRun bool
+}
+
+// admit finds out who asks for what, and reads the request.
+func (x *exchange) admit() *refusal {
+	s := x.server
+	state := s.State.Read()
+	if state.Plan == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", after: unknownWait, notRun: true}
+	}
+	x.state = state
+	x.header = x.caller.Header
+	host := x.caller.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	// A negative answer needs the newest configuration as much as a positive one.
+	fresh := s.Lease.Valid()
+	stale := &refusal{status: http.StatusServiceUnavailable, reason: "configuration_not_confirmed", after: unknownWait, notRun: true}
+	route, found := state.Plan.Match(host, x.caller.URL.Path)
+	if !found && !fresh {
+		return stale
+	}
+	if !found {
+		return &refusal{status: http.StatusNotFound, reason: "no_route", notRun: true}
+	}
+	x.route = route
+	if state.Plan.NeedsKey(route) {
+		if !fresh {
+			return stale
+		}
+		key, _ := strings.CutPrefix(x.header.Get("Authorization"), "Bearer ")
+		if x.organisation, x.keyed = state.Plan.ByKey(key); !x.keyed {
+			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key", notRun: true}
+		}
+	}
+	x.deadline = x.arrived.Add(s.Headers.timeLeft(x.header, route.Timeout))
+	return x.read(state.Plan.Plan.MaxBody)
+}
+
+// read takes in the body, and charges the organisation for the request.
+func (x *exchange) read(maxBody int64) *refusal {
+	if maxBody > 0 {
+		x.caller.Body = http.MaxBytesReader(x.writer, x.caller.Body, maxBody)
+	}
+	body, err := io.ReadAll(x.caller.Body)
+	if _, large := err.(*http.MaxBytesError); large {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", notRun: true}
+	}
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: "body_not_read: " + err.Error(), notRun: true}
+	}
+	x.body = body
+	x.demand = x.server.Headers.demand(x.header)
+	x.service = x.route.Choose(x.id)
+	if !x.keyed || x.from != "" {
+		return nil
+	}
+	x.cost = float64(x.demand.Prompt + x.demand.Output)
+	if x.cost == 0 {
+		x.cost = x.organisation.PlainTokens
+	}
+	limit := quota.Limit{RatePerSecond: x.organisation.RatePerSecond, Burst: x.organisation.Burst}
+	wait, granted := x.server.Quota.Take(x.organisation.Name, limit, x.cost, x.arrived)
+	if !granted {
+		x.cost = 0
+		x.server.Metrics.Limited.Inc(1)
+		return &refusal{status: http.StatusTooManyRequests, reason: "over_limit", after: wait, notRun: true}
+	}
+	return nil
+}
+
+// returnAfter spreads callers that come back over a time.
+func returnAfter() time.Duration {
+	return shortestReturn + time.Duration(rand.Int64N(int64(longestReturn-shortestReturn)))
+}
+
+// refuse answers the caller without a target's answer.
+func (x *exchange) refuse(r *refusal) {
+	s := x.server
+	if r.notRun && x.cost > 0 {
+		s.Quota.Return(x.organisation.Name, x.cost)
+	}
+	header := x.writer.Header()
+	if x.id != "" && s.Headers.RequestID != "" {
+		header.Set(s.Headers.RequestID, x.id)
+	}
+	if r.after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.after.Seconds(), 'f', 3, 64))
+	}
+	if x.from != "" && r.notRun {
+		header.Set(hopNotRun, r.reason)
+	}
+	x.writer.WriteHeader(r.status)
+	s.Metrics.Refused.Inc(1)
+	x.log("request is refused", "status", r.status, "reason", r.reason, "retry_after", r.after, "not_run", r.notRun)
+}
+
+// log writes the line that ends a request.
+func (x *exchange) log(message string, args ...any) {
+	s := x.server
+	fields := []any{
+		"request", x.id, "route", x.route.Name, "organisation", x.organisation.Name, "from", x.from,
+		"tries", x.tries, "target", x.target, "took", time.Since(x.arrived).Round(time.Millisecond / 10),
+	}
+	if x.state != nil && x.state.Plan != nil {
+		fields = append(fields, "plan", x.state.Plan.Plan.Version, "lease_left", s.Lease.Left().Round(time.Millisecond))
+	}
+	s.Log.Info(message, append(fields, args...)...)
+}
+
+func (s *Server) budget(service string) *retry.Budget {
+	if found, ok := s.budgets.Load(service); ok {
+		return found.(*retry.Budget)
+	}
+	const thousandths = 1000
+	made, _ := s.budgets.LoadOrStore(service, &retry.Budget{
+		Ratio: int64(s.RetryRatio * thousandths), Largest: int64(max(1, s.RetryAllowance()) * thousandths),
+	})
+	return made.(*retry.Budget)
+}
--- a/io/propose/propose.go
+++ b/io/propose/propose.go
@@ -85,6 +85,9 @@
 	if known := p.leader.Load(); known != nil {
 		last = *known
 	}
+	if p.Replica != nil && p.Replica.Status().Leader != "" {
+		last = p.Replica.Status().Leader
+	}
 	var first, rest []membership.Member
 	for _, m := range p.Board.Members.View.Read().Usable() {
 		switch {
@@ -191,3 +194,34 @@
 	answer.Replicas = replicaRows(status)
 	return answer, nil
 }
+
+// Confirm proves the leader with a majority and returns a revision that holds
+// every change committed before the call. It asks each control VM once.
+func (p *Proposer) Confirm(ctx context.Context) (revision uint64, err error) {
+	if p.Replica != nil && p.Replica.Status().Role == raft.Leader {
+		return p.ConfirmHere(ctx)
+	}
+	err = fault.New(fault.NoQuorum, "no control VM is known")
+	for _, m := range p.candidates() {
+		var answer *vm.ConfirmResponse
+		answer, err = p.Peers.At(m.PeerAddress).Confirm(ctx, &vm.ConfirmRequest{})
+		if err == nil {
+			p.leader.Store(&m.ID)
+			return answer.GetRevision(), nil
+		}
+		err = peer.FromTwirp(err)
+	}
+	return 0, err
+}
+
+// ConfirmHere proves that this VM leads and returns its revision.
+func (p *Proposer) ConfirmHere(ctx context.Context) (revision uint64, err error) {
+	if p.Replica == nil {
+		return 0, fault.New(fault.NoQuorum, "VM %s holds no replica of the control log", p.Board.Self)
+	}
+	c, err := p.Replica.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return c.Revision, nil
+}
--- a/io/replica/transport.go
+++ b/io/replica/transport.go
@@ -7,7 +7,6 @@
 
 	"gopkg.in/tomb.v2"
 
-	"kingcuprill/core/membership"
 	"kingcuprill/core/raft"
 	"kingcuprill/io/codec"
 	"kingcuprill/io/peer"
@@ -22,7 +21,7 @@
 // Sender sends messages to other replicas by calls between VMs. When a replica
 // can't keep up or be reached, messages are dropped.
 type Sender struct {
-	Members *membership.Table
+	Address func(id string) (address string, known bool)
 	Peers   *peer.Peers
 	Log     *slog.Logger
 	Tomb    *tomb.Tomb
@@ -68,7 +67,7 @@
 }
 
 func (s *Sender) call(ctx context.Context, to string, messages []raft.Message) {
-	m, known := s.Members.View.Read().Members[to]
+	address, known := s.Address(to)
 	if !known {
 		return
 	}
@@ -78,7 +77,7 @@
 	}
 	bounded, cancel := s.Peers.Bounded(ctx)
 	defer cancel()
-	if _, err := s.Peers.At(m.PeerAddress).Step(bounded, request); err != nil {
+	if _, err := s.Peers.At(address).Step(bounded, request); err != nil {
 		s.Peers.DropIdle()
 		s.Log.Debug("messages of the control log were lost", "to", to, "error", err)
 	}
--- a/io/vm/server.go
+++ b/io/vm/server.go
@@ -12,6 +12,7 @@
 	"kingcuprill/io/book"
 	"kingcuprill/io/borrow"
 	"kingcuprill/io/codec"
+	"kingcuprill/io/follow"
 	"kingcuprill/io/forward"
 	"kingcuprill/io/gossip"
 	"kingcuprill/io/peer"
@@ -39,6 +40,7 @@
 	Reporter   *report.Reporter
 	Forwarder  *forward.Server
 	Answers    *book.Answers
+	Leader     *follow.Server // nil on a VM that entry VMs don't follow
 }
 
 // Handler returns the routes of the peer listener. Only signed requests pass.
@@ -135,3 +137,20 @@
 	answer, err := s.Proposer.ChangeHere(ctx, request)
 	return answer, peer.ToTwirp(err)
 }
+
+// Confirm proves that this VM leads the control log.
+func (s *Server) Confirm(ctx context.Context, _ *vm.ConfirmRequest) (*vm.ConfirmResponse, error) {
+	revision, err := s.Proposer.ConfirmHere(ctx)
+	if err != nil {
+		return nil, peer.ToTwirp(err)
+	}
+	return &vm.ConfirmResponse{Revision: revision}, nil
+}
+
+// Follow answers an entry VM with what is new.
+func (s *Server) Follow(ctx context.Context, request *vm.FollowRequest) (*vm.FollowResponse, error) {
+	if s.Leader == nil {
+		return nil, peer.ToTwirp(fault.New(fault.NotFound, "VM %s is not followed by entry VMs", s.Board.Self))
+	}
+	return s.Leader.Answer(ctx, request), nil
+}
