Draw limits from a pool at the leader; write batches to the log; refuse what outlasts a stop

Change: three quarters of a limit in a pool at the leader, drawn ahead of need; each write to the log is one batch and synced; a stopping VM refuses, as not run, what may outlast it.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -1,9 +1,13 @@
-// Package quota holds organisations to their rate and burst over all VMs. Each
-// entry VM has an equal share; the sum of the shares is the limit, whether or
-// not the VMs reach each other.
+// Package quota holds organisations to their rate and burst over all VMs.
 //
-// A request is let in while the account is above zero and may overdraw it, so
-// that a small share still serves a request larger than itself.
+// Most of a limit lies in a pool at the leader of the control log, from which
+// entry VMs draw tokens ahead of their need, so that an organisation may send
+// its whole rate through any of them. The rest is split evenly among the entry
+// VMs; it serves small requests at once, and all while the leader can't be
+// reached. The sum of both is the limit, whoever reaches whom.
+//
+// A request may overdraw an account that is full for its size, so that one that
+// is larger than the burst is served at all.
 package quota
 
 import (
@@ -17,13 +21,93 @@
 	Burst         float64 // tokens
 }
 
-type account struct {
-	limit Limit
+func (l Limit) scaled(share float64) Limit {
+	return Limit{RatePerSecond: l.RatePerSecond * share, Burst: l.Burst * share}
+}
+
+// poolShare is the part of a limit that lies in the pool.
+const poolShare = 0.75
+
+// bucket is a token bucket that may be overdrawn.
+type bucket struct {
 	level float64 // tokens
 	at    time.Time
 }
 
-// Book has the accounts of one VM. It is safe for concurrent use.
+func (b *bucket) refill(limit Limit, now time.Time) {
+	if passed := now.Sub(b.at).Seconds(); passed > 0 {
+		b.level = min(b.level+passed*limit.RatePerSecond, limit.Burst)
+		b.at = now
+	}
+	b.level = min(b.level, limit.Burst)
+}
+
+// wait returns how long it takes until a request of a cost fits.
+func (b *bucket) wait(limit Limit, cost float64) time.Duration {
+	missing := min(cost, limit.Burst) - b.level
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing / limit.RatePerSecond * float64(time.Second))
+}
+
+// Pool has the accounts of the leader. It is safe for concurrent use.
+type Pool struct {
+	mu      sync.Mutex
+	term    uint64
+	buckets map[string]*bucket
+}
+
+// NewPool returns a pool without accounts.
+func NewPool() *Pool {
+	return &Pool{buckets: map[string]*bucket{}}
+}
+
+// Draw takes what an entry VM needs, and up to what it wants. Accounts begin
+// empty in each term: the leader before may have given out the burst.
+func (p *Pool) Draw(term uint64, organisation string, limit Limit, need, want float64, now time.Time) (granted float64, wait time.Duration) {
+	limit = limit.scaled(poolShare)
+	if limit.RatePerSecond <= 0 {
+		return 0, time.Second
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if term != p.term {
+		p.term = term
+		p.buckets = map[string]*bucket{}
+	}
+	b, found := p.buckets[organisation]
+	if !found {
+		b = &bucket{at: now}
+		p.buckets[organisation] = b
+	}
+	b.refill(limit, now)
+	if wait := b.wait(limit, need); wait > 0 {
+		return 0, wait
+	}
+	granted = max(need, min(want, b.level))
+	b.level -= granted
+	return granted, 0
+}
+
+const (
+	// demandTime is the time over which an entry VM averages what an
+	// organisation asks of it.
+	demandTime = 2 * time.Second
+	// aheadTime is how much of its demand an entry VM draws ahead. It covers a
+	// round trip between regions.
+	aheadTime = 400 * time.Millisecond
+)
+
+type account struct {
+	own     bucket  // this VM's share
+	drawn   float64 // tokens drawn from the pool
+	demand  float64 // tokens a second
+	asked   time.Time
+	drawing bool
+}
+
+// Book has the accounts of one entry VM. It is safe for concurrent use.
 type Book struct {
 	mu       sync.Mutex
 	vms      int
@@ -43,23 +127,65 @@
 	b.vms = count
 }
 
-// Take lets a request of a cost in tokens in, or tells how long to wait.
-func (b *Book) Take(organisation string, limit Limit, cost float64, now time.Time) (wait time.Duration, granted bool) {
+// Order is what is to be drawn from the pool.
+type Order struct {
+	Need float64 // tokens, for the request that waits; 0: for later ones
+	Want float64 // tokens
+}
+
+// Take lets a request of a cost in tokens in, if what this VM has is enough.
+// Otherwise the order is to be drawn. An order with a want and no need may be
+// drawn in the background.
+func (b *Book) Take(organisation string, limit Limit, cost float64, now time.Time) (granted bool, order Order) {
 	if limit.RatePerSecond <= 0 {
-		return 0, true
+		return true, Order{}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.vms == 0 {
-		return time.Second, false
+		return false, Order{Need: cost, Want: cost}
 	}
-	a := b.refill(organisation, limit, now)
-	if a.level <= 0 {
-		share := limit.RatePerSecond / float64(b.vms)
-		return time.Duration((1 - a.level) / share * float64(time.Second)), false
+	a := b.account(organisation, limit, now)
+	a.note(cost, now)
+	ahead := a.demand * aheadTime.Seconds()
+	switch share := b.share(limit); {
+	case a.drawn >= cost:
+		a.drawn -= cost
+		granted = true
+	case a.own.level >= cost && cost <= share.Burst:
+		a.own.level -= cost
+		granted = true
+	default:
+		return false, Order{Need: max(0, cost-a.drawn), Want: cost - a.drawn + ahead}
 	}
-	a.level -= cost
-	return 0, true
+	if a.drawn < ahead/2 && !a.drawing {
+		a.drawing = true
+		return true, Order{Want: ahead - a.drawn}
+	}
+	return true, Order{}
+}
+
+// Drawn adds what came from the pool and lets a waiting request in, if it is
+// enough. A request that got nothing may still overdraw this VM's own share.
+func (b *Book) Drawn(organisation string, limit Limit, cost, tokens float64, now time.Time) (granted bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(organisation, limit, now)
+	a.drawn += tokens
+	a.drawing = false
+	if cost == 0 {
+		return false
+	}
+	if a.drawn >= cost {
+		a.drawn -= cost
+		return true
+	}
+	share := b.share(limit)
+	if b.vms == 0 || a.own.wait(share, cost) > 0 {
+		return false
+	}
+	a.own.level -= cost
+	return true
 }
 
 // Return gives back the cost of a request that did not run.
@@ -67,20 +193,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if a, found := b.accounts[organisation]; found {
-		a.level += cost
+		a.drawn += cost
 	}
 }
 
-func (b *Book) refill(organisation string, limit Limit, now time.Time) *account {
-	share := 1 / float64(b.vms)
+func (b *Book) share(limit Limit) Limit {
+	return limit.scaled((1 - poolShare) / float64(max(1, b.vms)))
+}
+
+func (b *Book) account(organisation string, limit Limit, now time.Time) *account {
+	share := b.share(limit)
 	a, found := b.accounts[organisation]
 	if !found {
-		// A VM that has just started may have spent its burst before.
-		a = &account{limit: limit, level: min(limit.RatePerSecond, limit.Burst) * share, at: now}
+		// This VM may have spent its share before it was started again.
+		a = &account{own: bucket{at: now}, asked: now}
 		b.accounts[organisation] = a
 	}
-	passed := now.Sub(a.at).Seconds()
-	a.at, a.limit = now, limit
-	a.level = min(a.level+passed*limit.RatePerSecond*share, limit.Burst*share)
+	a.own.refill(share, now)
 	return a
 }
+
+// note keeps the average of what is asked.
+func (a *account) note(cost float64, now time.Time) {
+	passed := now.Sub(a.asked)
+	a.asked = now
+	kept := max(0, 1-passed.Seconds()/demandTime.Seconds())
+	a.demand = a.demand*kept + cost/demandTime.Seconds()
+}
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -23,6 +23,7 @@
 	"kingcuprill/core/membership"
 	"kingcuprill/core/raft"
 	"kingcuprill/io/disk"
+	"kingcuprill/io/draw"
 	"kingcuprill/io/follow"
 	"kingcuprill/io/forward"
 	"kingcuprill/io/metrics"
@@ -67,6 +68,7 @@
 	replica  *replica.Replica
 	mu       sync.Mutex // guards the writers of the registry
 	registry *instance.Registry
+	drawer   *draw.Server
 	servers  []*http.Server
 }
 
@@ -95,6 +97,7 @@
 	v.Proposer = &propose.Proposer{Board: v.Board, Peers: v.peers, Replica: v.replica}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.Follow = follow.NewServer(v.Board, epoch, v.registry.Table, v.Proposer.Confirm, v.controls, log)
+	v.drawer = draw.NewServer(v.replica, v.Proposer, v.peers, v.Follow.Confirmed)
 	return v, nil
 }
 
@@ -211,7 +214,7 @@
 // of the control and the directory address.
 func (v *VM) Run(ctx context.Context, control, directory http.Handler) (err error) {
 	defer fault.Annotate(&err, "control VM %s", v.Config.ID)
-	server := &vm.Server{Board: v.Board, Replica: v.replica, Proposer: v.Proposer, Leader: v.Follow, Forwarder: &forward.Server{}}
+	server := &vm.Server{Board: v.Board, Replica: v.replica, Proposer: v.Proposer, Leader: v.Follow, Drawer: v.drawer, Forwarder: &forward.Server{}}
 	listeners := map[string]http.Handler{
 		v.Config.PeerAddress: server.Handler(v.peers.Credentials), v.Config.ControlAddress: control, v.Config.DirectoryAddress: directory,
 	}
--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -22,6 +22,9 @@
 	hardStateRecord
 	snapshotRecord
 	withdrawalRecord
+	// batchRecord holds the records of one write. Each write is synced before the
+	// next, so that a power loss tears the last batch at most.
+	batchRecord
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -75,11 +78,37 @@
 	return record, parsedWhole
 }
 
-// holdsRecord tells whether a whole record starts anywhere in data. It tells a
+// appendBatch adds the records of one write to a buffer, as one record.
+func appendBatch(buffer, records []byte) []byte {
+	var header [headerSize]byte
+	binary.LittleEndian.PutUint32(header[0:], uint32(len(records))|uint32(batchRecord)<<24)
+	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(header[:4], castagnoli))
+	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(records, castagnoli))
+	buffer = append(buffer, header[:]...)
+	return append(buffer, records...)
+}
+
+// unpack returns the records of a batch, or the record itself.
+func (p parsed) unpack() (records []parsed, whole bool) {
+	if p.kind != batchRecord {
+		return []parsed{p}, true
+	}
+	for rest := p.payload; len(rest) > 0; {
+		record, result := parseRecord(rest)
+		if result != parsedWhole {
+			return nil, false
+		}
+		records = append(records, record)
+		rest = rest[record.size:]
+	}
+	return records, true
+}
+
+// holdsBatch tells whether a whole batch starts anywhere in data. It tells a
 // torn tail, behind which nothing was written, from damage in the middle.
-func holdsRecord(data []byte) bool {
+func holdsBatch(data []byte) bool {
 	for offset := range data {
-		if _, result := parseRecord(data[offset:]); result == parsedWhole {
+		if record, result := parseRecord(data[offset:]); result == parsedWhole && record.kind == batchRecord {
 			return true
 		}
 	}
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -185,11 +185,16 @@
 	return nil
 }
 
-// Save appends entries and the hard state, and syncs if sync is set. After an
-// error other than ErrSync nothing has been written and Save may be called
+// Save appends entries and the hard state, and syncs. A hard state without
+// sync is left to the next write: it holds nothing that can't be found out
+// again, and a write that isn't synced could be torn below a later one. After
+// an error other than ErrSync nothing has been written and Save may be called
 // again.
 func (s *Store) Save(hard raft.HardState, entries []raft.Entry, sync bool) (err error) {
 	defer fault.Annotate(&err, "save to %s", s.path(logFile))
+	if !sync {
+		return nil
+	}
 	var buffer []byte
 	for _, entry := range entries {
 		if buffer, err = appendRecord(buffer, entryRecord, codec.FromEntry(entry)); err != nil {
@@ -199,13 +204,12 @@
 	if buffer, err = appendRecord(buffer, hardStateRecord, codec.FromHardState(hard)); err != nil {
 		return err
 	}
+	buffer = appendBatch(nil, buffer)
 	if err := s.write(s.log, buffer); err != nil {
 		return errors.Join(err, s.cut())
 	}
-	if sync {
-		if err := s.log.Sync(); err != nil {
-			return fmt.Errorf("%w: %w", ErrSync, err)
-		}
+	if err := s.log.Sync(); err != nil {
+		return fmt.Errorf("%w: %w", ErrSync, err)
 	}
 	s.size += int64(len(buffer))
 	return nil
@@ -246,6 +250,7 @@
 	if buffer, err = appendRecord(buffer, hardStateRecord, codec.FromHardState(hard)); err != nil {
 		return err
 	}
+	buffer = appendBatch(nil, buffer)
 	if err := s.replaceFile(logFile, buffer); err != nil {
 		return err
 	}
@@ -311,7 +316,7 @@
 			return err
 		}
 	}
-	if err := s.write(s.withdrawn, buffer); err != nil {
+	if err := s.write(s.withdrawn, appendBatch(nil, buffer)); err != nil {
 		return err
 	}
 	return s.withdrawn.Sync()
@@ -416,12 +421,13 @@
 	}
 	for kept < len(data) {
 		record, result := parseRecord(data[kept:])
-		if result == parsedWhole {
-			records = append(records, record)
+		inner, whole := record.unpack()
+		if result == parsedWhole && whole {
+			records = append(records, inner...)
 			kept += record.size
 			continue
 		}
-		if holdsRecord(data[kept+1:]) {
+		if holdsBatch(data[kept+1:]) {
 			return nil, 0, 0, fmt.Errorf("%s: offset %d: %w; replace this replica", s.path(name), kept, ErrDamaged)
 		}
 		break
--- /dev/null
+++ b/io/draw/draw.go
@@ -0,0 +1,99 @@
+// Package draw carries tokens of the organisations' limits from the pool at the
+// leader of the control log to the entry VMs.
+package draw
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"kingcuprill/core/fault"
+	"kingcuprill/core/quota"
+	"kingcuprill/core/raft"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/propose"
+	"kingcuprill/io/replica"
+	"kingcuprill/rpc/vm"
+)
+
+const (
+	// timeout bounds a request's wait for tokens: a control VM of the region asks
+	// the leader in another one.
+	timeout = 350 * time.Millisecond
+	// leadFor is how long after a confirmation by a majority the leader hands
+	// tokens out. Another leader can't have been elected long before it ends.
+	leadFor = 2 * time.Second
+	// unknownWait is what callers are told where the pool can't be reached.
+	unknownWait = 500 * time.Millisecond
+)
+
+// Server hands tokens out on a control VM.
+type Server struct {
+	replica   *replica.Replica
+	proposer  *propose.Proposer
+	peers     *peer.Peers
+	confirmed func() time.Duration // age of the last confirmation
+	pool      *quota.Pool
+}
+
+// NewServer returns a server with an empty pool.
+func NewServer(r *replica.Replica, p *propose.Proposer, peers *peer.Peers, confirmed func() time.Duration) *Server {
+	return &Server{replica: r, proposer: p, peers: peers, confirmed: confirmed, pool: quota.NewPool()}
+}
+
+// Answer draws from the pool if this VM leads, and asks the leader otherwise.
+func (s *Server) Answer(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
+	status := s.replica.Status()
+	if status.Role != raft.Leader {
+		return s.ask(ctx, request)
+	}
+	if age := s.confirmed(); age > leadFor {
+		return nil, fault.New(fault.NoQuorum, "the leader was confirmed %v ago", age)
+	}
+	limit := quota.Limit{RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst()}
+	granted, wait := s.pool.Draw(status.Term, request.GetOrganisation(), limit, request.GetNeed(), request.GetWant(), time.Now())
+	return &vm.DrawResponse{Granted: granted, WaitNanoseconds: int64(wait)}, nil
+}
+
+func (s *Server) ask(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
+	address, known := s.proposer.Leader()
+	if !known || request.GetForwarded() {
+		return nil, fault.New(fault.NoQuorum, "the leader of the control log is not known")
+	}
+	request.Forwarded = true
+	return s.peers.At(address).Draw(ctx, request)
+}
+
+// Client draws tokens for an entry VM.
+type Client struct {
+	Peers    *peer.Peers
+	Book     *quota.Book
+	Controls func() []string // control VMs that answer, the nearest first
+	Log      *slog.Logger
+}
+
+// Draw carries an order out. An order without a need is for later requests; its
+// tokens go to the book at once. Otherwise they are returned.
+func (c *Client) Draw(ctx context.Context, organisation string, limit quota.Limit, order quota.Order) (tokens float64, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := &vm.DrawRequest{
+		Organisation: organisation, RatePerSecond: limit.RatePerSecond, Burst: limit.Burst, Need: order.Need, Want: order.Want,
+	}
+	wait = unknownWait
+	for _, address := range c.Controls() {
+		answer, err := c.Peers.At(address).Draw(ctx, request)
+		if err == nil {
+			tokens, wait = answer.GetGranted(), time.Duration(answer.GetWaitNanoseconds())
+			break
+		}
+		c.Log.Warn("tokens could not be drawn", "organisation", organisation, "control", address, "need", order.Need, "error", err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if order.Need == 0 {
+		c.Book.Drawn(organisation, limit, 0, tokens, time.Now())
+	}
+	return tokens, wait
+}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -24,6 +24,7 @@
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quota"
 	"kingcuprill/io/boottime"
+	"kingcuprill/io/draw"
 	"kingcuprill/io/follow"
 	"kingcuprill/io/front"
 	"kingcuprill/io/metrics"
@@ -104,7 +105,8 @@
 	v.client = &follow.Client{
 		Peers: peers, Lease: v.lease, Log: o.Log, Self: v.self, Catalogue: v.takeCatalogue, Targets: v.takeTargets, Entries: v.takeEntries,
 	}
-	v.front = &front.Server{
+	drawer := &draw.Client{Peers: peers, Book: v.quota, Controls: v.client.Controls, Log: o.Log}
+	v.front = &front.Server{Drawer: drawer,
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
 		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: &v.entries,
 		RetryAllowance: v.retryAllowance, RetryRatio: c.RetryRatio * budgetShare, Metrics: v.Metrics, Log: o.Log,
@@ -244,6 +246,7 @@
 	v.Log.Info("entry VM stops", "vm", v.Config.ID, "running", v.front.Running())
 	v.draining.Store(true)
 	end := time.Now().Add(v.Config.Grace - stopMargin)
+	v.front.StopAt(end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	v.callers.SetKeepAlivesEnabled(false)
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -54,6 +54,7 @@
 	revision uint64
 	fleet    *instance.Fleet
 	entries  map[string][]entry.VM
+	nearest  []string // control VMs that answer, the one that answered first in front
 }
 
 // Run asks all control VMs until the tomb dies.
@@ -131,6 +132,7 @@
 			c.Log.Warn("control VM does not answer", "control", address, "error", err, "lease_left", c.Lease.Left())
 		}
 		lost = true
+		c.answers(address, false, false)
 		if c.drop(address, reached) {
 			return nil
 		}
@@ -175,6 +177,7 @@
 		return err
 	}
 	c.take(address, answer, sent, at)
+	c.answers(address, true, answer.GetRegion() == c.Self().Region)
 	return nil
 }
 
@@ -209,6 +212,28 @@
 	c.follow(answer.GetControlAddresses())
 }
 
+// Controls returns the control VMs that answer, those of this region first.
+func (c *Client) Controls() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.nearest)
+}
+
+// answers notes whether a control VM answers, and how fast.
+func (c *Client) answers(address string, reached bool, near bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := slices.Contains(c.nearest, address)
+	switch {
+	case !reached:
+		c.nearest = slices.DeleteFunc(c.nearest, func(other string) bool { return other == address })
+	case !known && near:
+		c.nearest = append([]string{address}, c.nearest...)
+	case !known:
+		c.nearest = append(c.nearest, address)
+	}
+}
+
 // Tell tells every control VM at once how this VM stands now.
 func (c *Client) Tell(ctx context.Context) {
 	c.mu.Lock()
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -8,12 +8,14 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kingcuprill/core/board"
 	"kingcuprill/core/entry"
 	"kingcuprill/core/instance"
 	"kingcuprill/core/versioned"
+	"kingcuprill/io/boottime"
 	"kingcuprill/io/codec"
 	"kingcuprill/rpc/vm"
 )
@@ -41,6 +43,13 @@
 	next     *round          // of confirmation, not started yet
 	running  bool
 	controls func() []string
+
+	confirmed atomic.Int64 // begin of the last round that succeeded, boot time in nanoseconds
+}
+
+// Confirmed returns how long ago the last successful confirmation began.
+func (s *Server) Confirmed() time.Duration {
+	return boottime.Now() - time.Duration(s.confirmed.Load())
 }
 
 // NewServer returns a server. controls returns the peer addresses of all
@@ -88,8 +97,12 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), confirmWait)
+		begun := boottime.Now()
 		current.revision, current.err = s.Confirm(ctx)
 		cancel()
+		if current.err == nil {
+			s.confirmed.Store(int64(begun))
+		}
 		close(current.done)
 	}
 }
@@ -164,7 +177,7 @@
 	}
 	c := s.Board.Catalogue.Read()
 	answer := &vm.FollowResponse{
-		Revision: c.Revision, Confirmed: confirmed, Epoch: s.Epoch, Whole: whole, ControlAddresses: s.controls(),
+		Revision: c.Revision, Confirmed: confirmed, Epoch: s.Epoch, Whole: whole, ControlAddresses: s.controls(), Region: s.Board.Region,
 	}
 	if c.Revision > request.GetRevision() {
 		answer.Catalogue = codec.FromCatalogue(c)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -20,6 +20,7 @@
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quota"
 	"kingcuprill/core/retry"
+	"kingcuprill/io/draw"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/upstream"
 )
@@ -40,6 +41,7 @@
 	Lease   *lease.Lease
 	Placer  *place.Placer
 	Quota   *quota.Book
+	Drawer  *draw.Client
 	Targets *upstream.Client
 	Peers   *upstream.Client
 	Entries *atomic.Pointer[[]entry.VM]
@@ -50,6 +52,7 @@
 	Metrics        *metrics.Metrics
 	Log            *slog.Logger
 
+	stop    atomic.Pointer[planned]
 	budgets sync.Map // service to *retry.Budget
 	running atomic.Int64
 }
@@ -66,6 +69,26 @@
 	longestReturn  = 900 * time.Millisecond
 )
 
+// planned is a planned stop.
+type planned struct {
+	begun, end time.Time
+}
+
+// stopGrace is how long after the begin of a planned stop every request is
+// still taken, as callers learn of the stop with a delay.
+const stopGrace = 2 * time.Second
+
+// StopAt tells when this VM will end.
+func (s *Server) StopAt(end time.Time) {
+	s.stop.Store(&planned{begun: time.Now(), end: end})
+}
+
+// outlasts tells whether a request may still run when this VM ends.
+func (x *exchange) outlasts() bool {
+	stop := x.server.stop.Load()
+	return stop != nil && x.arrived.Sub(stop.begun) > stopGrace && x.deadline.After(stop.end)
+}
+
 // Running returns the number of requests that are being served.
 func (s *Server) Running() int64 {
 	return s.running.Load()
@@ -137,6 +160,9 @@
 		}
 	}
 	x.deadline = x.arrived.Add(s.Headers.timeLeft(x.header, route.Timeout))
+	if x.outlasts() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", after: shortestReturn / 5, notRun: true}
+	}
 	return x.read(state.Plan.Plan.MaxBody)
 }
 
@@ -162,14 +188,27 @@
 	if x.cost == 0 {
 		x.cost = x.organisation.PlainTokens
 	}
-	limit := quota.Limit{RatePerSecond: x.organisation.RatePerSecond, Burst: x.organisation.Burst}
-	wait, granted := x.server.Quota.Take(x.organisation.Name, limit, x.cost, x.arrived)
-	if !granted {
-		x.cost = 0
-		x.server.Metrics.Limited.Inc(1)
-		return &refusal{status: http.StatusTooManyRequests, reason: "over_limit", after: wait, notRun: true}
+	return x.charge()
+}
+
+// charge takes the request's cost from its organisation's limit.
+func (x *exchange) charge() *refusal {
+	s, o := x.server, x.organisation
+	limit := quota.Limit{RatePerSecond: o.RatePerSecond, Burst: o.Burst}
+	granted, order := s.Quota.Take(o.Name, limit, x.cost, x.arrived)
+	if granted {
+		if order.Want > 0 {
+			go s.Drawer.Draw(context.Background(), o.Name, limit, order)
+		}
+		return nil
+	}
+	tokens, wait := s.Drawer.Draw(x.caller.Context(), o.Name, limit, order)
+	if s.Quota.Drawn(o.Name, limit, x.cost, tokens, time.Now()) {
+		return nil
 	}
-	return nil
+	x.cost = 0
+	s.Metrics.Limited.Inc(1)
+	return &refusal{status: http.StatusTooManyRequests, reason: "over_limit", after: wait, notRun: true}
 }
 
 // returnAfter spreads callers that come back over a time.
--- a/io/propose/propose.go
+++ b/io/propose/propose.go
@@ -225,3 +225,14 @@
 	}
 	return c.Revision, nil
 }
+
+// Leader returns the peer address of the control VM that leads as far as is
+// known here.
+func (p *Proposer) Leader() (address string, known bool) {
+	for _, m := range p.candidates() {
+		if p.Replica != nil && m.ID == p.Replica.Status().Leader {
+			return m.PeerAddress, true
+		}
+	}
+	return "", false
+}
--- a/io/vm/server.go
+++ b/io/vm/server.go
@@ -12,6 +12,7 @@
 	"kingcuprill/io/book"
 	"kingcuprill/io/borrow"
 	"kingcuprill/io/codec"
+	"kingcuprill/io/draw"
 	"kingcuprill/io/follow"
 	"kingcuprill/io/forward"
 	"kingcuprill/io/gossip"
@@ -41,6 +42,7 @@
 	Forwarder  *forward.Server
 	Answers    *book.Answers
 	Leader     *follow.Server // nil on a VM that entry VMs don't follow
+	Drawer     *draw.Server   // nil on a VM that entry VMs don't follow
 }
 
 // Handler returns the routes of the peer listener. Only signed requests pass.
@@ -154,3 +156,15 @@
 	}
 	return s.Leader.Answer(ctx, request), nil
 }
+
+// Draw hands tokens of an organisation's limit out.
+func (s *Server) Draw(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
+	if s.Drawer == nil {
+		return nil, peer.ToTwirp(fault.New(fault.NotFound, "VM %s has no pool of limits", s.Board.Self))
+	}
+	answer, err := s.Drawer.Answer(ctx, request)
+	if err != nil {
+		return nil, peer.ToTwirp(err)
+	}
+	return answer, nil
+}
