--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -27,9 +27,11 @@
 // MaxAddresses bounds an answer of the directory.
 const MaxAddresses = 64
 
-// Resolve returns the caller addresses that a caller should use: those of its
-// region, or all where its region has none.
-func Resolve(vms []VM, region string) (addresses []string) {
+// Resolve returns the caller addresses that a caller of a region should use:
+// those of its region. Where none is ready there, it returns those of other
+// regions, if abroad tells that this VM can know: one that has just started or
+// is cut off hears of few entry VMs.
+func Resolve(vms []VM, region string, abroad bool) (addresses []string) {
 	var far []string
 	for _, v := range vms {
 		switch {
@@ -40,7 +42,7 @@
 			far = append(far, v.CallerAddress)
 		}
 	}
-	if len(addresses) == 0 {
+	if len(addresses) == 0 && abroad {
 		addresses = far
 	}
 	slices.Sort(addresses)
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -43,6 +43,7 @@
 	next     *round          // of confirmation, not started yet
 	running  bool
 	controls func() []string
+	started  time.Time
 
 	confirmed atomic.Int64 // begin of the last round that succeeded, boot time in nanoseconds
 }
@@ -57,7 +58,7 @@
 func NewServer(b *board.Board, epoch string, targets *versioned.Table[instance.Registration], confirm func(context.Context) (uint64, error), controls func() []string, log *slog.Logger) *Server {
 	return &Server{
 		Board: b, Epoch: epoch, Targets: targets, Confirm: confirm, Log: log, controls: controls,
-		entries: versioned.NewTable[entry.Seen](), ids: map[string]bool{},
+		entries: versioned.NewTable[entry.Seen](), ids: map[string]bool{}, started: time.Now(),
 	}
 }
 
@@ -69,6 +70,21 @@
 	err      error
 }
 
+const (
+	// learnFor is how long a control VM that has started may not have heard of
+	// all entry VMs yet.
+	learnFor = 6 * time.Second
+	// inTouchFor is how long a confirmation by a majority tells that this VM is
+	// not cut off.
+	inTouchFor = 3 * time.Second
+)
+
+// KnowsAll tells whether an entry VM that isn't known here is likely not to
+// run.
+func (s *Server) KnowsAll() bool {
+	return time.Since(s.started) > learnFor && s.Confirmed() < inTouchFor
+}
+
 // join returns the next round and starts it as soon as none runs.
 func (s *Server) join() *round {
 	s.mu.Lock()
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -46,17 +46,22 @@
 		}
 		return mayHaveRun
 	}
+	x.deliverBody(response, body)
+	return delivered
+}
+
+// deliverBody sends a whole answer to the caller.
+func (x *exchange) deliverBody(response *upstream.Response, body []byte) {
 	x.copyHeader(response)
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(response.StatusCode)
 	x.begun = true
 	if _, err := x.writer.Write(body); err != nil {
 		x.log("caller has left", "status", response.StatusCode)
-		return delivered
+		return
 	}
 	x.server.Metrics.Answer.UpdateSince(x.arrived)
 	x.log("request is answered", "status", response.StatusCode, "bytes", len(body))
-	return delivered
 }
 
 func (x *exchange) copyHeader(response *upstream.Response) {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -60,6 +60,13 @@
 	begun    bool   // bytes of an answer have gone to the caller
 	last     int64  // id of the last event delivered
 	hasLast  bool
+	failure  *failedAnswer // of a target, in case that no other does better
+}
+
+// failedAnswer is a whole answer that tells of a failure.
+type failedAnswer struct {
+	response *upstream.Response
+	body     []byte
 }
 
 // outcome tells how a try ended.
@@ -131,6 +138,8 @@
 	case x.begun:
 		x.log("answer is broken off", "reason", reason, "last_event", x.last)
 		panic(http.ErrAbortHandler)
+	case x.failure != nil:
+		x.deliverBody(x.failure.response, x.failure.body)
 	case x.runs > 0 && ctx.Err() != nil:
 		x.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline"})
 	case x.runs > 0:
@@ -313,17 +322,23 @@
 	}
 	x.runs++
 	if response.StatusCode >= http.StatusInternalServerError && x.couldRepeat() {
-		_, err := response.ReadAll(maxAnswer)
+		body, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		t.Circuit.Failed()
+		if err == nil {
+			x.failure = &failedAnswer{response: response, body: body}
+		}
+		t.Circuit.Released()
 		s.Log.Warn("target has failed the request", "request", x.id, "target", t.ID, "status", response.StatusCode)
 		return mayHaveRun
 	}
 	result := x.deliver(response, visit, patience)
 	ok = result == delivered && response.StatusCode < http.StatusInternalServerError
-	if ok {
+	switch {
+	case result == delivered:
 		t.Circuit.Succeeded()
-	} else {
+	case x.caller.Context().Err() != nil:
+		t.Circuit.Released()
+	default:
 		t.Circuit.Failed()
 	}
 	return result
