Admit and place by the predicted time to the first answer

Load pattern: peaks beyond capacity made p50 600 to 1200 ms, so that most were late. Cause: targets were chosen by tokens in hand alone and nothing was turned away before targets were full. Change: each VM learns the time for a prompt token (regression) and each target's base time; a newcomer that would be late is refused at once or sent to a region that has room; who comes back is let in longer.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -14,14 +14,14 @@
 	// silentUseFor is how long a target without heartbeats still gets requests
 	// after its last sign of life.
 	silentUseFor = 10 * time.Second
-	// runningTokens is the cost of one running request beside a new one, in
-	// prompt tokens that take as long to read.
-	runningTokens = 120
-	// strangerTokens keeps a request at its rendezvous target as long as
-	// backlogs differ by less.
-	strangerTokens = 400
-	// silentTokens is added for a target whose heartbeats are missing.
-	silentTokens = 1 << 19
+	// silentPenalty is added for a target whose heartbeats are missing.
+	silentPenalty = 2 * time.Second
+	// strangerPenalty keeps a request at its rendezvous target as long as the
+	// others are not faster by more.
+	strangerPenalty = 4 * time.Millisecond
+	// slotsSlack lets one VM use more than its even part of a target's slots, as
+	// load is not even.
+	slotsSlack = 1.5
 	// coldSenders is the number of VMs of a region that may send to a cold
 	// target, so that the sum over all VMs keeps to what it bears.
 	coldSenders = 3
@@ -40,7 +40,10 @@
 	ColdRate  float64  // requests a second that a cold target bears
 	Memory    int      // tokens of a target's engine, 0 where it has no bound
 	Evacuated map[string]bool
-	Now       time.Time
+	// Bound is the longest time until the answer begins that is worth while, 0
+	// for any.
+	Bound time.Duration
+	Now   time.Time
 }
 
 // Reason tells why no target was chosen.
@@ -50,6 +53,7 @@
 const (
 	NoTargets Reason = "no_targets" // none that may be used is known
 	Full      Reason = "full"       // all are at their bounds
+	Slow      Reason = "slow"       // none would begin to answer in time
 )
 
 // Placer keeps the targets of this VM's region. It is safe for concurrent use.
@@ -61,12 +65,13 @@
 	targets map[string]*Target   // by id
 	byName  map[string][]*Target // by service, of this region
 	abroad  map[string][]*Target // by service, of the others
+	usual   map[string]*slope    // by service
 	vms     []string             // entry VMs of the region, this one included
 }
 
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
-	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, vms: []string{self}}
+	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, usual: map[string]*slope{}, vms: []string{self}}
 }
 
 // SetVMs tells which entry VMs share the targets of this region.
@@ -89,7 +94,7 @@
 	for id, row := range rows {
 		t, found := p.targets[id]
 		if !found || t.Born != row.Born {
-			t = &Target{parts: map[string]part{}}
+			t = &Target{parts: map[string]part{}, waiting: map[*Visit]bool{}}
 		}
 		t.Registration, t.Region = row, region(row.DataCentre)
 		next[id] = t
@@ -115,13 +120,15 @@
 	return 0
 }
 
-// Pick chooses a target and begins the request's stay there. Done must follow.
-func (p *Placer) Pick(r Request) (visit *Visit, reason Reason) {
+// Pick chooses the target that is predicted to answer first and begins the
+// request's stay there. Done must follow. Without a target, predicted tells how
+// long the best would take, if there is any.
+func (p *Placer) Pick(r Request) (visit *Visit, predicted time.Duration, reason Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reason = NoTargets
 	var best *Target
-	lowest := 0
+	lowest := time.Duration(0)
 	preferred := p.preferred(r)
 	for _, t := range p.byName[r.Service] {
 		if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) {
@@ -131,15 +138,20 @@
 			reason = Full
 			continue
 		}
-		cost := p.cost(t, r, t == preferred)
+		cost, time := p.cost(t, r, t == preferred)
 		if best == nil || cost < lowest {
-			best, lowest = t, cost
+			best, lowest, predicted = t, cost, time
 		}
 	}
-	if best == nil || !best.Circuit.Allow() {
-		return nil, reason
+	switch {
+	case best == nil:
+		return nil, predicted, reason
+	case r.Bound > 0 && predicted > r.Bound && best.inFlight > 0:
+		return nil, predicted, Slow
+	case !best.Circuit.Allow():
+		return nil, predicted, Full
 	}
-	return p.enter(best, r), ""
+	return p.enter(best, r, best == preferred), predicted, ""
 }
 
 // preferred returns the rendezvous target of the last shared part of a prompt.
@@ -168,7 +180,7 @@
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	if t.inFlight >= max(1, (slots+vms-1)/vms) {
+	if t.inFlight >= max(1, int(slotsSlack*float64(slots))/vms) {
 		return false
 	}
 	need := r.Demand.Prompt + r.Demand.Output
@@ -196,24 +208,56 @@
 	return before < coldSenders
 }
 
-func (p *Placer) cost(t *Target, r Request, preferred bool) int {
-	cost := t.pending + t.inFlight*runningTokens
-	if r.Sticky {
-		cost += t.uncached(r.Demand)
-	}
+// cost returns how long a target is predicted to take, and that with what
+// speaks against it.
+func (p *Placer) cost(t *Target, r Request, preferred bool) (cost, predicted time.Duration) {
+	predicted = t.predict(t.work(r, preferred), p.slope(r.Service), r.Now)
+	cost = predicted
 	if !preferred {
-		cost += strangerTokens
+		cost += strangerPenalty
 	}
 	if t.State == instance.Silent {
-		cost += silentTokens
+		cost += silentPenalty
 	}
-	return cost
+	return cost, predicted
 }
 
-func (p *Placer) enter(t *Target, r Request) *Visit {
-	v := &Visit{Target: t, placer: p, demand: r.Demand, pending: t.uncached(r.Demand)}
+func (p *Placer) slope(service string) *slope {
+	usual, found := p.usual[service]
+	if !found {
+		usual = &slope{base: startBase}
+		p.usual[service] = usual
+	}
+	return usual
+}
+
+// work returns the prompt tokens that a target has to read. All VMs of the
+// region send the shared parts of a prompt to its preferred target, which is
+// taken to have read them.
+func (t *Target) work(r Request, preferred bool) int {
+	work := t.uncached(r.Demand)
+	if preferred && len(r.Demand.Parts) > 1 {
+		own := r.Demand.Prompt
+		for _, part := range r.Demand.Parts[:len(r.Demand.Parts)-1] {
+			own -= part.Tokens
+		}
+		work = min(work, max(0, own))
+	}
+	if r.Demand.Prompt == 0 {
+		work = plainWork
+	}
+	return work
+}
+
+func (p *Placer) enter(t *Target, r Request, preferred bool) *Visit {
+	work := t.work(r, preferred)
+	v := &Visit{
+		Target: t, placer: p, service: r.Service, demand: r.Demand, work: work, ahead: t.pending + work, begun: r.Now,
+		predicted: t.predict(work, p.slope(r.Service), r.Now),
+	}
 	t.inFlight++
-	t.pending += v.pending
+	t.pending += work
+	t.waiting[v] = true
 	t.memory += r.Demand.Prompt + r.Demand.Output
 	if r.Sticky {
 		t.remember(r.Demand, r.Memory, r.Now)
@@ -229,23 +273,34 @@
 type Visit struct {
 	Target *Target
 
-	placer   *Placer
-	demand   Demand
-	pending  int // prompt tokens that the target has to read
-	answered bool
+	placer    *Placer
+	service   string
+	demand    Demand
+	work      int // tokens that the target has to read
+	ahead     int // work until the answer begins, tokens
+	begun     time.Time
+	predicted time.Duration
+	answered  bool
 }
 
-// Answered tells that the prompt has been read: the first answer has come.
-func (v *Visit) Answered() {
+// Answered tells that the answer has begun.
+func (v *Visit) Answered(now time.Time) {
 	v.placer.mu.Lock()
 	defer v.placer.mu.Unlock()
-	v.answer()
+	if v.answered {
+		return
+	}
+	took := now.Sub(v.begun)
+	v.Target.observe(v.ahead, took, v.placer.slope(v.service), now)
+	v.leave()
 }
 
-func (v *Visit) answer() {
+// leave takes the request's work off the target.
+func (v *Visit) leave() {
 	if !v.answered {
 		v.answered = true
-		v.Target.pending = max(0, v.Target.pending-v.pending)
+		v.Target.pending -= v.work
+		delete(v.Target.waiting, v)
 	}
 }
 
@@ -253,7 +308,7 @@
 func (v *Visit) Done(ok bool, now time.Time) {
 	v.placer.mu.Lock()
 	defer v.placer.mu.Unlock()
-	v.answer()
+	v.leave()
 	v.Target.inFlight--
 	v.Target.memory -= v.demand.Prompt + v.demand.Output
 	if ok {
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -34,8 +34,10 @@
 	Circuit circuit.Breaker
 
 	inFlight int
-	pending  int // prompt tokens sent that no answer has come for
-	memory   int // tokens of the requests that run
+	pending  int // work sent that no answer has come for, tokens
+	base     base
+	waiting  map[*Visit]bool // visits without an answer yet
+	memory   int             // tokens of the requests that run
 	parts    map[string]part
 	cached   int // tokens of parts
 	nextCold time.Time
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -37,7 +37,7 @@
 	body, err := response.ReadAll(maxAnswer)
 	response.Finish(err == nil)
 	if visit != nil {
-		visit.Answered()
+		visit.Answered(time.Now())
 	}
 	if err != nil || x.begun {
 		x.server.Log.Warn("answer has broken off", "request", x.id, "target", x.target, "error", err, "bytes", len(body))
@@ -90,7 +90,7 @@
 		}
 		x.waitForNext(patience)
 		if visit != nil {
-			visit.Answered()
+			visit.Answered(time.Now())
 		}
 		if err := x.send(controller, response, event); err != nil {
 			response.Finish(false)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -16,10 +16,19 @@
 )
 
 const (
-	// waitShare is the part of its objective that a request waits for room.
-	waitShare = 8
-	// roomCheck is the pause between looks for room.
-	roomCheck = 20 * time.Millisecond
+	// boundShare is the part of its objective within which the answer to a
+	// newcomer must be predicted to begin.
+	boundShare = 0.95
+	// returnedShare is the part of its objective that a caller has waited before
+	// this VM at least, when it comes back after a refusal.
+	returnedShare = 4
+	// returnedBound is the number of objectives within which the answer to one
+	// that comes back must be predicted to begin.
+	returnedBound = 2
+	// hopReturn is the way of an answer between regions.
+	hopReturn = 60 * time.Millisecond
+	// busyFor is how long a region that has refused a request isn't asked again.
+	busyFor = 150 * time.Millisecond
 	// extraTries is how many targets beyond the route's attempts may turn a
 	// request down without running it.
 	extraTries = 2
@@ -53,6 +62,8 @@
 	deadline     time.Time
 	body         []byte
 
+	predicted time.Duration // until an answer would have begun, where there was no room
+
 	tries    int // sends to targets
 	runs     int // of these, those that may have run
 	excluded []string
@@ -88,8 +99,9 @@
 		if x.tries > 0 && !x.mayTryAgain(ctx, result) {
 			break
 		}
-		visit, reason := x.place(ctx)
+		visit, predicted, reason := x.place()
 		if visit == nil {
+			x.predicted = predicted
 			if x.away(ctx, &result) {
 				return
 			}
@@ -145,7 +157,7 @@
 	case x.runs > 0:
 		x.refuse(&refusal{status: http.StatusBadGateway, reason: reason})
 	default:
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: reason, after: returnAfter(), notRun: true})
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: reason, after: x.returnAfter(), notRun: true})
 	}
 }
 
@@ -153,7 +165,8 @@
 	service, _ := x.state.Plan.Service(x.service)
 	return place.Request{
 		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
-		Memory: service.MemoryTokens, Evacuated: x.server.State.Read().Evacuated, Now: now,
+		Memory: service.MemoryTokens, Evacuated: x.server.State.Read().Evacuated,
+		Bound: x.bound(now), Now: now,
 	}
 }
 
@@ -167,25 +180,35 @@
 	return everywhere || slices.Contains(homes, region)
 }
 
-// place chooses a target in this region. While all are full it waits a short
-// part of the objective, if the request can't go to another region.
-func (x *exchange) place(ctx context.Context) (visit *place.Visit, reason place.Reason) {
+// place chooses a target in this region. predicted is how long the best one
+// would take, where none is chosen.
+func (x *exchange) place() (visit *place.Visit, predicted time.Duration, reason place.Reason) {
 	if !x.atHome(x.server.Region) {
-		return nil, "not_at_home"
+		return nil, 0, "not_at_home"
 	}
-	visit, reason = x.server.Placer.Pick(x.placement(time.Now()))
-	if visit != nil || reason != place.Full || x.begun || len(x.neighbours()) > 0 {
-		return visit, reason
+	return x.server.Placer.Pick(x.placement(time.Now()))
+}
+
+// elapsed is how long the caller has waited, earlier tries included: who comes
+// back has less time left than the route allows.
+func (x *exchange) elapsed(now time.Time) time.Duration {
+	return max(0, x.route.Timeout-x.deadline.Sub(now))
+}
+
+// bound is the longest time until an answer begins that is worth while. A
+// newcomer must be in time, so that a backlog doesn't make all late. One that
+// comes back has waited already and goes before newcomers.
+func (x *exchange) bound(now time.Time) time.Duration {
+	waited := x.elapsed(now)
+	left := x.deadline.Sub(now)
+	inTime := time.Duration(boundShare*float64(x.route.Objective)) - waited
+	if x.from != "" {
+		inTime -= hopReturn
 	}
-	until := x.arrived.Add(x.route.Objective / waitShare)
-	for visit == nil && ctx.Err() == nil && time.Now().Before(until) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(roomCheck):
-		}
-		visit, reason = x.server.Placer.Pick(x.placement(time.Now()))
+	if waited > x.route.Objective/returnedShare {
+		return max(1, min(left/2, returnedBound*x.route.Objective))
 	}
-	return visit, reason
+	return max(1, inTime)
 }
 
 // neighbours returns entry VMs of other regions where the request may run, one
@@ -205,7 +228,7 @@
 				there = append(there, v)
 			}
 		}
-		if len(there) > 0 {
+		if len(there) > 0 && (!x.atHome(x.server.Region) || !x.server.busy(region, x.service)) {
 			vms = append(vms, there[rand.IntN(len(there))])
 		}
 	}
@@ -241,6 +264,7 @@
 	if reason := response.Header.Get(hopNotRun); reason != "" {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
+		x.server.markBusy(v.Region, x.service)
 		x.server.Log.Info("entry VM has not run the request", "request", x.id, "vm", v.ID, "reason", reason)
 		return notRun
 	}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -54,6 +54,7 @@
 
 	stop    atomic.Pointer[planned]
 	budgets sync.Map // service to *retry.Budget
+	regions sync.Map // regionService to the time until which it counts as busy
 	running atomic.Int64
 }
 
@@ -63,10 +64,11 @@
 	// unknownWait is given to callers while this VM has no configuration or no
 	// confirmation that it is the newest.
 	unknownWait = 500 * time.Millisecond
-	// shortestReturn and longestReturn bound what a caller is told to wait when
-	// targets are full.
+	// shortestReturn is the least time that a caller is told to wait when targets
+	// are full.
 	shortestReturn = 250 * time.Millisecond
-	longestReturn  = 900 * time.Millisecond
+	// returnShare is the part of its time left that a caller waits at most.
+	returnShare = 3
 )
 
 // planned is a planned stop.
@@ -211,9 +213,27 @@
 	return &refusal{status: http.StatusTooManyRequests, reason: "over_limit", after: wait, notRun: true}
 }
 
-// returnAfter spreads callers that come back over a time.
-func returnAfter() time.Duration {
-	return shortestReturn + time.Duration(rand.Int64N(int64(longestReturn-shortestReturn)))
+// returnAfter tells a caller when to come back: when the backlog will have
+// gone, and spread so that not all come at once. Callers wait for a third of
+// the time that they have left at most.
+func (x *exchange) returnAfter() time.Duration {
+	now := time.Now()
+	most := x.deadline.Sub(now) / returnShare
+	backlog := max(shortestReturn, x.predicted-x.bound(now))
+	spread := backlog + time.Duration(rand.Int64N(int64(backlog)))
+	return min(spread, most)
+}
+
+type regionService struct{ region, service string }
+
+// busy tells whether a region has refused a request for a service just now.
+func (s *Server) busy(region, service string) bool {
+	until, found := s.regions.Load(regionService{region, service})
+	return found && time.Now().Before(until.(time.Time))
+}
+
+func (s *Server) markBusy(region, service string) {
+	s.regions.Store(regionService{region, service}, time.Now().Add(busyFor))
 }
 
 // refuse answers the caller without a target's answer.
@@ -234,7 +254,7 @@
 	}
 	x.writer.WriteHeader(r.status)
 	s.Metrics.Refused.Inc(1)
-	x.log("request is refused", "status", r.status, "reason", r.reason, "retry_after", r.after, "not_run", r.notRun)
+	x.log("request is refused", "status", r.status, "reason", r.reason, "retry_after", r.after, "not_run", r.notRun, "predicted", x.predicted)
 }
 
 // log writes the line that ends a request.
