--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -27,22 +27,41 @@
 // MaxAddresses bounds an answer of the directory.
 const MaxAddresses = 64
 
+// Directory is what an answer to a caller depends on.
+type Directory struct {
+	VMs []VM
+	// Abroad tells that VMs of other regions may be named. One that has just
+	// started or is cut off hears of few entry VMs and can't know that there is
+	// none in a region.
+	Abroad bool
+	// Homes counts the routes and organisations that must be served in a region
+	// and its like.
+	Homes func(region string) int
+}
+
 // Resolve returns the caller addresses that a caller of a region should use:
-// those of its region. Where none is ready there, it returns those of other
-// regions, if abroad tells that this VM can know: one that has just started or
-// is cut off hears of few entry VMs.
-func Resolve(vms []VM, region string, abroad bool) (addresses []string) {
+// those of its region. Where none is ready there, it returns those of the
+// regions that may serve most of what is bound to regions.
+func (d Directory) Resolve(region string) (addresses []string) {
+	most := -1
 	var far []string
-	for _, v := range vms {
-		switch {
-		case !v.Ready || v.CallerAddress == "":
-		case v.Region == region:
+	for _, v := range d.VMs {
+		if !v.Ready || v.CallerAddress == "" {
+			continue
+		}
+		if v.Region == region {
 			addresses = append(addresses, v.CallerAddress)
-		default:
+			continue
+		}
+		homes := d.Homes(v.Region)
+		if homes > most {
+			most, far = homes, nil
+		}
+		if homes == most {
 			far = append(far, v.CallerAddress)
 		}
 	}
-	if len(addresses) == 0 && abroad {
+	if len(addresses) == 0 && d.Abroad {
 		addresses = far
 	}
 	slices.Sort(addresses)
--- a/core/plan/index.go
+++ b/core/plan/index.go
@@ -101,3 +101,19 @@
 	}
 	return regions, false
 }
+
+// HomeCount returns how many routes and organisations with homes may be served
+// in a region.
+func (x *Index) HomeCount(region string) (count int) {
+	for _, r := range x.Plan.Routes {
+		if slices.Contains(r.Homes, region) {
+			count++
+		}
+	}
+	for _, o := range x.Plan.Organisations {
+		if slices.Contains(o.Homes, region) {
+			count++
+		}
+	}
+	return count
+}
