--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -87,7 +87,6 @@
 	client   *follow.Client
 	front    *front.Server
 	servers  []*http.Server
-	callers  *http.Server
 }
 
 // New returns an entry VM.
@@ -213,7 +212,6 @@
 	if err := v.serve(v.Config.CallerAddress, v.front); err != nil {
 		return err
 	}
-	v.callers = v.servers[len(v.servers)-1]
 	return nil
 }
 
@@ -249,7 +247,6 @@
 	v.front.StopAt(end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	v.callers.SetKeepAlivesEnabled(false)
 	v.client.Tell(ctx)
 	time.Sleep(v.Config.Grace / (2 * drainShare))
 	for _, s := range v.servers {
