--- /dev/null
+++ b/core/entry/entry_test.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestDirectory(t *testing.T) {
+	vms := []VM{
+		{ID: "a1", Region: "a", CallerAddress: "a1:1", Ready: true},
+		{ID: "a2", Region: "a", CallerAddress: "a2:1"},
+		{ID: "b1", Region: "b", CallerAddress: "b1:1", Ready: true},
+		{ID: "c1", Region: "c", CallerAddress: "c1:1", Ready: true},
+		{ID: "d1", Region: "d", CallerAddress: "d1:1"},
+	}
+	homes := map[string]int{"b": 2}
+	tests := []struct {
+		name, region string
+		abroad       bool
+		want         []string
+	}{
+		{"own region", "a", true, []string{"a1:1"}},
+		{"no ready VM: regions that are homes", "d", true, []string{"b1:1"}},
+		{"no ready VM, this one can't know", "d", false, nil},
+	}
+	for _, test := range tests {
+		d := Directory{VMs: vms, Abroad: test.abroad, Homes: func(region string) int { return homes[region] }}
+		if got := d.Resolve(test.region); !slices.Equal(got, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+func TestUnion(t *testing.T) {
+	all := Union(map[string][]VM{"x": {{ID: "a", Ready: true}}, "y": {{ID: "a"}, {ID: "b"}}})
+	if len(all) != 2 || !all[0].Ready || all[1].Ready {
+		t.Errorf("union is %v", all)
+	}
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,28 @@
+package lease
+
+import (
+	"testing"
+	"time"
+)
+
+func TestLease(t *testing.T) {
+	now := time.Duration(0)
+	l := New(func() time.Duration { return now }, 4*time.Second)
+	if l.Valid() {
+		t.Error("valid before any confirmation")
+	}
+	sent := l.Now()
+	now = 3 * time.Second // the answer was long under way
+	l.Confirm(sent)
+	if left := l.Left(); left != time.Second {
+		t.Errorf("left %v, want 1s: the time counts from when the question was sent", left)
+	}
+	l.Confirm(sent - time.Second) // an older answer that comes later
+	if left := l.Left(); left != time.Second {
+		t.Errorf("left %v after an older answer, want 1s", left)
+	}
+	now = 100 * time.Second // the machine was suspended
+	if l.Valid() {
+		t.Error("valid after a suspension")
+	}
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -40,6 +40,9 @@
 	ColdRate  float64  // requests a second that a cold target bears
 	Memory    int      // tokens of a target's engine, 0 where it has no bound
 	Evacuated map[string]bool
+	// Comfort is the time until the answer begins with which the request stays
+	// at the target that has read its shared parts, though others may be faster.
+	Comfort time.Duration
 	// Bound is the longest time until the answer begins that is worth while, 0
 	// for any.
 	Bound time.Duration
@@ -130,6 +133,12 @@
 	var best *Target
 	lowest := time.Duration(0)
 	preferred := p.preferred(r)
+	if preferred != nil && p.hasRoom(preferred, r) && preferred.Circuit.Closed() {
+		_, predicted = p.cost(preferred, r, true)
+		if predicted <= r.Comfort {
+			return p.enter(preferred, r, true), predicted, ""
+		}
+	}
 	for _, t := range p.byName[r.Service] {
 		if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) {
 			continue
@@ -162,7 +171,10 @@
 	shared := r.Demand.Parts[max(0, len(r.Demand.Parts)-2)].ID
 	weight := uint64(0)
 	for _, t := range p.byName[r.Service] {
-		if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || r.Now.Before(t.ColdUntil) {
+		if !t.usable(r.Now) || t.State == instance.Silent || r.Evacuated[t.DataCentre] || r.Now.Before(t.ColdUntil) {
+			continue
+		}
+		if slices.Contains(r.Excluded, t.ID) {
 			continue
 		}
 		if w := xxhash.Sum64String(shared + "\x00" + t.ID); w >= weight {
--- /dev/null
+++ b/core/place/placer_test.go
@@ -0,0 +1,241 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"kingcuprill/core/instance"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func region(string) string { return "r" }
+
+func placers(vms, targets int, change func(*instance.Registration)) (all []*Placer) {
+	rows := map[string]instance.Registration{}
+	for i := range targets {
+		row := instance.Registration{ID: fmt.Sprintf("t%d", i), Service: "llm", Slots: 64, State: instance.Ready, DataCentre: "dc", Heard: start}
+		if change != nil {
+			change(&row)
+		}
+		rows[row.ID] = row
+	}
+	ids := []string{}
+	for i := range vms {
+		ids = append(ids, fmt.Sprintf("vm%d", i))
+	}
+	for _, id := range ids {
+		p := NewPlacer(id, "r")
+		p.SetVMs(ids)
+		p.SetTargets(rows, region)
+		all = append(all, p)
+	}
+	return all
+}
+
+// engine reads prompts one after the other, as a model engine's prefill does,
+// and keeps the parts it has read.
+type engine struct {
+	free  time.Time
+	parts map[string]bool
+	read  int // tokens
+	again int // tokens of parts that any engine had read before
+}
+
+const tokenTime = 8 * time.Microsecond
+
+func (e *engine) run(d Demand, now time.Time, seen map[string]bool) (first time.Time) {
+	work := 0
+	for _, p := range d.Parts {
+		if e.parts[p.ID] {
+			continue
+		}
+		work += p.Tokens
+		if seen[p.ID] {
+			e.again += p.Tokens
+		}
+		e.parts[p.ID], seen[p.ID] = true, true
+	}
+	e.read += work
+	if e.free.Before(now) {
+		e.free = now
+	}
+	e.free = e.free.Add(time.Duration(work) * tokenTime)
+	return e.free.Add(60 * time.Millisecond)
+}
+
+type due struct {
+	at    time.Time
+	visit *Visit
+	took  time.Duration
+}
+
+// replay sends requests at a rate through several VMs for some seconds.
+func replay(t *testing.T, vms, targets, perSecond, shared int, bound time.Duration, seconds int) (inTime, late, refused, again int) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(7, uint64(perSecond)))
+	all := placers(vms, targets, nil)
+	engines := map[string]*engine{}
+	seen := map[string]bool{}
+	pending := []due{}
+	now := start
+	for i := range perSecond * seconds {
+		now = start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+		pending = slices.DeleteFunc(pending, func(d due) bool {
+			if d.at.After(now) {
+				return false
+			}
+			d.visit.Answered(d.at)
+			d.visit.Done(true, d.at)
+			return true
+		})
+		part := fmt.Sprintf("p%d", random.IntN(shared))
+		own := 500 + random.IntN(8000)
+		r := Request{Service: "llm", Sticky: true, Memory: 600_000, Bound: bound, Comfort: 200 * time.Millisecond, Now: now}
+		r.Demand = Demand{Prompt: 4000 + own, Output: 300, Parts: []Part{{part, 4000}, {fmt.Sprintf("own%d", i), own}}}
+		visit, _, reason := all[random.IntN(vms)].Pick(r)
+		if visit == nil {
+			if reason == NoTargets {
+				t.Fatalf("request %d: no target", i)
+			}
+			refused++
+			continue
+		}
+		e := engines[visit.Target.ID]
+		if e == nil {
+			e = &engine{parts: map[string]bool{}}
+			engines[visit.Target.ID] = e
+		}
+		first := e.run(r.Demand, now, seen)
+		pending = append(pending, due{at: first, visit: visit})
+		if first.Sub(now) <= time.Second {
+			inTime++
+		} else {
+			late++
+		}
+	}
+	for _, e := range engines {
+		again += e.again
+	}
+	return inTime, late, refused, again
+}
+
+// Load pattern: a peak of twice what the targets can read. Without a bound a
+// backlog grows until all are late; with it, those let in are in time.
+func TestPeakBeyondCapacity(t *testing.T) {
+	const perSecond, seconds = 220, 12 // 4 targets read some 110 such prompts a second
+	inTime, late, refused, _ := replay(t, 2, 4, perSecond, 40, 950*time.Millisecond, seconds)
+	openInTime, openLate, _, _ := replay(t, 2, 4, perSecond, 40, 0, seconds)
+	t.Logf("bound: %d in time, %d late, %d refused; no bound: %d in time, %d late", inTime, late, refused, openInTime, openLate)
+	if late*5 > inTime {
+		t.Errorf("%d of those let in are late, %d in time: more than a fifth", late, inTime)
+	}
+	if inTime < 2*openInTime {
+		t.Errorf("%d in time with a bound, %d without: less than twice", inTime, openInTime)
+	}
+}
+
+// Load pattern: a calm hour. Nobody may be refused while targets have room.
+func TestCalmRefusesNobody(t *testing.T) {
+	_, late, refused, _ := replay(t, 3, 4, 40, 40, 950*time.Millisecond, 12)
+	if refused > 0 || late > 0 {
+		t.Errorf("%d refused and %d late on a calm hour", refused, late)
+	}
+}
+
+// Load pattern: prompts share long first parts, and three VMs don't talk to
+// each other. Each part is read about once.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	const parts = 60
+	_, _, _, again := replay(t, 3, 4, 40, parts, 0, 20)
+	if most := parts * 4000 / 2; again > most {
+		t.Errorf("%d tokens of shared parts were read again, more than %d", again, most)
+	}
+}
+
+// Load pattern: targets come back cold. The sum over all VMs in any second
+// keeps to what a cold target bears.
+func TestColdTargetBearsTheSum(t *testing.T) {
+	const rate, allowed = 3.3, 3.3*1.5 + 3
+	for _, vms := range []int{1, 2, 3, 7, 25} {
+		all := placers(vms, 1, func(r *instance.Registration) { r.ColdUntil = start.Add(time.Minute) })
+		sent := []time.Time{}
+		for step := range 4000 {
+			now := start.Add(time.Duration(step) * 5 * time.Millisecond)
+			r := Request{Service: "llm", ColdRate: rate, Now: now}
+			if visit, _, _ := all[step%vms].Pick(r); visit != nil {
+				sent = append(sent, now)
+				visit.Answered(now)
+				visit.Done(true, now)
+			}
+		}
+		for i, at := range sent {
+			count := 0
+			for _, other := range sent[i:] {
+				if other.Sub(at) < time.Second {
+					count++
+				}
+			}
+			if float64(count) > allowed {
+				t.Fatalf("%d VMs: %d requests in a second, %v are borne", vms, count, allowed)
+			}
+		}
+		if len(sent) == 0 {
+			t.Fatalf("%d VMs: a cold target got nothing in 20 s", vms)
+		}
+	}
+}
+
+// Load pattern: a target goes silent with requests in hand. New ones go
+// elsewhere before they are late.
+func TestStalledTargetIsLeft(t *testing.T) {
+	p := placers(1, 2, nil)[0]
+	stalled := ""
+	now := start
+	for i := range 200 {
+		now = now.Add(20 * time.Millisecond)
+		visit, _, _ := p.Pick(Request{Service: "llm", Now: now, Demand: Demand{Prompt: 500}})
+		if visit == nil {
+			t.Fatalf("request %d found no target", i)
+		}
+		if stalled == "" {
+			stalled = visit.Target.ID
+		}
+		if visit.Target.ID == stalled {
+			if i > 100 {
+				t.Fatalf("request %d goes to the stalled target", i)
+			}
+			continue
+		}
+		visit.Answered(now.Add(70 * time.Millisecond))
+		visit.Done(true, now.Add(70*time.Millisecond))
+	}
+}
+
+func TestWhoMayGetRequests(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*instance.Registration)
+		wanted bool
+	}{
+		{"ready", func(*instance.Registration) {}, true},
+		{"draining", func(r *instance.Registration) { r.State = instance.Draining }, false},
+		{"left", func(r *instance.Registration) { r.State = instance.Left }, false},
+		{"silent for a moment", func(r *instance.Registration) { r.State, r.Heard = instance.Silent, start.Add(-5*time.Second) }, true},
+		{"silent for long", func(r *instance.Registration) { r.State, r.Heard = instance.Silent, start.Add(-time.Minute) }, false},
+		{"taken away", func(r *instance.Registration) { r.LeaveBy = start.Add(-time.Second) }, false},
+	}
+	for _, test := range tests {
+		visit, _, _ := placers(1, 1, test.change)[0].Pick(Request{Service: "llm", Now: start})
+		if got := visit != nil; got != test.wanted {
+			t.Errorf("%s: gets requests: %v, want %v", test.name, got, test.wanted)
+		}
+	}
+	evacuated := Request{Service: "llm", Now: start, Evacuated: map[string]bool{"dc": true}}
+	if visit, _, _ := placers(1, 1, nil)[0].Pick(evacuated); visit != nil {
+		t.Error("a target of an evacuated data centre gets requests")
+	}
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -19,6 +19,9 @@
 	// boundShare is the part of its objective within which the answer to a
 	// newcomer must be predicted to begin.
 	boundShare = 0.95
+	// comfortShare is the part of its objective within which a request stays at
+	// the target that has read the shared parts of its prompt.
+	comfortShare = 0.2
 	// returnedShare is the part of its objective that a caller has waited before
 	// this VM at least, when it comes back after a refusal.
 	returnedShare = 4
@@ -166,7 +169,7 @@
 	return place.Request{
 		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
 		Memory: service.MemoryTokens, Evacuated: x.server.State.Read().Evacuated,
-		Bound: x.bound(now), Now: now,
+		Comfort: x.comfort(now), Bound: x.bound(now), Now: now,
 	}
 }
 
@@ -195,6 +198,12 @@
 	return max(0, x.route.Timeout-x.deadline.Sub(now))
 }
 
+// comfort is the time until an answer begins that leaves enough of the
+// objective to the answer's way and to what can't be predicted.
+func (x *exchange) comfort(now time.Time) time.Duration {
+	return time.Duration(comfortShare*float64(x.route.Objective)) - x.elapsed(now)
+}
+
 // bound is the longest time until an answer begins that is worth while. A
 // newcomer must be in time, so that a backlog doesn't make all late. One that
 // comes back has waited already and goes before newcomers.
