--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -75,6 +75,7 @@
 	Options
 	Metrics *metrics.Metrics
 
+	started  time.Time
 	tomb     tomb.Tomb
 	draining atomic.Bool
 	state    *blackboard.Section[front.State]
@@ -94,7 +95,7 @@
 	c := o.Config
 	v := &VM{
 		Options: o, Metrics: metrics.New(), state: blackboard.NewSection(&front.State{}), placer: place.NewPlacer(c.ID, c.Region),
-		lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewBook(), seen: map[string]time.Time{},
+		started: time.Now(), lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewBook(), seen: map[string]time.Time{},
 	}
 	v.entries.Store(&[]entry.VM{})
 	peers := peer.NewPeers(settings.Settings{
@@ -172,12 +173,27 @@
 	v.entries.Store(&vms)
 }
 
-// Run serves until the context ends, then stops as planned. readiness answers
-// at the readiness address.
-func (v *VM) Run(ctx context.Context, readiness http.Handler) (err error) {
+// learnFor is how long a VM that has started may not have heard of all entry
+// VMs yet.
+const learnFor = 6 * time.Second
+
+// Known returns what this VM knows of the entry VMs.
+func (v *VM) Known() entry.Directory {
+	d := entry.Directory{
+		VMs: *v.entries.Load(), Abroad: v.lease.Valid() && time.Since(v.started) > learnFor, Homes: func(string) int { return 0 },
+	}
+	if index := v.state.Read().Plan; index != nil {
+		d.Homes = index.HomeCount
+	}
+	return d
+}
+
+// Run serves until the context ends, then stops as planned. The handlers are
+// those of the readiness and the directory address.
+func (v *VM) Run(ctx context.Context, readiness, directory http.Handler) (err error) {
 	defer fault.Annotate(&err, "entry VM %s", v.Config.ID)
 	debug.SetMemoryLimit(int64(memoryShare * float64(v.Config.Memory)))
-	if err := v.listen(readiness); err != nil {
+	if err := v.listen(readiness, directory); err != nil {
 		v.tomb.Kill(err)
 		return err
 	}
@@ -202,13 +218,18 @@
 	v.client.SetSeeds(c.Seeds)
 }
 
-func (v *VM) listen(readiness http.Handler) error {
+func (v *VM) listen(readiness, directory http.Handler) error {
 	if err := v.serve(v.Config.PeerAddress, http.HandlerFunc(v.front.ServeHop)); err != nil {
 		return err
 	}
 	if err := v.serve(v.Config.ReadinessAddress, readiness); err != nil {
 		return err
 	}
+	if v.Config.DirectoryAddress != "" {
+		if err := v.serve(v.Config.DirectoryAddress, directory); err != nil {
+			return err
+		}
+	}
 	if err := v.serve(v.Config.CallerAddress, v.front); err != nil {
 		return err
 	}
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -125,7 +125,8 @@
 		x.copyHeader(response)
 		x.writer.WriteHeader(response.StatusCode)
 		x.begun = true
-		x.server.Metrics.First.UpdateSince(x.arrived)
+		x.first = time.Since(x.arrived)
+		x.server.Metrics.First.Update(x.first)
 	}
 	if _, err := x.writer.Write(event.Raw); err != nil {
 		return errCaller
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -21,7 +21,7 @@
 	boundShare = 0.95
 	// comfortShare is the part of its objective within which a request stays at
 	// the target that has read the shared parts of its prompt.
-	comfortShare = 0.2
+	comfortShare = 0.1
 	// returnedShare is the part of its objective that a caller has waited before
 	// this VM at least, when it comes back after a refusal.
 	returnedShare = 4
@@ -65,7 +65,8 @@
 	deadline     time.Time
 	body         []byte
 
-	predicted time.Duration // until an answer would have begun, where there was no room
+	predicted time.Duration // from the last look for a target to the begin of its answer
+	first     time.Duration // from the arrival to the begin of the answer
 
 	tries    int // sends to targets
 	runs     int // of these, those that may have run
@@ -103,8 +104,8 @@
 			break
 		}
 		visit, predicted, reason := x.place()
+		x.predicted = predicted
 		if visit == nil {
-			x.predicted = predicted
 			if x.away(ctx, &result) {
 				return
 			}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -259,7 +259,7 @@
 	}
 	x.writer.WriteHeader(r.status)
 	s.Metrics.Refused.Inc(1)
-	x.log("request is refused", "status", r.status, "reason", r.reason, "retry_after", r.after, "not_run", r.notRun, "predicted", x.predicted)
+	x.log("request is refused", "status", r.status, "reason", r.reason, "retry_after", r.after, "not_run", r.notRun)
 }
 
 // log writes the line that ends a request.
@@ -268,6 +268,8 @@
 	fields := []any{
 		"request", x.id, "route", x.route.Name, "organisation", x.organisation.Name, "from", x.from,
 		"tries", x.tries, "target", x.target, "took", time.Since(x.arrived).Round(time.Millisecond / 10),
+		"predicted", x.predicted.Round(time.Millisecond / 10), "first", x.first.Round(time.Millisecond / 10), "prompt", x.demand.Prompt,
+		"waited_before", x.elapsed(x.arrived).Round(time.Millisecond),
 	}
 	if x.state != nil && x.state.Plan != nil {
 		fields = append(fields, "plan", x.state.Plan.Plan.Version, "lease_left", s.Lease.Left().Round(time.Millisecond))
