--- /dev/null
+++ b/io/front/front_test.go
@@ -0,0 +1,383 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kingcuprill/core/blackboard"
+	"kingcuprill/core/entry"
+	"kingcuprill/core/instance"
+	"kingcuprill/core/lease"
+	"kingcuprill/core/place"
+	"kingcuprill/core/plan"
+	"kingcuprill/core/quota"
+	"kingcuprill/io/draw"
+	"kingcuprill/io/metrics"
+	"kingcuprill/io/upstream"
+)
+
+var names = Headers{
+	RequestID: "Id", TimeLeft: "Left", Organisation: "Organisation", Target: "Target", NotRun: "Not-Run",
+	Tokens: "Tokens", Parts: "Parts", LastEvent: "Last-Event-Id", Own: []string{"Authorization", "Organisation", "Target", "Secret"},
+}
+
+// target is a scripted target: each request gets the next answer, the last one
+// for ever.
+type target struct {
+	mu      sync.Mutex
+	answers []func(conn net.Conn, request *http.Request)
+	seen    []*http.Request
+	ended   chan struct{}
+	address string
+}
+
+func startTarget(t *testing.T, answers ...func(conn net.Conn, request *http.Request)) *target {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	s := &target{answers: answers, address: listener.Addr().String(), ended: make(chan struct{}, 16)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *target) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.mu.Lock()
+		answer := s.answers[min(len(s.seen), len(s.answers)-1)]
+		s.seen = append(s.seen, request)
+		s.mu.Unlock()
+		answer(conn, request)
+	}
+}
+
+func (s *target) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+func status(code int, header, body string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", code, request.Header.Get("Id"), header, len(body), body)
+	}
+}
+
+func reset(conn net.Conn, _ *http.Request) { conn.Close() }
+
+// stream sends events and ends well, or breaks off in the middle of one.
+func stream(whole bool, ids ...int) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		for _, id := range ids {
+			event := fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		}
+		if !whole {
+			fmt.Fprintf(conn, "5\r\nid: 9")
+			conn.Close()
+			return
+		}
+		fmt.Fprint(conn, "0\r\n\r\n")
+	}
+}
+
+type world struct {
+	server *Server
+	front  *httptest.Server
+	leased time.Duration
+}
+
+func newWorld(t *testing.T, route plan.Route, targets ...*target) *world {
+	t.Helper()
+	w := &world{leased: time.Minute}
+	route.Name, route.Host, route.Prefix = "r", "h", "/a/"
+	route.Splits = []plan.Split{{Service: "s", Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 5 * time.Second
+	}
+	route.Objective = time.Second
+	p := plan.Plan{
+		Version: 1, Routes: []plan.Route{route}, Services: []plan.Service{{Name: "s"}}, MaxBody: 1000,
+		Organisations: []plan.Organisation{{Name: "o", Keys: []string{"k"}}, {Name: "poor", Keys: []string{"p"}, RatePerSecond: 1, Burst: 1, PlainTokens: 100}},
+	}
+	rows := map[string]instance.Registration{}
+	for i, s := range targets {
+		id := fmt.Sprintf("t%d", i)
+		rows[id] = instance.Registration{ID: id, Service: "s", Address: s.address, State: instance.Ready, Slots: 8, Heard: time.Now()}
+	}
+	placer := place.NewPlacer("vm", "region")
+	placer.SetTargets(rows, func(string) string { return "region" })
+	book := quota.NewBook()
+	book.SetVMs(1)
+	log := slog.New(slog.DiscardHandler)
+	entries := &atomic.Pointer[[]entry.VM]{}
+	entries.Store(&[]entry.VM{})
+	held := lease.New(func() time.Duration { return -w.leased }, 0)
+	held.Confirm(0)
+	w.server = &Server{
+		Self: "vm", Region: "region", Headers: names, State: blackboard.NewSection(&State{Plan: plan.NewIndex(p)}), Lease: held,
+		Placer: placer, Quota: book, Drawer: &draw.Client{Book: book, Controls: func() []string { return nil }, Log: log},
+		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: entries,
+		RetryAllowance: func() float64 { return 10 }, RetryRatio: 0.2, Metrics: metrics.New(), Log: log,
+	}
+	w.front = httptest.NewServer(w.server)
+	t.Cleanup(w.front.Close)
+	return w
+}
+
+func (w *world) request(ctx context.Context, t *testing.T, key string, header ...string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.front.URL+"/a/x?q=1", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Id", "7")
+	request.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	return request
+}
+
+// ask returns the status, or 0 where the answer breaks off, and the body.
+func (w *world) ask(t *testing.T, key string, header ...string) (code int, body string, response *http.Response) {
+	t.Helper()
+	response, err := http.DefaultTransport.RoundTrip(w.request(t.Context(), t, key, header...))
+	if err != nil {
+		return 0, "", nil
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, string(data), response
+	}
+	return response.StatusCode, string(data), response
+}
+
+// TestWhatMayRunAgain sends one request to scripted targets and counts how
+// often it is sent.
+func TestWhatMayRunAgain(t *testing.T) {
+	ok, failed := status(200, "Seal: x\r\n", "fine"), status(500, "Seal: y\r\n", "bad")
+	shed, other := status(503, "Not-Run: 1\r\n", ""), status(421, "", "")
+	type script = []func(net.Conn, *http.Request)
+	tests := []struct {
+		name   string
+		route  plan.Route
+		script script
+		code   int
+		body   string
+		sends  int
+	}{
+		{"answered", plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, script{ok}, 200, "fine", 1},
+		{"failed, may not run again", plan.Route{Kind: plan.NonIdempotent, Attempts: 3}, script{failed, ok}, 500, "bad", 1},
+		{"reset, may not run again", plan.Route{Kind: plan.NonIdempotent, Attempts: 3}, script{reset, ok}, 502, "", 1},
+		{"shed, was not run", plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, script{shed, ok}, 200, "fine", 2},
+		{"another target has the address", plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, script{other, ok}, 200, "fine", 2},
+		{"shed by all", plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, script{shed}, 503, "", 3},
+		{"reset, may run again", plan.Route{Kind: plan.Idempotent, Attempts: 2}, script{reset, ok}, 200, "fine", 2},
+		{"reset, attempts used up", plan.Route{Kind: plan.Idempotent, Attempts: 1}, script{reset, ok}, 502, "", 1},
+		{"failed, then answered", plan.Route{Kind: plan.Idempotent, Attempts: 2}, script{failed, ok}, 200, "fine", 2},
+		{"failed twice", plan.Route{Kind: plan.Idempotent, Attempts: 2}, script{failed}, 500, "bad", 2},
+		{"stream that can't be resumed", plan.Route{Kind: plan.Stream, Attempts: 3}, script{reset, ok}, 502, "", 1},
+		{"stream, whole", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(true, 1, 2)}, 200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", 1},
+		{"stream, broken off", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(false, 1)}, 0, "id: 1\ndata: 1\n\n", 1},
+		{"stream, event missing", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(true, 1, 3)}, 0, "id: 1\ndata: 1\n\n", 1},
+		{"stream, resumed", plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2}, script{stream(false, 1), stream(true, 2, 3)}, 200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", 2},
+		{"stream, resumed with the wrong event", plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2}, script{stream(false, 1), stream(true, 1, 2)}, 0, "id: 1\ndata: 1\n\n", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			// One script over all targets, whichever is chosen.
+			shared := startTarget(t, test.script...)
+			w := newWorld(t, test.route, shared, shared, shared, shared)
+			code, body, _ := w.ask(t, "k")
+			if code != test.code || (body != test.body && test.body != "") {
+				t.Errorf("status %d, body %q; want %d, %q", code, body, test.code, test.body)
+			}
+			if got := shared.count(); got != test.sends {
+				t.Errorf("sent %d times, want %d", got, test.sends)
+			}
+		})
+	}
+}
+
+func TestHeaders(t *testing.T) {
+	s := startTarget(t, status(200, "Seal: x\r\n", "fine"))
+	w := newWorld(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, s)
+	_, _, response := w.ask(t, "k", "Organisation", "forged", "Target", "forged", "Secret", "forged", "Other", "kept", "Left", "2000")
+	got := s.seen[0].Header
+	for name, want := range map[string]string{"Authorization": "", "Organisation": "o", "Target": "t0", "Secret": "", "Other": "kept", "Id": "7"} {
+		if got.Get(name) != want {
+			t.Errorf("the target gets %s: %q, want %q", name, got.Get(name), want)
+		}
+	}
+	if left := got.Get("Left"); left > "2000" || left < "1000" {
+		t.Errorf("the target gets %s ms, the caller waits 2000", left)
+	}
+	if s.seen[0].RequestURI != "/a/x?q=1" {
+		t.Errorf("the target gets %s", s.seen[0].RequestURI)
+	}
+	if response.Header.Get("Seal") != "x" {
+		t.Error("a header of the target is missing in the answer")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		key    string
+		change func(*world)
+		path   string
+		body   string
+		code   int
+		again  bool // there is a Retry-After
+	}{
+		{name: "unknown key", key: "x", code: 401},
+		{name: "unknown path", key: "k", path: "/b/", code: 404},
+		{name: "large body", key: "k", body: strings.Repeat("x", 2000), code: 413},
+		{name: "no configuration", key: "k", change: func(w *world) {
+			w.server.State.Update(func(*State) *State { return &State{} })
+		}, code: 503, again: true},
+		{name: "configuration not confirmed", key: "k", change: func(w *world) { w.leased = -time.Second }, code: 503, again: true},
+		{name: "unknown key, configuration not confirmed", key: "x", change: func(w *world) { w.leased = -time.Second }, code: 503, again: true},
+		{name: "unknown path, configuration not confirmed", key: "k", path: "/b/", change: func(w *world) { w.leased = -time.Second }, code: 503, again: true},
+		{name: "over the limit", key: "p", code: 429, again: true},
+		{name: "no target", key: "k", change: func(w *world) {
+			w.server.Placer.SetTargets(nil, func(string) string { return "" })
+		}, code: 503, again: true},
+		{name: "no target where it may run", key: "k", change: func(w *world) {
+			index := *w.server.State.Read().Plan
+			p := index.Plan
+			p.Routes[0].Homes = []string{"elsewhere"}
+			w.server.State.Update(func(*State) *State { return &State{Plan: plan.NewIndex(p)} })
+		}, code: 503, again: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startTarget(t, status(200, "", "fine"))
+			w := newWorld(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, s)
+			if test.change != nil {
+				test.change(w)
+			}
+			request := w.request(t.Context(), t, test.key)
+			if test.path != "" {
+				request.URL.Path = test.path
+			}
+			if test.body != "" {
+				request.Body = io.NopCloser(strings.NewReader(test.body))
+				request.ContentLength = int64(len(test.body))
+			}
+			begun := time.Now()
+			response, err := http.DefaultTransport.RoundTrip(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response.Body.Close()
+			if response.StatusCode != test.code || (response.Header.Get("Retry-After") != "") != test.again {
+				t.Errorf("status %d, Retry-After %q; want %d", response.StatusCode, response.Header.Get("Retry-After"), test.code)
+			}
+			if s.count() != 0 {
+				t.Error("a refused request has reached a target")
+			}
+			if took := time.Since(begun); took > 2*time.Second {
+				t.Errorf("the refusal took %v", took)
+			}
+		})
+	}
+}
+
+// A route's timeout ends every wait with an answer.
+func TestTimeout(t *testing.T) {
+	mute := func(conn net.Conn, _ *http.Request) { _, _ = conn.Read(make([]byte, 1)) }
+	s := startTarget(t, mute)
+	w := newWorld(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1, Timeout: 300 * time.Millisecond}, s)
+	if code, _, _ := w.ask(t, "k"); code != http.StatusGatewayTimeout {
+		t.Errorf("status %d, want 504", code)
+	}
+}
+
+// A caller that leaves ends the work at the target.
+func TestCallerLeaves(t *testing.T) {
+	stopped := make(chan struct{})
+	s := startTarget(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = conn.Read(make([]byte, 1))
+		close(stopped)
+	})
+	w := newWorld(t, plan.Route{Kind: plan.Stream, Attempts: 1, Timeout: time.Minute}, s)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for s.count() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err := http.DefaultTransport.RoundTrip(w.request(ctx, t, "k"))
+	if err == nil {
+		t.Fatal("the request was answered")
+	}
+	<-stopped
+}
+
+// During a planned stop, requests that may outlast it are refused as not run;
+// the others are served.
+func TestPlannedStop(t *testing.T) {
+	s := startTarget(t, status(200, "", "fine"))
+	w := newWorld(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1, Timeout: 5 * time.Second}, s)
+	w.server.stop.Store(&planned{begun: time.Now().Add(-stopGrace - time.Second), end: time.Now().Add(2 * time.Second)})
+	if code, _, response := w.ask(t, "k"); code != 503 || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d for a request that may outlast the stop", code)
+	}
+	if code, _, _ := w.ask(t, "k", "Left", "500"); code != 200 {
+		t.Errorf("status %d for a short request", code)
+	}
+}
+
+// A request handed over by another entry VM runs here or is refused as not
+// run, so that it can be sent elsewhere.
+func TestHop(t *testing.T) {
+	s := startTarget(t, status(200, "", "fine"))
+	there := newWorld(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, s)
+	hop := httptest.NewServer(http.HandlerFunc(there.server.ServeHop))
+	t.Cleanup(hop.Close)
+	here := newWorld(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1})
+	here.server.Placer.SetTargets(map[string]instance.Registration{"t0": {ID: "t0", Service: "s", State: instance.Ready}},
+		func(string) string { return "abroad" })
+	here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: hop.Listener.Addr().String(), Ready: true}})
+	if code, body, _ := here.ask(t, "k"); code != 200 || body != "fine" {
+		t.Errorf("status %d, body %q", code, body)
+	}
+	there.server.Placer.SetTargets(nil, func(string) string { return "" })
+	if code, _, response := here.ask(t, "k"); code != 503 || response.Header.Get(hopNotRun) != "" {
+		t.Errorf("status %d where the other region has no room", code)
+	}
+}
--- /dev/null
+++ b/io/upstream/client_test.go
@@ -0,0 +1,223 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// peer answers each request on each connection by a function of its number.
+type peer struct {
+	address     string
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+func startPeer(t *testing.T, answer func(conn net.Conn, request *http.Request, number int64)) *peer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	p := &peer{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			p.connections.Add(1)
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					answer(conn, request, p.requests.Add(1))
+				}
+			}()
+		}
+	}()
+	return p
+}
+
+func send(ctx context.Context, c *Client, p *peer, id string) (body string, response *Response, err error) {
+	response, err = c.Do(ctx, "t", p.address, Request{
+		Method: "POST", URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), Echo: "Id", EchoValue: id,
+	})
+	if err != nil {
+		return "", nil, err
+	}
+	data, err := response.ReadAll(1 << 20)
+	response.Finish(err == nil)
+	return string(data), response, err
+}
+
+func whole(conn net.Conn, request *http.Request, _ int64) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nContent-Length: 2\r\n\r\nok")
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	p := startPeer(t, whole)
+	c := NewClient(nil)
+	for range 3 {
+		if body, _, err := send(t.Context(), c, p, "a"); err != nil || body != "ok" {
+			t.Fatalf("body %q, error %v", body, err)
+		}
+	}
+	if got := p.connections.Load(); got != 1 {
+		t.Errorf("%d connections for three requests", got)
+	}
+}
+
+// An answer to another request is never taken for this one's.
+func TestForeignAnswer(t *testing.T) {
+	p := startPeer(t, func(conn net.Conn, _ *http.Request, _ int64) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno")
+	})
+	_, _, err := send(t.Context(), NewClient(nil), p, "a")
+	var failure *Failure
+	if !errors.Is(err, ErrForeign) || !errors.As(err, &failure) || !failure.Sent {
+		t.Errorf("error %v: want a foreign answer to a request that was sent", err)
+	}
+}
+
+// Bytes behind an answer, at once or later, belong to nobody. The connection
+// is not used again.
+func TestExtraBytes(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"at once": 0, "later": 20 * time.Millisecond} {
+		p := startPeer(t, func(conn net.Conn, request *http.Request, number int64) {
+			whole(conn, request, number)
+			time.Sleep(delay)
+			if number == 1 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nno")
+			}
+		})
+		c := NewClient(nil)
+		if _, _, err := send(t.Context(), c, p, "a"); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		waitFor(t, func() bool { return delay == 0 || dead(c) })
+		if body, _, err := send(t.Context(), c, p, "b"); err != nil || body != "ok" {
+			t.Errorf("%s: body %q, error %v", name, body, err)
+		}
+		if got := p.connections.Load(); got != 2 {
+			t.Errorf("%s: %d connections, want a new one", name, got)
+		}
+	}
+}
+
+func dead(c *Client) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, kept := range c.idle["t"] {
+		kept.mu.Lock()
+		broken := kept.broken
+		kept.mu.Unlock()
+		if !broken {
+			return false
+		}
+	}
+	return true
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 1000 {
+		if done() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("it did not come about")
+}
+
+func TestHowFarItGot(t *testing.T) {
+	cut := startPeer(t, func(conn net.Conn, _ *http.Request, _ int64) { conn.Close() })
+	torn := startPeer(t, func(conn net.Conn, request *http.Request, _ int64) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 20\r\n\r\nhalf")
+		conn.Close()
+	})
+	garbage := startPeer(t, func(conn net.Conn, _ *http.Request, _ int64) { _, _ = io.WriteString(conn, "no answer at all\r\n\r\n") })
+	var failure *Failure
+	for name, p := range map[string]*peer{"cut": cut, "garbage": garbage} {
+		_, _, err := send(t.Context(), NewClient(nil), p, "a")
+		if !errors.As(err, &failure) || !failure.Sent {
+			t.Errorf("%s: error %v, want one of a request that was sent", name, err)
+		}
+		if got := p.requests.Load(); got != 1 {
+			t.Errorf("%s: the request was sent %d times", name, got)
+		}
+	}
+	if _, _, err := send(t.Context(), NewClient(nil), torn, "a"); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("torn: error %v", err)
+	}
+	gone := &peer{address: "127.0.0.1:1"}
+	if _, _, err := send(t.Context(), NewClient(nil), gone, "a"); !errors.As(err, &failure) || failure.Sent {
+		t.Errorf("refused connection: error %v, want one of a request that was not sent", err)
+	}
+}
+
+// The end of the context closes the connection, so that the peer stops.
+func TestContextEnds(t *testing.T) {
+	closed := make(chan error, 1)
+	p := startPeer(t, func(conn net.Conn, _ *http.Request, _ int64) {
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
+	})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	reason := errors.New("the caller has left")
+	go func() {
+		waitFor(t, func() bool { return p.requests.Load() == 1 })
+		cancel(reason)
+	}()
+	if _, _, err := send(ctx, NewClient(nil), p, "a"); !errors.Is(err, reason) {
+		t.Errorf("error %v", err)
+	}
+	if err := <-closed; err == nil {
+		t.Error("the connection stays open")
+	}
+}
+
+// A peer may answer before it has read the body. What is left of the body must
+// not run into the next request.
+func TestEarlyAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 16))
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+	}()
+	c := NewClient(nil)
+	response, err := c.Do(t.Context(), "t", listener.Addr().String(), Request{
+		Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 32<<20)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := response.ReadAll(10); err != nil {
+		t.Fatal(err)
+	}
+	response.Finish(true)
+	if len(c.idle["t"]) != 0 {
+		t.Error("the connection is kept with half of a body on it")
+	}
+}
