--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -178,6 +178,7 @@
 	v.mu.Lock()
 	merged, changed := v.registry.Report(report)
 	v.mu.Unlock()
+	v.Metrics.Count("reports")
 	if changed {
 		v.Log.Info("target reports", "target", merged.ID, "service", merged.Service, "state", merged.State.String(),
 			"address", merged.Address, "data_centre", merged.DataCentre, "born", merged.Born, "sequence", merged.Sequence, "cold_until", merged.ColdUntil)
@@ -217,7 +218,9 @@
 	server := &vm.Server{Board: v.Board, Replica: v.replica, Proposer: v.Proposer, Leader: v.Follow, Drawer: v.drawer, Forwarder: &forward.Server{}}
 	listeners := map[string]http.Handler{
 		v.Config.PeerAddress: server.Handler(v.peers.Credentials), v.Config.ControlAddress: control, v.Config.DirectoryAddress: directory,
+		v.Config.MetricsAddress: v.Metrics.Text(),
 	}
+	v.addGauges()
 	for address, handler := range listeners {
 		if address == "" {
 			continue
@@ -243,6 +246,15 @@
 	return v.tomb.Wait()
 }
 
+// addGauges adds how this VM's replica stands.
+func (v *VM) addGauges() {
+	v.Metrics.Gauge("revision", func() int64 { return int64(v.Board.Catalogue.Read().Revision) })
+	v.Metrics.Gauge("term", func() int64 { return int64(v.replica.Status().Term) })
+	v.Metrics.Gauge("commit", func() int64 { return int64(v.replica.Status().Commit) })
+	v.Metrics.Gauge("log_bytes", func() int64 { return v.replica.Status().LogBytes })
+	v.Metrics.Gauge("confirmed_ms_ago", func() int64 { return v.Follow.Confirmed().Milliseconds() })
+}
+
 func (v *VM) serve(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -212,6 +212,14 @@
 	return v.tomb.Wait()
 }
 
+// addGauges adds the ages and versions of what this VM believes.
+func (v *VM) addGauges() {
+	v.Metrics.Gauge("running", v.front.Running)
+	v.Metrics.Gauge("lease_left_ms", func() int64 { return v.lease.Left().Milliseconds() })
+	v.Metrics.Gauge("revision", func() int64 { return int64(v.state.Read().Revision) })
+	v.Metrics.Gauge("entry_vms", v.count.Load)
+}
+
 // Reload takes over the settings that may change while the VM runs.
 func (v *VM) Reload(c vmconfig.Config) {
 	v.Log.Info("settings are reloaded", "seeds", c.Seeds)
@@ -225,6 +233,12 @@
 	if err := v.serve(v.Config.ReadinessAddress, readiness); err != nil {
 		return err
 	}
+	if v.Config.MetricsAddress != "" {
+		v.addGauges()
+		if err := v.serve(v.Config.MetricsAddress, v.Metrics.Text()); err != nil {
+			return err
+		}
+	}
 	if v.Config.DirectoryAddress != "" {
 		if err := v.serve(v.Config.DirectoryAddress, directory); err != nil {
 			return err
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -60,7 +60,7 @@
 		x.log("caller has left", "status", response.StatusCode)
 		return
 	}
-	x.server.Metrics.Answer.UpdateSince(x.arrived)
+	x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
 	x.log("request is answered", "status", response.StatusCode, "bytes", len(body))
 }
 
@@ -126,7 +126,7 @@
 		x.writer.WriteHeader(response.StatusCode)
 		x.begun = true
 		x.first = time.Since(x.arrived)
-		x.server.Metrics.First.Update(x.first)
+		x.server.Metrics.Observe("first_event."+x.route.Name, x.first)
 	}
 	if _, err := x.writer.Write(event.Raw); err != nil {
 		return errCaller
@@ -149,7 +149,7 @@
 			x.writer.WriteHeader(response.StatusCode)
 			x.begun = true
 		}
-		x.server.Metrics.Answer.UpdateSince(x.arrived)
+		x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
 		x.log("request is answered", "status", response.StatusCode, "last_event", x.last)
 		return delivered
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -309,6 +309,7 @@
 func (x *exchange) failed(err error) outcome {
 	var failure *upstream.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
+	x.server.Metrics.Count("tries.failed")
 	x.server.Log.Warn("try has failed", "request", x.id, "target", x.target, "try", x.tries, "sent", sent, "error", err)
 	if !sent {
 		return notRun
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -133,6 +133,12 @@
 	notRun bool
 }
 
+// kind is the reason without what differs from request to request.
+func (r *refusal) kind() string {
+	kind, _, _ := strings.Cut(r.reason, ":")
+	return kind
+}
+
 // admit finds out who asks for what, and reads the request.
 func (x *exchange) admit() *refusal {
 	s := x.server
@@ -259,6 +265,7 @@
 	}
 	x.writer.WriteHeader(r.status)
 	s.Metrics.Refused.Inc(1)
+	s.Metrics.Count("refused." + strconv.Itoa(r.status) + "." + r.kind())
 	x.log("request is refused", "status", r.status, "reason", r.reason, "retry_after", r.after, "not_run", r.notRun)
 }
 
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	gometrics "github.com/rcrowley/go-metrics"
 )
@@ -19,6 +20,8 @@
 	Admitted gometrics.Counter // tokens, net of refunds
 	Answer   gometrics.Timer
 	First    gometrics.Timer // to the first token
+
+	names atomic.Int64 // made as they were needed
 }
 
 // New returns metrics in a registry of their own.
