--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -46,7 +46,11 @@
 	// Bound is the longest time until the answer begins that is worth while, 0
 	// for any.
 	Bound time.Duration
-	Now   time.Time
+	// EventTokens is the number of output tokens in an event of a stream, 0 for
+	// answers that are no streams.
+	EventTokens int
+	Deadline    time.Time
+	Now         time.Time
 }
 
 // Reason tells why no target was chosen.
@@ -97,7 +101,7 @@
 	for id, row := range rows {
 		t, found := p.targets[id]
 		if !found || t.Born != row.Born {
-			t = &Target{parts: map[string]part{}, waiting: map[*Visit]bool{}}
+			t = &Target{parts: map[string]part{}, waiting: map[*Visit]bool{}, streams: map[*Visit]bool{}}
 		}
 		t.Registration, t.Region = row, region(row.DataCentre)
 		next[id] = t
@@ -133,7 +137,7 @@
 	var best *Target
 	lowest := time.Duration(0)
 	preferred := p.preferred(r)
-	if preferred != nil && p.hasRoom(preferred, r) && preferred.Circuit.Closed() {
+	if preferred != nil && p.hasRoom(preferred, r) && preferred.Circuit.Closed() && !(r.long() && preferred.strained(r.Now)) {
 		_, predicted = p.cost(preferred, r, true)
 		if predicted <= r.Comfort {
 			return p.enter(preferred, r, true), predicted, ""
@@ -147,6 +151,10 @@
 			reason = Full
 			continue
 		}
+		if r.long() && t.strained(r.Now) {
+			reason = Slow
+			continue
+		}
 		cost, time := p.cost(t, r, t == preferred)
 		if best == nil || cost < lowest {
 			best, lowest, predicted = t, cost, time
@@ -266,6 +274,10 @@
 	v := &Visit{
 		Target: t, placer: p, service: r.Service, demand: r.Demand, work: work, ahead: t.pending + work, begun: r.Now,
 		predicted: t.predict(work, p.slope(r.Service), r.Now),
+		deadline:  r.Deadline,
+	}
+	if r.EventTokens > 0 {
+		v.expected = r.Demand.Expected/r.EventTokens + 1
 	}
 	t.inFlight++
 	t.pending += work
@@ -293,6 +305,11 @@
 	begun     time.Time
 	predicted time.Duration
 	answered  bool
+
+	expected int // events
+	events   int // so far
+	last     time.Time
+	deadline time.Time
 }
 
 // Answered tells that the answer has begun.
@@ -307,6 +324,19 @@
 	v.leave()
 }
 
+// Event tells that an event of a stream has come.
+func (v *Visit) Event(now time.Time) {
+	v.placer.mu.Lock()
+	defer v.placer.mu.Unlock()
+	t := v.Target
+	v.events++
+	if v.events > 1 {
+		t.gap += time.Duration(gapWeight * float64(now.Sub(v.last)-t.gap))
+	}
+	v.last = now
+	t.streams[v] = true
+}
+
 // leave takes the request's work off the target.
 func (v *Visit) leave() {
 	if !v.answered {
@@ -321,6 +351,7 @@
 	v.placer.mu.Lock()
 	defer v.placer.mu.Unlock()
 	v.leave()
+	delete(v.Target.streams, v)
 	v.Target.inFlight--
 	v.Target.memory -= v.demand.Prompt + v.demand.Output
 	if ok {
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -25,6 +25,8 @@
 	Parts  []Part
 	Prompt int // tokens
 	Output int // tokens, at most
+	// Expected is an estimate of the output tokens.
+	Expected int
 }
 
 // Target is one target with what this VM knows of its load.
@@ -37,6 +39,8 @@
 	pending  int // work sent that no answer has come for, tokens
 	base     base
 	waiting  map[*Visit]bool // visits without an answer yet
+	streams  map[*Visit]bool // visits whose answers run
+	gap      time.Duration   // average time between two events
 	memory   int             // tokens of the requests that run
 	parts    map[string]part
 	cached   int // tokens of parts
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -90,7 +90,9 @@
 		}
 		x.waitForNext(patience)
 		if visit != nil {
-			visit.Answered(time.Now())
+			now := time.Now()
+			visit.Answered(now)
+			visit.Event(now)
 		}
 		if err := x.send(controller, response, event); err != nil {
 			response.Finish(false)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -167,10 +167,15 @@
 
 func (x *exchange) placement(now time.Time) place.Request {
 	service, _ := x.state.Plan.Service(x.service)
+	eventTokens := 0
+	if x.route.Kind == plan.Stream {
+		eventTokens = service.EventTokens
+	}
 	return place.Request{
-		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
+		EventTokens: eventTokens,
+		Service:     x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
 		Memory: service.MemoryTokens, Evacuated: x.server.State.Read().Evacuated,
-		Comfort: x.comfort(now), Bound: x.bound(now), Now: now,
+		Comfort: x.comfort(now), Bound: x.bound(now), Deadline: x.deadline, Now: now,
 	}
 }
 
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -23,6 +23,7 @@
 	Tokens       string // prompt tokens and most output tokens
 	Parts        string // parts of the prompt
 	LastEvent    string
+	OutputHint   string   // estimate of the output tokens
 	Own          []string // that only this system may set; dropped from callers
 }
 
@@ -64,6 +65,10 @@
 	d.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
 	d.Output, _ = strconv.Atoi(strings.TrimSpace(output))
 	d.Prompt, d.Output = max(0, d.Prompt), max(0, d.Output)
+	d.Expected = d.Output
+	if hint, err := strconv.Atoi(header.Get(h.OutputHint)); err == nil && hint > 0 {
+		d.Expected = min(hint, d.Output)
+	}
 	for entry := range strings.SplitSeq(header.Get(h.Parts), ",") {
 		id, size, found := strings.Cut(strings.TrimSpace(entry), ":")
 		tokens, err := strconv.Atoi(size)
