--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -222,7 +222,6 @@
 
 // Reload takes over the settings that may change while the VM runs.
 func (v *VM) Reload(c vmconfig.Config) {
-	v.Log.Info("settings are reloaded", "seeds", c.Seeds)
 	v.client.SetSeeds(c.Seeds)
 }
 
--- /dev/null
+++ b/io/logline/logline_test.go
@@ -0,0 +1,38 @@
+package logline
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	text    bytes.Buffer
+}
+
+func (s *stuck) Write(data []byte) (int, error) {
+	<-s.release
+	return s.text.Write(data)
+}
+
+// An output that takes nothing blocks nobody; what was left out is counted.
+func TestNeverBlocks(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	w := &Writer{out: out, wake: make(chan struct{}, 1)}
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	for range 2000 {
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(out.release)
+	w.Flush()
+	if size := out.text.Len(); size > capacity+1024 {
+		t.Errorf("%d bytes were kept", size)
+	}
+	if !strings.Contains(out.text.String(), `msg="log lines were left out" count=1488`) {
+		t.Errorf("the end is %q", out.text.String()[out.text.Len()-80:])
+	}
+}
