--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -70,7 +70,6 @@
 type due struct {
 	at    time.Time
 	visit *Visit
-	took  time.Duration
 }
 
 // replay sends requests at a rate through several VMs for some seconds.
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -106,8 +106,9 @@
 		Peers: peers, Lease: v.lease, Log: o.Log, Self: v.self, Catalogue: v.takeCatalogue, Targets: v.takeTargets, Entries: v.takeEntries,
 	}
 	drawer := &draw.Client{Peers: peers, Book: v.quota, Controls: v.client.Controls, Log: o.Log}
-	v.front = &front.Server{Drawer: drawer,
-		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
+	v.front = &front.Server{
+		Drawer: drawer,
+		Self:   c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
 		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: &v.entries,
 		RetryAllowance: v.retryAllowance, RetryRatio: c.RetryRatio * budgetShare, Metrics: v.Metrics, Log: o.Log,
 	}
