--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -42,7 +42,7 @@
 	address string
 }
 
-func startTarget(t *testing.T, answers ...func(conn net.Conn, request *http.Request)) *target {
+func startTarget(t testing.TB, answers ...func(conn net.Conn, request *http.Request)) *target {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -116,7 +116,7 @@
 	leased time.Duration
 }
 
-func newWorld(t *testing.T, route plan.Route, targets ...*target) *world {
+func newWorld(t testing.TB, route plan.Route, targets ...*target) *world {
 	t.Helper()
 	w := &world{leased: time.Minute}
 	route.Name, route.Host, route.Prefix = "r", "h", "/a/"
