Let a learner take the place of a control VM that is gone for good

Change: the leader makes a learner a voter for one that is silent for 3 s and then removes the silent one; a replica without a leader for 5 s asks to be added again.

--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -75,6 +75,7 @@
 	Snapshot   uint64 // index of the newest snapshot
 	Membership Membership
 	Match      map[string]uint64 // on the leader, by replica
+	Silent     map[string]int    // on the leader, ticks since a replica's last answer
 }
 
 // Status returns how the replica stands.
@@ -85,8 +86,10 @@
 	}
 	if n.role == Leader {
 		status.Match = make(map[string]uint64, len(n.progress))
+		status.Silent = make(map[string]int, len(n.progress))
 		for id, p := range n.progress {
 			status.Match[id] = p.match
+			status.Silent[id] = p.silent
 		}
 	}
 	return status
@@ -111,6 +114,11 @@
 
 func (n *Node) tickLeader() {
 	n.heartbeatElapsed++
+	for id, p := range n.progress {
+		if id != n.config.ID {
+			p.silent++
+		}
+	}
 	if n.electionElapsed >= n.config.ElectionTicks {
 		n.electionElapsed = 0
 		n.transferee = ""
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -20,6 +20,7 @@
 	quiet    int    // heartbeats since the last answer to an append
 	active   bool   // answered since the last check of the quorum
 	snapshot uint64 // index of the snapshot on its way, 0 for none
+	silent   int    // ticks since the last answer
 }
 
 // heartbeatsToResend is the number of heartbeat answers without progress after
@@ -148,6 +149,7 @@
 		return
 	}
 	p.active = true
+	p.silent = 0
 	p.quiet = 0
 	p.inFlight = max(0, p.inFlight-1)
 	if m.Reject {
@@ -221,6 +223,7 @@
 		return
 	}
 	p.active = true
+	p.silent = 0
 	n.reads.acknowledge(m.From, m.Context)
 	n.releaseReads()
 	if p.match >= n.log.lastIndex() {
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -312,6 +312,7 @@
 	ticker := time.NewTicker(rosterEvery)
 	defer ticker.Stop()
 	ctx := v.tomb.Context(context.Background())
+	led := time.Now()
 	for {
 		select {
 		case <-v.tomb.Dying():
@@ -319,8 +320,11 @@
 		case <-ticker.C:
 		}
 		status := v.replica.Status()
+		if status.Leader != "" {
+			led = time.Now()
+		}
 		v.meet(append(slices.Clone(status.Membership.Voters), status.Membership.Learners...))
-		change, wanted := nextChange(status.Status, v.id, v.Config.Replicas)
+		change, wanted := nextChange(status.Status, v.id, v.Config.Replicas, time.Since(led))
 		if !wanted {
 			continue
 		}
