--- a/core/place/target.go
+++ b/core/place/target.go
@@ -53,11 +53,6 @@
 	used   time.Time
 }
 
-// InFlight returns the requests that this VM has at the target.
-func (t *Target) InFlight() int {
-	return t.inFlight
-}
-
 // usable tells whether the target may get a new request at all.
 func (t *Target) usable(now time.Time) bool {
 	switch t.State {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -3,47 +3,19 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
-	"kingcuprill/core/entry"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 	"kingcuprill/io/upstream"
 )
 
 const (
-	// boundShare is the part of its objective within which the answer to a
-	// newcomer must be predicted to begin.
-	boundShare = 0.95
-	// comfortShare is the part of its objective within which a request stays at
-	// the target that has read the shared parts of its prompt.
-	comfortShare = 0.1
-	// returnedShare is the part of its objective that a caller has waited before
-	// this VM at least, when it comes back after a refusal.
-	returnedShare = 4
-	// returnedBound is the number of objectives within which the answer to one
-	// that comes back must be predicted to begin.
-	returnedBound = 2
-	// hopReturn is the way of an answer between regions.
-	hopReturn = 60 * time.Millisecond
-	// afterDeadline keeps the patience with a target from ending just before the
-	// request's own deadline.
-	afterDeadline = time.Second
-	// busyFor is how long a region that has refused a request isn't asked again.
-	busyFor = 150 * time.Millisecond
 	// extraTries is how many targets beyond the route's attempts may turn a
 	// request down without running it.
 	extraTries = 2
-	// shortestTry is the least time that a target has to begin its answer before
-	// a repeatable request is sent to another one.
-	shortestTry = time.Second
-	// hopHeadroom is the least time left that makes a way to another region
-	// worthwhile.
-	hopHeadroom = 250 * time.Millisecond
 )
 
 var errSlow = errors.New("the target has not answered in time")
@@ -182,16 +154,6 @@
 	}
 }
 
-// regions returns where the request may run.
-func (x *exchange) regions() (homes []string, everywhere bool) {
-	return plan.Regions(x.route.Homes, x.organisation.Homes)
-}
-
-func (x *exchange) atHome(region string) bool {
-	homes, everywhere := x.regions()
-	return everywhere || slices.Contains(homes, region)
-}
-
 // place chooses a target in this region. predicted is how long the best one
 // would take, where none is chosen.
 func (x *exchange) place() (visit *place.Visit, predicted time.Duration, reason place.Reason) {
@@ -201,95 +163,6 @@
 	return x.server.Placer.Pick(x.placement(time.Now()))
 }
 
-// elapsed is how long the caller has waited, earlier tries included: who comes
-// back has less time left than the route allows.
-func (x *exchange) elapsed(now time.Time) time.Duration {
-	return max(0, x.route.Timeout-x.deadline.Sub(now))
-}
-
-// comfort is the time until an answer begins that leaves enough of the
-// objective to the answer's way and to what can't be predicted.
-func (x *exchange) comfort(now time.Time) time.Duration {
-	return time.Duration(comfortShare*float64(x.route.Objective)) - x.elapsed(now)
-}
-
-// bound is the longest time until an answer begins that is worth while. A
-// newcomer must be in time, so that a backlog doesn't make all late. One that
-// comes back has waited already and goes before newcomers.
-func (x *exchange) bound(now time.Time) time.Duration {
-	waited := x.elapsed(now)
-	left := x.deadline.Sub(now)
-	inTime := time.Duration(boundShare*float64(x.route.Objective)) - waited
-	if x.from != "" {
-		inTime -= hopReturn
-	}
-	if waited > x.route.Objective/returnedShare {
-		return max(1, min(left/2, returnedBound*x.route.Objective))
-	}
-	return max(1, inTime)
-}
-
-// neighbours returns entry VMs of other regions where the request may run, one
-// for each region, the best region first.
-func (x *exchange) neighbours() (vms []entry.VM) {
-	if x.from != "" || time.Until(x.deadline) < hopHeadroom {
-		return nil
-	}
-	known := *x.server.Entries.Load()
-	for _, region := range x.server.Placer.Regions(x.placement(time.Now())) {
-		if !x.atHome(region) {
-			continue
-		}
-		var there []entry.VM
-		for _, v := range known {
-			if v.Region == region && v.Ready {
-				there = append(there, v)
-			}
-		}
-		if len(there) > 0 && (!x.atHome(x.server.Region) || !x.server.busy(region, x.service)) {
-			vms = append(vms, there[rand.IntN(len(there))])
-		}
-	}
-	return vms
-}
-
-// away hands the request to an entry VM of another region. It returns false
-// where none took it.
-func (x *exchange) away(ctx context.Context, result *outcome) bool {
-	for _, v := range x.neighbours() {
-		if *result = x.hop(ctx, v); *result == delivered {
-			return true
-		}
-		if x.runs > 0 {
-			break
-		}
-	}
-	return false
-}
-
-func (x *exchange) hop(ctx context.Context, v entry.VM) outcome {
-	x.server.Metrics.Away.Inc(1)
-	x.target = "vm:" + v.ID
-	header := x.outgoing()
-	header.Set(hopFrom, x.server.Self)
-	if key := x.header.Get("Authorization"); key != "" {
-		header.Set("Authorization", key)
-	}
-	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
-	if err != nil {
-		return x.failed(err)
-	}
-	if reason := response.Header.Get(hopNotRun); reason != "" {
-		_, err := response.ReadAll(maxAnswer)
-		response.Finish(err == nil)
-		x.server.markBusy(v.Region, x.service)
-		x.server.Log.Info("entry VM has not run the request", "request", x.id, "vm", v.ID, "reason", reason)
-		return notRun
-	}
-	x.runs++
-	return x.deliver(response, nil, nil)
-}
-
 // request returns the request as it goes to a target or an entry VM.
 func (x *exchange) request(header http.Header) upstream.Request {
 	return upstream.Request{
@@ -391,21 +264,3 @@
 	}
 	return result
 }
-
-// patience is how long a target may take to begin its answer.
-func (x *exchange) patience() time.Duration {
-	left := time.Until(x.deadline)
-	if !x.couldRepeatAfter(x.runs + 1) {
-		return left + afterDeadline
-	}
-	return min(left+afterDeadline, max(shortestTry, x.route.Objective*3/2))
-}
-
-func (x *exchange) couldRepeat() bool {
-	return x.couldRepeatAfter(x.runs)
-}
-
-// couldRepeatAfter tells whether the route allows another run after some.
-func (x *exchange) couldRepeatAfter(runs int) bool {
-	return x.from == "" && x.route.MayRepeat() && runs < max(1, x.route.Attempts) && x.tries < x.mostTries()
-}
--- /dev/null
+++ b/io/front/hop.go
@@ -0,0 +1,92 @@
+package front
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"kingcuprill/core/entry"
+	"kingcuprill/core/plan"
+)
+
+const (
+	// hopHeadroom is the least time left that makes a way to another region
+	// worthwhile.
+	hopHeadroom = 250 * time.Millisecond
+	// hopReturn is the way of an answer between regions.
+	hopReturn = 60 * time.Millisecond
+	// busyFor is how long a region that has refused a request isn't asked again.
+	busyFor = 150 * time.Millisecond
+)
+
+// regions returns where the request may run.
+func (x *exchange) regions() (homes []string, everywhere bool) {
+	return plan.Regions(x.route.Homes, x.organisation.Homes)
+}
+
+func (x *exchange) atHome(region string) bool {
+	homes, everywhere := x.regions()
+	return everywhere || slices.Contains(homes, region)
+}
+
+// neighbours returns entry VMs of other regions where the request may run, one
+// for each region, the best region first.
+func (x *exchange) neighbours() (vms []entry.VM) {
+	if x.from != "" || time.Until(x.deadline) < hopHeadroom {
+		return nil
+	}
+	known := *x.server.Entries.Load()
+	for _, region := range x.server.Placer.Regions(x.placement(time.Now())) {
+		if !x.atHome(region) {
+			continue
+		}
+		var there []entry.VM
+		for _, v := range known {
+			if v.Region == region && v.Ready {
+				there = append(there, v)
+			}
+		}
+		if len(there) > 0 && (!x.atHome(x.server.Region) || !x.server.busy(region, x.service)) {
+			vms = append(vms, there[rand.IntN(len(there))])
+		}
+	}
+	return vms
+}
+
+// away hands the request to an entry VM of another region. It returns false
+// where none took it.
+func (x *exchange) away(ctx context.Context, result *outcome) bool {
+	for _, v := range x.neighbours() {
+		if *result = x.hop(ctx, v); *result == delivered {
+			return true
+		}
+		if x.runs > 0 {
+			break
+		}
+	}
+	return false
+}
+
+func (x *exchange) hop(ctx context.Context, v entry.VM) outcome {
+	x.server.Metrics.Away.Inc(1)
+	x.target = "vm:" + v.ID
+	header := x.outgoing()
+	header.Set(hopFrom, x.server.Self)
+	if key := x.header.Get("Authorization"); key != "" {
+		header.Set("Authorization", key)
+	}
+	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
+	if err != nil {
+		return x.failed(err)
+	}
+	if reason := response.Header.Get(hopNotRun); reason != "" {
+		_, err := response.ReadAll(maxAnswer)
+		response.Finish(err == nil)
+		x.server.markBusy(v.Region, x.service)
+		x.server.Log.Info("entry VM has not run the request", "request", x.id, "vm", v.ID, "reason", reason)
+		return notRun
+	}
+	x.runs++
+	return x.deliver(response, nil, nil)
+}
