Mend what reading the change once more found

- The retries in hand of a service were bounded by the number of VMs known at its first request, one right after a start: 41 for each VM instead of 6, over the budget of all together.
The bound now follows the number.
- A target that sent the header by which entry VMs promise that nothing ran was believed by another region's entry VM: a call that may run once could run twice.
Neither that header of a target nor the other one of a caller passes.
- A re-sent plan or evacuation made a new revision, and the whole catalogue went to every VM again.
It now changes nothing.
- Limits and cold targets were shared among ready VMs; one that isn't ready here may be for others.
All known VMs count.
- A control VM didn't take over new seeds of reloaded settings.
- Written twice: milliseconds (three times), clients without a secret, the last shared part, ids beside the tables that hold them.
- On the request path: routes are looked up by prefix instead of tried one by one; the directory counts homes only where it needs them.

--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -105,6 +105,9 @@
 	if err := change.Validate(); err != nil {
 		return nil, err
 	}
+	if c.holds(change) {
+		return c, nil
+	}
 	copied := *c
 	next = &copied
 	next.Revision++
@@ -141,7 +144,7 @@
 	case change.ApplyConfig != nil:
 		return c.applyConfig(*change.ApplyConfig)
 	case change.PutPlan != nil:
-		c.putPlan(*change.PutPlan)
+		c.Plan = *change.PutPlan
 	case change.SetEvacuation != nil:
 		c.setEvacuation(*change.SetEvacuation)
 	case change.SettleVMs != 0:
@@ -150,12 +153,16 @@
 	return nil
 }
 
-// putPlan keeps the plan with the highest version. An older one, or another
-// document under the version held, changes nothing.
-func (c *Catalogue) putPlan(plan Plan) {
-	if plan.Version > c.Plan.Version {
-		c.Plan = plan
+// holds tells whether a plan or an evacuation that is sent again changes
+// nothing. The revision then stays, so that nothing is spread.
+func (c *Catalogue) holds(change Change) bool {
+	switch {
+	case change.PutPlan != nil:
+		return change.PutPlan.Version <= c.Plan.Version
+	case change.SetEvacuation != nil:
+		return c.Evacuated[change.SetEvacuation.DataCentre] == !change.SetEvacuation.Ended
 	}
+	return false
 }
 
 func (c *Catalogue) setEvacuation(evacuation Evacuation) {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -41,31 +41,42 @@
 
 // Resolve returns the caller addresses that a caller of a region should use:
 // those of its region. Where none is ready there, it returns those of the
-// regions that may serve most of what is bound to regions.
+// region that may serve most of what is bound to regions.
 func (d Directory) Resolve(region string) (addresses []string) {
-	most := -1
-	var far []string
+	addresses = d.ready(func(v VM) bool { return v.Region == region })
+	if len(addresses) == 0 && d.Abroad {
+		best := d.bestRegion()
+		addresses = d.ready(func(v VM) bool { return v.Region == best })
+	}
+	slices.Sort(addresses)
+	return addresses[:min(len(addresses), MaxAddresses)]
+}
+
+func (d Directory) ready(wanted func(VM) bool) (addresses []string) {
 	for _, v := range d.VMs {
-		if !v.Ready || v.CallerAddress == "" {
-			continue
-		}
-		if v.Region == region {
+		if v.Ready && v.CallerAddress != "" && wanted(v) {
 			addresses = append(addresses, v.CallerAddress)
+		}
+	}
+	return addresses
+}
+
+// bestRegion returns the region with a ready VM that most homes name.
+func (d Directory) bestRegion() (best string) {
+	counted := map[string]int{}
+	most := -1
+	for _, v := range d.VMs {
+		if !v.Ready {
 			continue
 		}
-		homes := d.Homes(v.Region)
-		if homes > most {
-			most, far = homes, nil
+		if _, done := counted[v.Region]; !done {
+			counted[v.Region] = d.Homes(v.Region)
 		}
-		if homes == most {
-			far = append(far, v.CallerAddress)
+		if counted[v.Region] > most {
+			best, most = v.Region, counted[v.Region]
 		}
 	}
-	if len(addresses) == 0 && d.Abroad {
-		addresses = far
-	}
-	slices.Sort(addresses)
-	return addresses[:min(len(addresses), MaxAddresses)]
+	return best
 }
 
 // Union returns every VM that any of several control VMs tells of. It is ready
--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -20,13 +20,12 @@
 type Registry struct {
 	Table *versioned.Table[Registration]
 	beat  time.Duration
-	ids   map[string]bool
 }
 
 // NewRegistry returns an empty registry of targets that send a heartbeat in
 // each period.
 func NewRegistry(beat time.Duration) *Registry {
-	return &Registry{Table: versioned.NewTable[Registration](), beat: beat, ids: map[string]bool{}}
+	return &Registry{Table: versioned.NewTable[Registration](), beat: beat}
 }
 
 // Report takes in a heartbeat or a farewell. It returns what is known now and
@@ -48,19 +47,13 @@
 }
 
 func (r *Registry) put(row Registration, loud bool) {
-	r.ids[row.ID] = true
 	r.Table.Put(row.ID, row, loud)
 }
 
 // Expire marks targets as silent and forgets ended ones. It returns the
 // targets that have just fallen silent.
 func (r *Registry) Expire(now time.Time) (silent []Registration) {
-	for id := range r.ids {
-		row, found := r.Table.Get(id)
-		if !found {
-			delete(r.ids, id)
-			continue
-		}
+	for id, row := range r.Table.Rows() {
 		age := now.Sub(row.Heard)
 		switch {
 		case row.State == Ready && age > silentBeats*r.beat:
@@ -69,7 +62,6 @@
 			silent = append(silent, row)
 		case row.State != Ready && age > forgetAfter:
 			r.Table.Delete(id)
-			delete(r.ids, id)
 		}
 	}
 	return silent
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -73,22 +74,28 @@
 	byName  map[string][]*Target // by service, of this region
 	abroad  map[string][]*Target // by service, of the others
 	usual   map[string]*slope    // by service
-	vms     []string             // entry VMs of the region, this one included
+	vms     []string             // ready entry VMs of the region, this one included
+	known   []string             // all entry VMs of the region, ready or not
 }
 
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
-	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, usual: map[string]*slope{}, vms: []string{self}}
+	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, usual: map[string]*slope{}, vms: []string{self}, known: []string{self}}
 }
 
-// SetVMs tells which entry VMs share the targets of this region.
-func (p *Placer) SetVMs(ids []string) {
+// SetVMs tells which entry VMs share the targets of this region: those that are
+// ready, and all that are known. One that isn't ready here may be for others.
+func (p *Placer) SetVMs(ready, known []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms = ids
-	if !slices.Contains(ids, p.Self) {
-		p.vms = append(slices.Clone(ids), p.Self)
+	p.vms, p.known = p.withSelf(ready), p.withSelf(known)
+}
+
+func (p *Placer) withSelf(ids []string) []string {
+	if slices.Contains(ids, p.Self) {
+		return ids
 	}
+	return append(slices.Clone(ids), p.Self)
 }
 
 // SetTargets replaces the targets. What is known of the load of one that stays
@@ -112,21 +119,11 @@
 		}
 	}
 	for _, targets := range byName {
-		slices.SortFunc(targets, func(a, b *Target) int { return compareStrings(a.ID, b.ID) })
+		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	}
 	p.targets, p.byName, p.abroad = next, byName, abroad
 }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Pick chooses the target that is predicted to answer first and begins the
 // request's stay there. Done must follow. Without a target, predicted tells how
 // long the best would take, if there is any.
@@ -176,7 +173,7 @@
 	if !r.Sticky || len(r.Demand.Parts) == 0 {
 		return nil
 	}
-	shared := r.Demand.Parts[max(0, len(r.Demand.Parts)-2)].ID
+	shared := r.Demand.shared()
 	weight := uint64(0)
 	for _, t := range p.byName[r.Service] {
 		if !t.usable(r.Now) || t.State == instance.Silent || r.Evacuated[t.DataCentre] || r.Now.Before(t.ColdUntil) {
@@ -220,7 +217,7 @@
 	}
 	own := xxhash.Sum64String(p.Self + "\x00" + t.ID)
 	before := 0
-	for _, id := range p.vms {
+	for _, id := range p.known {
 		if xxhash.Sum64String(id+"\x00"+t.ID) > own {
 			before++
 		}
@@ -287,7 +284,7 @@
 		t.remember(r.Demand, r.Memory, r.Now)
 	}
 	if r.Now.Before(t.ColdUntil) && r.ColdRate > 0 {
-		senders := float64(min(len(p.vms), coldSenders))
+		senders := float64(min(len(p.known), coldSenders))
 		t.nextCold = r.Now.Add(time.Duration(senders / r.ColdRate * float64(time.Second)))
 	}
 	return v
@@ -309,7 +306,7 @@
 	defer p.mu.Unlock()
 	shared := r.Service
 	if len(r.Demand.Parts) > 0 {
-		shared = r.Demand.Parts[max(0, len(r.Demand.Parts)-2)].ID
+		shared = r.Demand.shared()
 	}
 	best := map[string]uint64{}
 	for _, t := range p.abroad[r.Service] {
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -29,7 +29,7 @@
 	}
 	for _, id := range ids {
 		p := NewPlacer(id, "r")
-		p.SetVMs(ids)
+		p.SetVMs(ids, ids)
 		p.SetTargets(rows, region)
 		all = append(all, p)
 	}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -29,6 +29,12 @@
 	Expected int
 }
 
+// shared names the last part that the prompt shares with others; the part
+// behind it is the request's own.
+func (d Demand) shared() string {
+	return d.Parts[max(0, len(d.Parts)-2)].ID
+}
+
 // Target is one target with what this VM knows of its load.
 type Target struct {
 	instance.Registration
--- a/core/plan/index.go
+++ b/core/plan/index.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,19 +10,16 @@
 // Index finds routes, services and organisations of a plan. It is immutable.
 type Index struct {
 	Plan     Plan
-	byHost   map[string][]Route // the longest prefix first
+	routes   map[place]Route
 	services map[string]Service
 	byKey    map[string]Organisation
 }
 
 // NewIndex returns the index of a plan.
 func NewIndex(p Plan) *Index {
-	x := &Index{Plan: p, byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]Organisation{}}
+	x := &Index{Plan: p, routes: map[place]Route{}, services: map[string]Service{}, byKey: map[string]Organisation{}}
 	for _, r := range p.Routes {
-		x.byHost[r.Host] = append(x.byHost[r.Host], r)
-	}
-	for _, routes := range x.byHost {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+		x.routes[place{r.Host, r.Prefix}] = r
 	}
 	for _, s := range p.Services {
 		x.services[s.Name] = s
@@ -36,11 +32,16 @@
 	return x
 }
 
+// place is where a route's requests come in.
+type place struct {
+	host, prefix string // the prefix ends with a slash
+}
+
 // Match returns the route with the longest prefix of a path.
 func (x *Index) Match(host, path string) (route Route, found bool) {
-	for _, r := range x.byHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route, found = x.routes[place{host, path[:end+1]}]; found {
+			return route, true
 		}
 	}
 	return Route{}, false
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -110,7 +110,6 @@
 	for _, s := range p.Services {
 		known[s.Name] = true
 	}
-	type place struct{ host, prefix string }
 	taken := map[place]string{}
 	for _, r := range p.Routes {
 		faults = append(faults, r.faults(known)...)
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -13,9 +13,9 @@
 // Budget is the retry budget of one route. Requests add to it, retries take
 // from it. The zero value has a fifth of a retry for each request and 20 at most.
 type Budget struct {
-	Ratio   int64 // thousandths of a retry for each request
-	Largest int64 // thousandths of a retry
+	Ratio int64 // thousandths of a retry for each request
 
+	most  atomic.Int64 // thousandths of a retry, 0 for the default
 	spent atomic.Int64 // thousandths of a retry below the largest budget
 }
 
@@ -27,10 +27,16 @@
 }
 
 func (b *Budget) largest() int64 {
-	if b.Largest == 0 {
-		return defaultLargest
+	if most := b.most.Load(); most > 0 {
+		return most
 	}
-	return b.Largest
+	return defaultLargest
+}
+
+// SetLargest bounds the retries in hand, in thousandths. What is beyond the
+// bound is lost.
+func (b *Budget) SetLargest(thousandths int64) {
+	b.most.Store(thousandths)
 }
 
 // Request adds the credit of a new request.
--- a/core/versioned/table.go
+++ b/core/versioned/table.go
@@ -54,6 +54,17 @@
 	return row.Value, found
 }
 
+// Rows returns a copy of all rows' values by id.
+func (t *Table[V]) Rows() map[string]V {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	values := make(map[string]V, len(t.rows))
+	for id, row := range t.rows {
+		values[id] = row.Value
+	}
+	return values
+}
+
 // Since returns the values changed after a version, and the newest version.
 func (t *Table[V]) Since(version uint64) (values []V, newest uint64) {
 	t.mu.Lock()
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -30,7 +30,6 @@
 	"kingcuprill/io/peer"
 	"kingcuprill/io/propose"
 	"kingcuprill/io/replica"
-	"kingcuprill/io/settings"
 	"kingcuprill/io/vm"
 	"kingcuprill/io/vmconfig"
 	"kingcuprill/rpc/operator"
@@ -40,9 +39,6 @@
 	// tick is the step of the control log's clock. Elections begin after 10 to 20
 	// ticks without a leader, which covers round trips between regions.
 	tick = 45 * time.Millisecond
-	// dialTimeout and callTimeout bound a call between control VMs.
-	dialTimeout = 500 * time.Millisecond
-	callTimeout = time.Second
 	// expireEvery is how often silent targets and entry VMs are looked for.
 	expireEvery = 250 * time.Millisecond
 	// rosterEvery is how often the set of replicas is looked at.
@@ -69,6 +65,7 @@
 	mu       sync.Mutex // guards the writers of the registry
 	registry *instance.Registry
 	drawer   *draw.Server
+	meeting  sync.Mutex // guards the writers of the members
 	servers  []*http.Server
 }
 
@@ -83,7 +80,7 @@
 	v.Board = board.New(membership.Member{
 		ID: id, Region: c.Region, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Incarnation: 1, Control: true,
 	}, c.Heartbeat)
-	v.peers = newPeers(c)
+	v.peers = peer.NewUnsigned(c.ID)
 	v.meet(c.Seeds)
 	v.replica, err = replica.New(replica.Options{
 		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tick,
@@ -101,13 +98,6 @@
 	return v, nil
 }
 
-func newPeers(c vmconfig.Config) *peer.Peers {
-	return peer.NewPeers(settings.Settings{
-		VM:       settings.VM{ID: c.ID},
-		Timeouts: settings.Timeouts{Dial: dialTimeout, Peer: callTimeout},
-	})
-}
-
 // openStore opens the replica of the data folder. An empty folder at the first
 // start of the system holds a first replica; later it holds a new one, which
 // joins under an id of its own: what the lost one has voted and acknowledged
@@ -144,6 +134,8 @@
 
 // meet adds control VMs to those that are asked.
 func (v *VM) meet(ids []string) {
+	v.meeting.Lock()
+	defer v.meeting.Unlock()
 	rows := []membership.Member{}
 	for _, id := range ids {
 		if address, known := addressOf(id); known {
@@ -211,6 +203,11 @@
 	}
 }
 
+// Reload takes over the settings that may change while the VM runs.
+func (v *VM) Reload(c vmconfig.Config) {
+	v.meet(c.Seeds)
+}
+
 // Run serves until the context ends, then stops as planned. Handlers are those
 // of the control and the directory address.
 func (v *VM) Run(ctx context.Context, control, directory http.Handler) (err error) {
@@ -328,7 +325,7 @@
 		if !wanted {
 			continue
 		}
-		bounded, cancel := context.WithTimeout(ctx, callTimeout)
+		bounded, cancel := v.peers.Bounded(ctx)
 		_, err := v.Proposer.ChangeReplicas(bounded, &operator.ChangeReplicasRequest{Action: string(change.action), Vm: change.id})
 		cancel()
 		v.Log.Info("change of the replicas", "action", string(change.action), "replica", change.id, "error", err)
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,14 +28,11 @@
 	"kingcuprill/io/front"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/peer"
-	"kingcuprill/io/settings"
 	"kingcuprill/io/upstream"
 	"kingcuprill/io/vmconfig"
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
-	callTimeout = time.Second
 	// revokeMargin is taken off the time within which a withdrawn key must be
 	// dead: the way of a request to its target after the last look at the lease.
 	revokeMargin = 900 * time.Millisecond
@@ -83,7 +79,7 @@
 	placer   *place.Placer
 	quota    *quota.Book
 	entries  atomic.Pointer[[]entry.VM]
-	seen     map[string]time.Time // entry VMs that are ready, when last seen
+	seen     map[string]time.Time // entry VMs that any control VM tells of, when last told
 	count    atomic.Int64
 	client   *follow.Client
 	front    *front.Server
@@ -98,10 +94,7 @@
 		started: time.Now(), lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewBook(), seen: map[string]time.Time{},
 	}
 	v.entries.Store(&[]entry.VM{})
-	peers := peer.NewPeers(settings.Settings{
-		VM:       settings.VM{ID: c.ID},
-		Timeouts: settings.Timeouts{Dial: dialTimeout, Peer: callTimeout},
-	})
+	peers := peer.NewUnsigned(c.ID)
 	v.client = &follow.Client{
 		Peers: peers, Lease: v.lease, Log: o.Log, Self: v.self, Catalogue: v.takeCatalogue, Targets: v.takeTargets, Entries: v.takeEntries,
 	}
@@ -152,14 +145,15 @@
 
 func (v *VM) takeEntries(vms []entry.VM) {
 	now := time.Now()
-	var near []string
+	var ready, known []string
 	for _, e := range vms {
-		if !e.Ready {
+		v.seen[e.ID] = now
+		if e.Region != v.Config.Region {
 			continue
 		}
-		v.seen[e.ID] = now
-		if e.Region == v.Config.Region {
-			near = append(near, e.ID)
+		known = append(known, e.ID)
+		if e.Ready {
+			ready = append(ready, e.ID)
 		}
 	}
 	for id, at := range v.seen {
@@ -167,8 +161,7 @@
 			delete(v.seen, id)
 		}
 	}
-	slices.Sort(near)
-	v.placer.SetVMs(near)
+	v.placer.SetVMs(ready, known)
 	v.count.Store(int64(len(v.seen)))
 	v.quota.SetVMs(len(v.seen))
 	v.entries.Store(&vms)
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -39,8 +39,7 @@
 
 	entries  *versioned.Table[entry.Seen]
 	mu       sync.Mutex
-	ids      map[string]bool // of entries
-	next     *round          // of confirmation, not started yet
+	next     *round // of confirmation, not started yet
 	running  bool
 	controls func() []string
 	started  time.Time
@@ -58,7 +57,7 @@
 func NewServer(b *board.Board, epoch string, targets *versioned.Table[instance.Registration], confirm func(context.Context) (uint64, error), controls func() []string, log *slog.Logger) *Server {
 	return &Server{
 		Board: b, Epoch: epoch, Targets: targets, Confirm: confirm, Log: log, controls: controls,
-		entries: versioned.NewTable[entry.Seen](), ids: map[string]bool{}, started: time.Now(),
+		entries: versioned.NewTable[entry.Seen](), started: time.Now(),
 	}
 }
 
@@ -222,9 +221,6 @@
 		return
 	}
 	told := codec.ToEntryVM(message)
-	s.mu.Lock()
-	s.ids[told.ID] = true
-	s.mu.Unlock()
 	old, found := s.entries.Get(told.ID)
 	changed := !found || old.VM != told
 	if changed {
@@ -235,11 +231,8 @@
 
 // Expire marks entry VMs that ask no more as not ready.
 func (s *Server) Expire(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id := range s.ids {
-		seen, found := s.entries.Get(id)
-		if !found || !seen.Ready || now.Sub(seen.At) < entryLease {
+	for id, seen := range s.entries.Rows() {
+		if !seen.Ready || now.Sub(seen.At) < entryLease {
 			continue
 		}
 		s.Log.Warn("entry VM is not heard any more", "entry", id, "age", now.Sub(seen.At))
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -69,6 +69,8 @@
 	for name, values := range endToEnd(response.Header) {
 		header[name] = values
 	}
+	// A target can't speak for an entry VM.
+	header.Del(hopNotRun)
 	if _, dated := header["Date"]; !dated {
 		// Answers carry the target's headers and no others.
 		header["Date"] = nil
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -178,6 +178,7 @@
 	for _, name := range h.Own {
 		header.Del(name)
 	}
+	header.Del(hopFrom)
 	left := max(1, time.Until(x.deadline).Milliseconds())
 	header[h.TimeLeft] = []string{strconv.FormatInt(left, 10)}
 	if x.begun && x.hasLast {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -382,6 +382,36 @@
 	}
 }
 
+// A target that sets the header with which entry VMs promise that nothing ran
+// is not believed.
+func TestTargetCannotPromiseForVM(t *testing.T) {
+	s := startTarget(t, status(200, hopNotRun+": slow\r\n", "fine"))
+	w := newWorld(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, s)
+	if _, _, response := w.ask(t, "k", hopFrom, "forged"); response.Header.Get(hopNotRun) != "" {
+		t.Error("the header of a target is passed on")
+	}
+	if got := s.seen[0].Header.Get(hopFrom); got != "" {
+		t.Errorf("the target gets %s: %q of the caller", hopFrom, got)
+	}
+}
+
+// Load pattern: all VMs start at once and one by one learn of each other. The
+// retries in hand follow the number of VMs that share them.
+func TestRetriesFollowTheVMs(t *testing.T) {
+	w := newWorld(t, plan.Route{Kind: plan.Idempotent, Attempts: 2}, startTarget(t, reset))
+	allowance := 40.0
+	w.server.RetryAllowance = func() float64 { return allowance }
+	w.server.budget("s")
+	allowance = 4
+	taken := 0
+	for w.server.budget("s").Retry() {
+		taken++
+	}
+	if taken != 4 {
+		t.Errorf("%d retries in hand after the others were known, want 4", taken)
+	}
+}
+
 // A request handed over by another entry VM runs here or is refused as not
 // run, so that it can be sent elsewhere.
 func TestHop(t *testing.T) {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -296,13 +296,15 @@
 	s.Log.Info(message, append(fields, args...)...)
 }
 
+// budget returns the retries in hand for a service. Their bound follows the
+// number of VMs that share it.
 func (s *Server) budget(service string) *retry.Budget {
-	if found, ok := s.budgets.Load(service); ok {
-		return found.(*retry.Budget)
-	}
 	const thousandths = 1000
-	made, _ := s.budgets.LoadOrStore(service, &retry.Budget{
-		Ratio: int64(s.RetryRatio * thousandths), Largest: int64(max(1, s.RetryAllowance()) * thousandths),
-	})
-	return made.(*retry.Budget)
+	found, known := s.budgets.Load(service)
+	if !known {
+		found, _ = s.budgets.LoadOrStore(service, &retry.Budget{Ratio: int64(s.RetryRatio * thousandths)})
+	}
+	budget := found.(*retry.Budget)
+	budget.SetLargest(int64(s.RetryAllowance() * thousandths))
+	return budget
 }
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -50,6 +50,21 @@
 	return p
 }
 
+// Timeouts of VMs whose settings name none: of a new connection, and of one
+// call. They cover two round trips between regions.
+const (
+	usualDial = 500 * time.Millisecond
+	usualCall = time.Second
+)
+
+// NewUnsigned returns the client side for VMs that share no secret.
+func NewUnsigned(id string) *Peers {
+	return NewPeers(settings.Settings{
+		VM:       settings.VM{ID: id},
+		Timeouts: settings.Timeouts{Dial: usualDial, Peer: usualCall},
+	})
+}
+
 func (p *Peers) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: p.Timeouts.Dial, KeepAlive: 5 * time.Second}
 	conn, err := dialer.DialContext(ctx, network, p.VM.Dial(address))
--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kingcuprill/core/fault"
+	"kingcuprill/core/units"
 )
 
 // Config is the checked content of a settings file.
@@ -106,9 +107,9 @@
 		CallerAddress: f.Listen.Callers, ReadinessAddress: f.Listen.Readiness, ControlAddress: f.Listen.Control,
 		DirectoryAddress: f.Listen.Directory, MetricsAddress: f.Listen.Metrics,
 		DataDir: f.Control.DataDir, FirstStart: f.Control.FirstStart, Replicas: 2*f.Control.Failures + 1,
-		Heartbeat: milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, Memory: int64(f.Limits.MemoryMB * mebibyte),
-		RevokeWithin: milliseconds(f.Limits.RevokeMS), Grace: milliseconds(f.Limits.GraceS * 1000),
-		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: milliseconds(f.Limits.DirectoryTTLS * 1000),
+		Heartbeat: units.Milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, Memory: int64(f.Limits.MemoryMB * mebibyte),
+		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
+		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: units.Milliseconds(f.Limits.DirectoryTTLS * 1000),
 	}
 	refuse := func(format string, args ...any) {
 		faults = append(faults, fault.New(fault.Invalid, format, args...))
@@ -142,7 +143,3 @@
 	}
 	return c, faults
 }
-
-func milliseconds(value float64) time.Duration {
-	return time.Duration(value * float64(time.Millisecond))
-}
