Keep callers' keys from targets in the product, not by the adapter's list

Cause: the front dropped the key, the organisation and the target of a caller only since the platform's list of headers named them. Change: the front drops them itself. TestHeaders without them in the list failed before. On the platform nothing changes.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -178,7 +178,11 @@
 	for _, name := range h.Own {
 		header.Del(name)
 	}
-	header.Del(hopFrom)
+	// The caller's key stays here, and what this system tells targets is never
+	// the caller's word.
+	for _, name := range []string{keyHeader, h.Organisation, h.Target, hopFrom} {
+		header.Del(name)
+	}
 	left := max(1, time.Until(x.deadline).Milliseconds())
 	header[h.TimeLeft] = []string{strconv.FormatInt(left, 10)}
 	if x.begun && x.hasLast {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -30,7 +30,7 @@
 
 var names = Headers{
 	RequestID: "Id", TimeLeft: "Left", Organisation: "Organisation", Target: "Target", NotRun: "Not-Run",
-	Tokens: "Tokens", Parts: "Parts", LastEvent: "Last-Event-Id", Own: []string{"Authorization", "Organisation", "Target", "Secret"},
+	Tokens: "Tokens", Parts: "Parts", LastEvent: "Last-Event-Id", Own: []string{"Secret"},
 }
 
 // target is a scripted target: each request gets the next answer, the last one
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -24,9 +24,12 @@
 	Parts        string // parts of the prompt
 	LastEvent    string
 	OutputHint   string   // estimate of the output tokens
-	Own          []string // that only this system may set; dropped from callers
+	Own          []string // further ones that only this system may set; dropped from callers
 }
 
+// keyHeader carries the key of a caller.
+const keyHeader = "Authorization"
+
 // Headers of the calls between entry VMs.
 const (
 	hopFrom   = "Kc-Hop-From"
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -73,8 +73,8 @@
 	x.target = "vm:" + v.ID
 	header := x.outgoing()
 	header.Set(hopFrom, x.server.Self)
-	if key := x.header.Get("Authorization"); key != "" {
-		header.Set("Authorization", key)
+	if key := x.header.Get(keyHeader); key != "" {
+		header.Set(keyHeader, key)
 	}
 	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
 	if err != nil {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -171,7 +171,7 @@
 		if !fresh {
 			return x.unknown(stale)
 		}
-		key, _ := strings.CutPrefix(x.header.Get("Authorization"), "Bearer ")
+		key, _ := strings.CutPrefix(x.header.Get(keyHeader), "Bearer ")
 		if x.organisation, x.keyed = state.Plan.ByKey(key); !x.keyed {
 			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key", notRun: true}
 		}
