--- /dev/null
+++ b/core/explain/explain.go
@@ -0,0 +1,141 @@
+// Package explain reads log lines of several VMs and finds the way of one
+// request and the reason for its end.
+package explain
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Line is one log line.
+type Line struct {
+	At      time.Time
+	File    string
+	Message string
+	Fields  map[string]string
+}
+
+// Report is what the logs tell of one request.
+type Report struct {
+	Lines      []Line // in order of time
+	Unreadable int    // lines that name the request and can't be read
+	Conclusion string
+}
+
+// maxLine bounds a log line, in bytes.
+const maxLine = 1 << 20
+
+// Collect adds the lines of one file that belong to a request.
+func (r *Report) Collect(id, file string, source io.Reader) error {
+	scanner := bufio.NewScanner(source)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		if !strings.Contains(text, "request="+id) {
+			continue
+		}
+		line, err := Parse(text)
+		if err != nil || line.Fields["request"] != id {
+			r.Unreadable++
+			continue
+		}
+		line.File = file
+		r.Lines = append(r.Lines, line)
+	}
+	return scanner.Err()
+}
+
+// Finish puts the lines in order and concludes from the last one at the VM that
+// the caller used.
+func (r *Report) Finish() {
+	slices.SortStableFunc(r.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	r.Conclusion = "the logs have no line that ends the request at the VM that the caller used"
+	for _, line := range r.Lines {
+		if from, told := line.Fields["from"]; told && from == "" {
+			r.Conclusion = conclude(line)
+		}
+	}
+}
+
+// causes explains the reasons of refusals.
+var causes = map[string]string{
+	"slow":                        "no target was predicted to begin its answer in time: the region had too little capacity, and no other region took the request",
+	"full":                        "all targets were at their bounds on requests or memory",
+	"no_targets":                  "no target of the service was known that may be used",
+	"not_at_home":                 "the request may not run in this region, and no region where it may took it",
+	"over_limit":                  "the organisation was over its limit",
+	"unknown_key":                 "the key is in no organisation of the configuration in force",
+	"no_route":                    "no route of the configuration in force matches",
+	"no_configuration":            "the VM had no configuration yet",
+	"configuration_not_confirmed": "the VM had no confirmation by a majority that its configuration is the newest",
+	"stopping":                    "the VM was stopping and the request could have outlasted it",
+	"tries_used_up":               "targets failed it, and it may not be sent to another one",
+	"deadline":                    "the route's timeout ended while a target was at work",
+}
+
+func conclude(line Line) string {
+	reason, _, _ := strings.Cut(line.Fields["reason"], ":")
+	cause := causes[reason]
+	if cause == "" {
+		cause = reason
+	}
+	switch line.Message {
+	case "request is answered":
+		return "answered with status " + line.Fields["status"] + " after " + line.Fields["took"] + " by " + line.Fields["target"]
+	case "caller has left":
+		return "the caller left after " + line.Fields["took"] + "; the last target was " + line.Fields["target"]
+	case "answer is broken off":
+		return "broken off after event " + line.Fields["last_event"] + ": " + cause
+	case "request is refused":
+		ran := "it may have run"
+		if line.Fields["not_run"] == "true" {
+			ran = "it has not run"
+		}
+		return "refused with status " + line.Fields["status"] + ", " + ran + ": " + cause
+	}
+	return line.Message
+}
+
+// Parse reads one line of key=value pairs. Values are quoted where they hold
+// spaces.
+func Parse(text string) (line Line, err error) {
+	// Whatever collects the logs may put something before the line.
+	_, text, found := strings.Cut(text, "time=")
+	if !found {
+		return line, errors.New("the line has no time")
+	}
+	line.Fields = map[string]string{}
+	rest := "time=" + text
+	for rest = strings.TrimSpace(rest); rest != ""; rest = strings.TrimSpace(rest) {
+		key, after, found := strings.Cut(rest, "=")
+		if !found {
+			return line, errors.New("the line ends in the middle of a pair")
+		}
+		value, left, err := cutValue(after)
+		if err != nil {
+			return line, err
+		}
+		line.Fields[key], rest = value, left
+	}
+	line.Message = line.Fields["msg"]
+	line.At, err = time.Parse(time.RFC3339Nano, line.Fields["time"])
+	return line, err
+}
+
+func cutValue(text string) (value, rest string, err error) {
+	if !strings.HasPrefix(text, `"`) {
+		value, rest, _ = strings.Cut(text, " ")
+		return value, rest, nil
+	}
+	quoted, err := strconv.QuotedPrefix(text)
+	if err != nil {
+		return "", "", err
+	}
+	value, err = strconv.Unquote(quoted)
+	return value, text[len(quoted):], err
+}
--- /dev/null
+++ b/core/explain/explain_test.go
@@ -0,0 +1,36 @@
+package explain
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestExplain reads the logs in testdata: each file is one request, named by
+// its id, and begins with the conclusion that is due.
+func TestExplain(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.log")
+	if err != nil || len(files) < 4 {
+		t.Fatalf("files %v, error %v", files, err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, lines, _ := strings.Cut(string(data), "\n")
+		r := Report{}
+		id := strings.TrimSuffix(filepath.Base(file), ".log")
+		if err := r.Collect(id, file, strings.NewReader(lines)); err != nil {
+			t.Fatal(err)
+		}
+		r.Finish()
+		if r.Conclusion != want {
+			t.Errorf("%s: %q, want %q", file, r.Conclusion, want)
+		}
+		if r.Unreadable != strings.Count(lines, "unreadable") {
+			t.Errorf("%s: %d unreadable lines", file, r.Unreadable)
+		}
+	}
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -55,3 +55,8 @@
 		}
 	}
 }
+
+// Available tells whether a retry could be taken now. It takes nothing.
+func (b *Budget) Available() bool {
+	return b.spent.Load()+costOfRetry <= b.largest()
+}
--- /dev/null
+++ b/io/cli/request/explain/explain.go
@@ -0,0 +1,99 @@
+// Package explain is the command 'kingcuprill request explain'.
+package explain
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"kingcuprill/core/explain"
+	"kingcuprill/core/fault"
+	"kingcuprill/io/cli/command"
+	"kingcuprill/io/cli/factory"
+	"kingcuprill/io/cli/table"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Factory *factory.Factory
+	ID      string
+	Files   []string
+	JSON    string
+}
+
+// New returns the command. Tests pass a run function of their own.
+func New(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{Factory: f}
+	if runF == nil {
+		runF = run
+	}
+	return &command.Command{
+		Name:    "explain",
+		Short:   "Find out from logs why a request ended as it did",
+		Long:    `Prints the way of one request over all VMs, from their log files, and the reason for its end.`,
+		Example: `  kingcuprill request explain 40162c805ecc9241 --log entry-1.log --log entry-2.log`,
+		Flags: func(sub *flaggy.Subcommand) {
+			sub.AddPositionalValue(&o.ID, "ID", 1, true, "Id of the request.")
+			sub.StringSlice(&o.Files, "l", "log", "Log file of a VM; may be given more than once.")
+			sub.String(&o.JSON, "", "json", "Print these columns as JSON: "+strings.Join(columns, ",")+".")
+		},
+		Run: func(ctx context.Context) error { return runF(ctx, o) },
+	}
+}
+
+var columns = []string{"time", "file", "message", "fields"}
+
+func run(_ context.Context, o *Options) (err error) {
+	defer fault.Annotate(&err, "explain request %s", o.ID)
+	if len(o.Files) == 0 {
+		return fault.New(fault.Invalid, "no log file is named; use --log FILE")
+	}
+	report := explain.Report{}
+	for _, file := range o.Files {
+		if err := collect(&report, o.ID, file); err != nil {
+			return err
+		}
+	}
+	if len(report.Lines) == 0 {
+		return fault.New(fault.NotFound, "none of the %d files tells of it; name the logs of all entry VMs", len(o.Files))
+	}
+	report.Finish()
+	streams := o.Factory.Streams
+	if err := table.Print(streams.Out, streams.Terminal, o.JSON, columns, rows(report)); err != nil {
+		return err
+	}
+	if o.JSON == "" {
+		fmt.Fprintln(streams.Out, report.Conclusion)
+	}
+	if report.Unreadable > 0 {
+		fmt.Fprintf(streams.Err, "%d lines could not be read\n", report.Unreadable)
+	}
+	return nil
+}
+
+func collect(report *explain.Report, id, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return report.Collect(id, path, file)
+}
+
+func rows(report explain.Report) (all [][]string) {
+	for _, line := range report.Lines {
+		pairs := []string{}
+		for _, key := range slices.Sorted(maps.Keys(line.Fields)) {
+			if key != "time" && key != "msg" && key != "level" && key != "request" {
+				pairs = append(pairs, key+"="+line.Fields[key])
+			}
+		}
+		all = append(all, []string{line.At.Format("15:04:05.000"), line.File, line.Message, strings.Join(pairs, " ")})
+	}
+	return all
+}
--- a/io/cli/root/groups.go
+++ b/io/cli/root/groups.go
@@ -17,6 +17,7 @@
 	replicapromote "kingcuprill/io/cli/replica/promote"
 	replicaremove "kingcuprill/io/cli/replica/remove"
 	reportburn "kingcuprill/io/cli/report/burn"
+	requestexplain "kingcuprill/io/cli/request/explain"
 	residencylist "kingcuprill/io/cli/residency/list"
 	residencyremove "kingcuprill/io/cli/residency/remove"
 	residencyset "kingcuprill/io/cli/residency/set"
@@ -40,6 +41,7 @@
 		{Name: "replica", Short: "Replicas of the control log", Commands: []*command.Command{replicaadd.New(f, nil), replicalist.New(f, nil), replicapromote.New(f, nil), replicaremove.New(f, nil)}},
 		{Name: "target", Short: "Targets", Commands: []*command.Command{targetlist.New(f, nil)}},
 		{Name: "config", Short: "Whole configurations", Commands: []*command.Command{configapply.New(f, nil), configdiff.New(f, nil), configexport.New(f, nil)}},
+		{Name: "request", Short: "Requests of callers", Commands: []*command.Command{requestexplain.New(f, nil)}},
 		{Name: "status", Short: "The state of the system", Commands: []*command.Command{statusshow.New(f, nil)}},
 		{Name: "report", Short: "Reports", Commands: []*command.Command{reportburn.New(f, nil)}},
 	}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -56,9 +56,9 @@
 	drainShare = 2
 	// memoryShare is the part of the memory that the collector aims at.
 	memoryShare = 0.7
-	// budgetShare is the part of the retry slack that is given out, the rest
-	// covers windows that overlap two refills.
-	budgetShare = 0.5
+	// budgetShare is the part of the retry budget that is given out; the rest
+	// covers VMs that have just started with a full account.
+	budgetShare = 0.8
 )
 
 // Options hold what an entry VM needs besides its settings.
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -108,7 +108,7 @@
 	if patience == nil {
 		return
 	}
-	left := time.Until(x.deadline)
+	left := time.Until(x.deadline) + afterDeadline
 	if x.couldRepeat() && x.route.MaxGap > 0 {
 		left = min(left, gapsUntilBroken*x.route.MaxGap)
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -30,6 +30,9 @@
 	returnedBound = 2
 	// hopReturn is the way of an answer between regions.
 	hopReturn = 60 * time.Millisecond
+	// afterDeadline keeps the patience with a target from ending just before the
+	// request's own deadline.
+	afterDeadline = time.Second
 	// busyFor is how long a region that has refused a request isn't asked again.
 	busyFor = 150 * time.Millisecond
 	// extraTries is how many targets beyond the route's attempts may turn a
@@ -342,7 +345,12 @@
 	}
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := time.AfterFunc(x.patience(), func() { cancel(errSlow) })
+	patience := time.AfterFunc(x.patience(), func() {
+		// Without a retry in hand, a slow answer is better than none.
+		if s.budget(x.service).Available() {
+			cancel(errSlow)
+		}
+	})
 	defer patience.Stop()
 	response, err := s.Targets.Do(bounded, t.ID, t.Address, x.request(header))
 	if err != nil {
@@ -388,9 +396,9 @@
 func (x *exchange) patience() time.Duration {
 	left := time.Until(x.deadline)
 	if !x.couldRepeatAfter(x.runs + 1) {
-		return left
+		return left + afterDeadline
 	}
-	return min(left, max(shortestTry, x.route.Objective*3/2))
+	return min(left+afterDeadline, max(shortestTry, x.route.Objective*3/2))
 }
 
 func (x *exchange) couldRepeat() bool {
