Stop without cutting requests that have arrived but are not read yet

Cause: a planned stop used the library's Shutdown, which closes the listening socket with connections still in its accept queue, and idle connections whose next request is arriving (the library calls a connection idle until it has read a whole request head). On a VM whose processor is throttled such a request can be older than the 200 ms that are allowed. Ruled out: requests that were read; those are waited for, and the stop's log line told of none.

Change: io/listener serves an address and stops by looking at the sockets: the listener is closed when its queue is empty, a connection when nothing runs, nothing has been read and nothing waits on it. The three programs' own listeners (daemon, control VM, entry VM), written three times before, use it.

--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -26,6 +25,7 @@
 	"kingcuprill/io/draw"
 	"kingcuprill/io/follow"
 	"kingcuprill/io/forward"
+	"kingcuprill/io/listener"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/propose"
@@ -45,6 +45,10 @@
 	rosterEvery = 500 * time.Millisecond
 	// stopTime bounds the hand-over and the end of running calls at a stop.
 	stopTime = time.Second
+	// readHeaders bounds the time in which a peer sends its headers, and
+	// idlePeers that for which its idle connection is kept.
+	readHeaders = 5 * time.Second
+	idlePeers   = time.Minute
 	// clusterID names the data folders; a deployment has one system.
 	clusterID = "kingcuprill"
 )
@@ -66,7 +70,7 @@
 	registry *instance.Registry
 	drawer   *draw.Server
 	meeting  sync.Mutex // guards the writers of the members
-	servers  []*http.Server
+	servers  []*listener.Server
 }
 
 // New opens the data folder, or makes it, and returns a control VM.
@@ -253,21 +257,15 @@
 }
 
 func (v *VM) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	server, err := listener.Listen(address, &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaders, IdleTimeout: idlePeers,
+		ErrorLog: slog.NewLogLogger(v.Log.Handler(), slog.LevelDebug),
+	}, nil)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
-		ErrorLog: slog.NewLogLogger(v.Log.Handler(), slog.LevelDebug),
-	}
 	v.servers = append(v.servers, server)
-	v.tomb.Go(func() error {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	v.tomb.Go(server.Serve)
 	return nil
 }
 
@@ -277,11 +275,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
 	defer cancel()
 	v.replica.HandOver(ctx)
+	var group sync.WaitGroup
 	for _, s := range v.servers {
-		// Calls that are still running after the time are cut; they are tried again
-		// elsewhere.
-		_ = s.Shutdown(ctx)
+		group.Go(func() {
+			if err := s.Stop(ctx); err != nil {
+				v.Log.Warn("calls are cut off by the end of a planned stop; they are tried again elsewhere", "error", err)
+			}
+		})
 	}
+	group.Wait()
 }
 
 func (v *VM) expire() error {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"kingcuprill/io/engine"
 	"kingcuprill/io/forward"
 	"kingcuprill/io/gossip"
+	"kingcuprill/io/listener"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/operator"
 	"kingcuprill/io/peer"
@@ -63,8 +64,8 @@
 	answers    *book.Answers
 	dispatcher *dispatch.Dispatcher
 
-	callers *http.Server
-	servers []*http.Server
+	callers *listener.Server
+	servers []*listener.Server
 }
 
 // New builds a daemon from checked settings. It opens the data folder, if
@@ -219,25 +220,18 @@
 }
 
 func (d *Daemon) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{
+	server, err := listener.Listen(address, &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: d.settings.Timeouts.ReadHeader,
 		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
 		IdleTimeout:       2 * time.Minute,
 		ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
+	}, func(l net.Listener) net.Listener { return netutil.LimitListener(l, d.settings.Limits.MaxConnections) })
+	if err != nil {
+		return err
 	}
 	d.servers = append(d.servers, server)
-	limited := netutil.LimitListener(listener, d.settings.Limits.MaxConnections)
-	d.tomb.Go(func() error {
-		if err := server.Serve(limited); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	d.tomb.Go(server.Serve)
 	return nil
 }
 
--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -20,9 +20,9 @@
 	defer cancel()
 	d.gossiper.Leave(ctx)
 	d.handOver(ctx)
-	d.callers.SetKeepAlivesEnabled(false)
+	d.callers.CloseAfterAnswers()
 	d.wait(ctx, d.settings.Timeouts.Drain)
-	if err := d.callers.Shutdown(ctx); err != nil {
+	if err := d.callers.Stop(ctx); err != nil {
 		d.log.Error("requests still ran at the end of timeouts.shutdown", "running", d.register.Count(), "error", err)
 		return
 	}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -5,9 +5,9 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +26,7 @@
 	"kingcuprill/io/draw"
 	"kingcuprill/io/follow"
 	"kingcuprill/io/front"
+	"kingcuprill/io/listener"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/upstream"
@@ -83,7 +84,7 @@
 	count    atomic.Int64
 	client   *follow.Client
 	front    *front.Server
-	servers  []*http.Server
+	servers  []*listener.Server
 }
 
 // New returns an entry VM.
@@ -244,21 +245,15 @@
 }
 
 func (v *VM) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{
+	server, err := listener.Listen(address, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaders, IdleTimeout: idleCallers, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(v.Log.Handler(), slog.LevelDebug), DisableGeneralOptionsHandler: true,
+	}, nil)
+	if err != nil {
+		return err
 	}
 	v.servers = append(v.servers, server)
-	v.tomb.Go(func() error {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	v.tomb.Go(server.Serve)
 	return nil
 }
 
@@ -273,15 +268,22 @@
 	v.draining.Store(true)
 	end := time.Now().Add(v.Config.Grace - stopMargin)
 	v.front.StopAt(end)
+	for _, s := range v.servers {
+		s.CloseAfterAnswers()
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	v.client.Tell(ctx)
 	time.Sleep(v.Config.Grace / (2 * drainShare))
+	var group sync.WaitGroup
 	for _, s := range v.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			v.Log.Warn("requests are cut off by the end of a planned stop", "running", v.front.Running(), "error", err)
-		}
+		group.Go(func() {
+			if err := s.Stop(ctx); err != nil {
+				v.Log.Warn("requests are cut off by the end of a planned stop", "running", v.front.Running(), "error", err)
+			}
+		})
 	}
+	group.Wait()
 	v.Log.Info("entry VM has stopped", "vm", v.Config.ID, "running", v.front.Running())
 }
 
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -111,11 +111,6 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, from string) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.stop.Load() != nil {
-		// Idle connections are left open: to close one could cut a request that is
-		// just being read.
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{server: s, writer: w, caller: r, arrived: time.Now(), id: r.Header.Get(s.Headers.RequestID), from: from}
 	s.Metrics.Requests.Inc(1)
 	if refused := x.admit(); refused != nil {
--- /dev/null
+++ b/io/listener/listener_test.go
@@ -0,0 +1,182 @@
+package listener
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/net/netutil"
+)
+
+const (
+	wholeRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	patience     = 10 * time.Second
+)
+
+// started returns a running server whose answers wait for release.
+func started(t *testing.T, limit func(net.Listener) net.Listener) (s *Server, release chan struct{}) {
+	t.Helper()
+	release = make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})}
+	s, err := Listen("127.0.0.1:0", server, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve() }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-ended; err != nil {
+			t.Errorf("the server ended: %v", err)
+		}
+	})
+	return s, release
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+func answered(t *testing.T, what string, c net.Conn) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%s: no answer: %v", what, err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != "whole" {
+		t.Fatalf("%s: answer %q, %v", what, body, err)
+	}
+	return response
+}
+
+func stop(t *testing.T, s *Server) (stopped chan error) {
+	t.Helper()
+	stopped = make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	go func() { stopped <- s.Stop(ctx) }()
+	return stopped
+}
+
+func waitFor(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !met(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+// A connection that waits in the accept queue when the stop begins is served.
+func TestQueuedConnectionIsServed(t *testing.T) {
+	s, release := started(t, func(l net.Listener) net.Listener { return netutil.LimitListener(l, 1) })
+	first, queued := dial(t, s), dial(t, s)
+	_, _ = io.WriteString(first, wholeRequest)
+	_, _ = io.WriteString(queued, wholeRequest)
+	waitFor(t, "a request runs", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.conns) == 1
+	})
+	stopped := stop(t, s)
+	close(release)
+	answered(t, "first", first)
+	answered(t, "queued", queued)
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
+
+// A request of which only the first bytes have come when the stop begins is
+// answered.
+func TestRequestBeingReadIsAnswered(t *testing.T) {
+	s, release := started(t, nil)
+	close(release)
+	c := dial(t, s)
+	_, _ = io.WriteString(c, wholeRequest)
+	answered(t, "first", c)
+	_, _ = io.WriteString(c, wholeRequest[:8])
+	waitFor(t, "the first bytes are read", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.begun
+		}
+		return false
+	})
+	stopped := stop(t, s)
+	waitFor(t, "the stop has begun", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.closed
+	})
+	_, _ = io.WriteString(c, wholeRequest[8:])
+	if response := answered(t, "second", c); !response.Close {
+		t.Error("the answer doesn't tell that the connection closes")
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
+
+// Idle connections don't hold a stop up.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	s, release := started(t, nil)
+	close(release)
+	used, unused := dial(t, s), dial(t, s)
+	_, _ = io.WriteString(used, wholeRequest)
+	answered(t, "used", used)
+	waitFor(t, "both are taken in", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.conns) == 2
+	})
+	if err := <-stop(t, s); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	for name, c := range map[string]net.Conn{"used": used, "unused": unused} {
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Errorf("the %s connection is still open", name)
+		}
+	}
+}
+
+// A request that doesn't end is told at the end of the stop's time.
+func TestStopTellsOfRequestsThatRun(t *testing.T) {
+	s, release := started(t, nil)
+	defer close(release)
+	c := dial(t, s)
+	_, _ = io.WriteString(c, wholeRequest)
+	waitFor(t, "the request runs", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.state == http.StateActive
+		}
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := s.Stop(ctx); err == nil {
+		t.Error("the stop doesn't tell that a request still runs")
+	}
+}
