Let one VM coordinate each target

Change: rendezvous hashing gives each target a coordinator among the ready VMs of its region. The others ask it for a place, which it gives by what it knows of the whole load (core/place, with Coordinated), and report the answer's begin and end (io/coordinator). A coordinator that doesn't answer is passed over and the VM chooses by itself as before. Only services with an engine's memory.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +24,10 @@
 	// slotsSlack lets one VM use more than its even part of a target's slots, as
 	// load is not even.
 	slotsSlack = 1.5
+	// coordinatedSlack is the part of a target's slots that its coordinator
+	// gives out. Those above one wait at the target, which goes on without a
+	// pause when a slot falls free.
+	coordinatedSlack = 1.1
 	// coldSenders is the number of VMs of a region that may send to a cold
 	// target, so that the sum over all VMs keeps to what it bears.
 	coldSenders = 3
@@ -52,6 +57,18 @@
 	EventTokens int
 	Deadline    time.Time
 	Now         time.Time
+	// Coordinated asks for a target that this VM coordinates, so that all of its
+	// load is known here, or for the preferred one.
+	Coordinated bool
+	Preferred   string // id of a target, empty to choose by the prompt
+}
+
+// affinity is what requests have in common that go to the same target.
+func (r Request) affinity() string {
+	if r.Sticky && len(r.Demand.Parts) > 0 {
+		return r.Demand.shared()
+	}
+	return strconv.FormatInt(r.Now.UnixNano(), 36)
 }
 
 // Reason tells why no target was chosen.
@@ -88,14 +105,24 @@
 func (p *Placer) SetVMs(ready, known []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.vms
 	p.vms, p.known = p.withSelf(ready), p.withSelf(known)
+	if slices.Equal(before, p.vms) {
+		return
+	}
+	for _, t := range p.targets {
+		p.assign(t)
+	}
 }
 
+// withSelf returns ids in order, with that of this VM.
 func (p *Placer) withSelf(ids []string) []string {
-	if slices.Contains(ids, p.Self) {
-		return ids
+	ids = slices.Clone(ids)
+	if !slices.Contains(ids, p.Self) {
+		ids = append(ids, p.Self)
 	}
-	return append(slices.Clone(ids), p.Self)
+	slices.Sort(ids)
+	return ids
 }
 
 // SetTargets replaces the targets. What is known of the load of one that stays
@@ -108,7 +135,8 @@
 	for id, row := range rows {
 		t, found := p.targets[id]
 		if !found || t.Born != row.Born {
-			t = &Target{parts: map[string]part{}, waiting: map[*Visit]bool{}, streams: map[*Visit]bool{}}
+			t = &Target{Registration: row, parts: map[string]part{}, waiting: map[*Visit]bool{}, streams: map[*Visit]bool{}}
+			p.assign(t)
 		}
 		t.Registration, t.Region = row, region(row.DataCentre)
 		next[id] = t
@@ -144,6 +172,9 @@
 		if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) {
 			continue
 		}
+		if r.Coordinated && t.coordinator != p.Self && t != preferred {
+			continue
+		}
 		if !p.hasRoom(t, r) || !t.Circuit.Ready() {
 			reason = Full
 			continue
@@ -170,16 +201,19 @@
 
 // preferred returns the rendezvous target of the last shared part of a prompt.
 func (p *Placer) preferred(r Request) (best *Target) {
+	if r.Preferred != "" {
+		if t := p.targets[r.Preferred]; t != nil && t.Region == p.Region && p.mayPrefer(t, r) {
+			return t
+		}
+		return nil
+	}
 	if !r.Sticky || len(r.Demand.Parts) == 0 {
 		return nil
 	}
 	shared := r.Demand.shared()
 	weight := uint64(0)
 	for _, t := range p.byName[r.Service] {
-		if !t.usable(r.Now) || t.State == instance.Silent || r.Evacuated[t.DataCentre] || r.Now.Before(t.ColdUntil) {
-			continue
-		}
-		if slices.Contains(r.Excluded, t.ID) {
+		if !p.mayPrefer(t, r) {
 			continue
 		}
 		if w := xxhash.Sum64String(shared + "\x00" + t.ID); w >= weight {
@@ -189,15 +223,27 @@
 	return best
 }
 
+// mayPrefer tells whether a target may be the preferred one of a request.
+func (p *Placer) mayPrefer(t *Target, r Request) bool {
+	if !t.usable(r.Now) || t.State == instance.Silent || r.Evacuated[t.DataCentre] || r.Now.Before(t.ColdUntil) {
+		return false
+	}
+	return !slices.Contains(r.Excluded, t.ID)
+}
+
 // hasRoom tells whether a target is within its bounds with one more request.
-// The other VMs of the region are taken to load it as this one does.
+// The other VMs of the region are taken to load it as this one does, but for a
+// target that this VM coordinates.
 func (p *Placer) hasRoom(t *Target, r Request) bool {
-	vms := len(p.vms)
+	vms, slack := len(p.vms), slotsSlack
+	if r.Coordinated {
+		vms, slack = 1, coordinatedSlack
+	}
 	slots := t.Slots
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	if t.inFlight >= max(1, int(slotsSlack*float64(slots))/vms) {
+	if t.inFlight >= max(1, int(slack*float64(slots))/vms) {
 		return false
 	}
 	need := r.Demand.Prompt + r.Demand.Output
@@ -215,10 +261,10 @@
 	if r.Now.Before(t.nextCold) {
 		return false
 	}
-	own := xxhash.Sum64String(p.Self + "\x00" + t.ID)
+	own := rank(p.Self, t)
 	before := 0
 	for _, id := range p.known {
-		if xxhash.Sum64String(id+"\x00"+t.ID) > own {
+		if rank(id, t) > own {
 			before++
 		}
 	}
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -88,7 +88,7 @@
 				return false
 			}
 			d.visit.Answered(d.at)
-			d.visit.Done(true, d.at)
+			d.visit.Done(Good, d.at)
 			return true
 		})
 		part := fmt.Sprintf("p%d", random.IntN(shared))
@@ -168,7 +168,7 @@
 			if visit, _, _ := all[step%vms].Pick(r); visit != nil {
 				sent = append(sent, now)
 				visit.Answered(now)
-				visit.Done(true, now)
+				visit.Done(Good, now)
 			}
 		}
 		for i, at := range sent {
@@ -210,7 +210,7 @@
 			continue
 		}
 		visit.Answered(now.Add(70 * time.Millisecond))
-		visit.Done(true, now.Add(70*time.Millisecond))
+		visit.Done(Good, now.Add(70*time.Millisecond))
 	}
 }
 
--- a/core/place/strain.go
+++ b/core/place/strain.go
@@ -33,7 +33,7 @@
 	late := 0
 	for v := range t.streams {
 		left := v.deadline.Sub(now)
-		if time.Duration(v.expected-v.events)*t.gap > left {
+		if time.Duration(v.expected-v.progress(now))*t.gap > left {
 			late++
 		}
 	}
--- a/core/place/strain_test.go
+++ b/core/place/strain_test.go
@@ -55,7 +55,7 @@
 	if gap := visit.Target.gap; gap < 70*time.Millisecond || gap > 80*time.Millisecond {
 		t.Errorf("learned gap %v, events come every 80ms", gap)
 	}
-	visit.Done(true, start)
+	visit.Done(Good, start)
 	if len(visit.Target.streams) != 0 || visit.Target.inFlight != 0 || visit.Target.pending != 0 {
 		t.Errorf("after the end: %d streams, %d in flight, %d tokens pending", len(visit.Target.streams), visit.Target.inFlight, visit.Target.pending)
 	}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -41,17 +41,18 @@
 	Region  string
 	Circuit circuit.Breaker
 
-	inFlight int
-	pending  int // work sent that no answer has come for, tokens
-	base     base
-	waiting  map[*Visit]bool // visits without an answer yet
-	streams  map[*Visit]bool // visits whose answers run
-	gap      time.Duration   // average time between two events
-	memory   int             // tokens of the requests that run
-	parts    map[string]part
-	cached   int // tokens of parts
-	nextCold time.Time
-	lastOK   time.Time
+	coordinator string // VM of the region that knows all of the target's load
+	inFlight    int
+	pending     int // work sent that no answer has come for, tokens
+	base        base
+	waiting     map[*Visit]bool // visits without an answer yet
+	streams     map[*Visit]bool // visits whose answers run
+	gap         time.Duration   // average time between two events
+	memory      int             // tokens of the requests that run
+	parts       map[string]part
+	cached      int // tokens of parts
+	nextCold    time.Time
+	lastOK      time.Time
 }
 
 type part struct {
--- a/core/place/visit.go
+++ b/core/place/visit.go
@@ -1,6 +1,9 @@
 package place
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Visit is a request's stay at a target.
 type Visit struct {
@@ -19,6 +22,7 @@
 	events   int // so far
 	last     time.Time
 	deadline time.Time
+	reported bool // its events are counted by another VM
 }
 
 // Answered tells that the answer has begun.
@@ -55,15 +59,65 @@
 	}
 }
 
-// Done ends the stay. ok tells that the target did its work.
-func (v *Visit) Done(ok bool, now time.Time) {
+// Begun tells that the answer of a request that another VM sends has begun.
+// That VM tells of the events only at the end, with Paced.
+func (v *Visit) Begun(at, now time.Time) {
+	v.Answered(at)
+	v.placer.mu.Lock()
+	defer v.placer.mu.Unlock()
+	v.reported, v.last = true, now
+	v.Target.streams[v] = true
+}
+
+// Paced tells the average time between the events of an answer that has ended.
+func (v *Visit) Paced(events int, gap time.Duration) {
+	v.placer.mu.Lock()
+	defer v.placer.mu.Unlock()
+	weight := 1 - math.Pow(1-gapWeight, float64(events))
+	v.Target.gap += time.Duration(weight * float64(gap-v.Target.gap))
+}
+
+// progress returns the events that the answer has had.
+func (v *Visit) progress(now time.Time) int {
+	if v.reported && v.Target.gap > 0 {
+		return int(now.Sub(v.last) / v.Target.gap)
+	}
+	return v.events
+}
+
+// Result tells what the end of a stay says of the target.
+type Result uint8
+
+// Results.
+const (
+	Unclear Result = iota // nothing
+	Good                  // it did its work
+	Bad                   // it failed
+)
+
+// Done ends the stay.
+func (v *Visit) Done(result Result, now time.Time) {
+	t := v.Target
+	switch result {
+	case Good:
+		t.Circuit.Succeeded()
+	case Bad:
+		t.Circuit.Failed()
+	default:
+		t.Circuit.Released()
+	}
 	v.placer.mu.Lock()
 	defer v.placer.mu.Unlock()
 	v.leave()
-	delete(v.Target.streams, v)
-	v.Target.inFlight--
-	v.Target.memory -= v.demand.Prompt + v.demand.Output
-	if ok {
-		v.Target.lastOK = now
+	delete(t.streams, v)
+	t.inFlight--
+	t.memory -= v.demand.Prompt + v.demand.Output
+	if result == Good {
+		t.lastOK = now
 	}
 }
+
+// Where returns the target's id and address.
+func (v *Visit) Where() (id, address string) {
+	return v.Target.ID, v.Target.Address
+}
--- /dev/null
+++ b/io/coordinator/codec.go
@@ -0,0 +1,35 @@
+package coordinator
+
+import (
+	"time"
+
+	"kingcuprill/core/place"
+	"kingcuprill/rpc/entry"
+)
+
+func toRequest(m *entry.ReserveRequest, now time.Time) place.Request {
+	r := place.Request{
+		Service: m.GetService(), Preferred: m.GetTarget(), Coordinated: true, Sticky: true,
+		Excluded: m.GetExcluded(), ColdRate: m.GetColdRate(), Memory: int(m.GetMemoryTokens()), EventTokens: int(m.GetEventTokens()),
+		Comfort: time.Duration(m.GetComfortNanoseconds()), Bound: time.Duration(m.GetBoundNanoseconds()),
+		Now: now, Deadline: now.Add(time.Duration(m.GetLeftNanoseconds())),
+	}
+	r.Demand = place.Demand{Prompt: int(m.GetPromptTokens()), Output: int(m.GetOutputTokens()), Expected: int(m.GetExpectedTokens())}
+	for _, p := range m.GetParts() {
+		r.Demand.Parts = append(r.Demand.Parts, place.Part{ID: p.GetId(), Tokens: int(p.GetTokens())})
+	}
+	return r
+}
+
+func fromRequest(r place.Request) *entry.ReserveRequest {
+	m := &entry.ReserveRequest{
+		Service: r.Service, Target: r.Preferred, Excluded: r.Excluded, ColdRate: r.ColdRate, MemoryTokens: int64(r.Memory),
+		EventTokens: int64(r.EventTokens), ComfortNanoseconds: int64(r.Comfort), BoundNanoseconds: int64(r.Bound),
+		LeftNanoseconds: int64(r.Deadline.Sub(r.Now)),
+		PromptTokens:    int64(r.Demand.Prompt), OutputTokens: int64(r.Demand.Output), ExpectedTokens: int64(r.Demand.Expected),
+	}
+	for _, p := range r.Demand.Parts {
+		m.Parts = append(m.Parts, &entry.Part{Id: p.ID, Tokens: int64(p.Tokens)})
+	}
+	return m
+}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -23,6 +23,7 @@
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quota"
 	"kingcuprill/io/boottime"
+	"kingcuprill/io/coordinator"
 	"kingcuprill/io/draw"
 	"kingcuprill/io/follow"
 	"kingcuprill/io/front"
@@ -72,19 +73,20 @@
 	Options
 	Metrics *metrics.Metrics
 
-	started  time.Time
-	tomb     tomb.Tomb
-	draining atomic.Bool
-	state    *blackboard.Section[front.State]
-	lease    *lease.Lease
-	placer   *place.Placer
-	quota    *quota.Book
-	entries  atomic.Pointer[[]entry.VM]
-	seen     map[string]time.Time // entry VMs that any control VM tells of, when last told
-	count    atomic.Int64
-	client   *follow.Client
-	front    *front.Server
-	servers  []*listener.Server
+	started     time.Time
+	tomb        tomb.Tomb
+	draining    atomic.Bool
+	state       *blackboard.Section[front.State]
+	lease       *lease.Lease
+	placer      *place.Placer
+	quota       *quota.Book
+	entries     atomic.Pointer[[]entry.VM]
+	seen        map[string]time.Time // entry VMs that any control VM tells of, when last told
+	count       atomic.Int64
+	client      *follow.Client
+	front       *front.Server
+	coordinator *coordinator.Server
+	servers     []*listener.Server
 }
 
 // New returns an entry VM.
@@ -101,11 +103,12 @@
 	}
 	drawer := &draw.Client{Peers: peers, Book: v.quota, Controls: v.client.Controls, Log: o.Log}
 	v.front = &front.Server{
-		Drawer: drawer,
-		Self:   c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
+		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
+		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
 		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: &v.entries,
 		RetryAllowance: v.retryAllowance, RetryRatio: c.RetryRatio * budgetShare, Metrics: v.Metrics, Log: o.Log,
 	}
+	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
 	return v
 }
 
@@ -213,6 +216,8 @@
 	v.Metrics.Gauge("lease_left_ms", func() int64 { return v.lease.Left().Milliseconds() })
 	v.Metrics.Gauge("revision", func() int64 { return int64(v.state.Read().Revision) })
 	v.Metrics.Gauge("entry_vms", v.count.Load)
+	v.Metrics.Gauge("coordinated_targets", v.placer.Coordinated)
+	v.Metrics.Gauge("reserved_places", v.coordinator.Reserved)
 }
 
 // Reload takes over the settings that may change while the VM runs.
@@ -221,7 +226,7 @@
 }
 
 func (v *VM) listen(readiness, directory http.Handler) error {
-	if err := v.serve(v.Config.PeerAddress, http.HandlerFunc(v.front.ServeHop)); err != nil {
+	if err := v.serve(v.Config.PeerAddress, v.peerHandler()); err != nil {
 		return err
 	}
 	if err := v.serve(v.Config.ReadinessAddress, readiness); err != nil {
@@ -244,6 +249,20 @@
 	return nil
 }
 
+// peerHandler serves the other entry VMs: requests that they hand over, and
+// their own calls.
+func (v *VM) peerHandler() http.Handler {
+	calls := v.coordinator.Handler(v.client.Peers.Credentials)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The path of a request that was handed over is the caller's.
+		if front.FromEntryVM(r) {
+			v.front.ServeHop(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
 func (v *VM) serve(address string, handler http.Handler) error {
 	server, err := listener.Listen(address, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaders, IdleTimeout: idleCallers, MaxHeaderBytes: maxHeader,
@@ -296,6 +315,7 @@
 		case <-v.tomb.Dying():
 			return nil
 		case now := <-ticker.C:
+			v.coordinator.Expire(now)
 			v.front.Targets.Prune(now, v.placer.Knows)
 			v.front.Peers.Prune(now, func(string) bool { return true })
 		}
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"kingcuprill/core/eventstream"
-	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 	"kingcuprill/io/upstream"
 )
@@ -23,7 +22,7 @@
 
 // deliver passes an answer on to the caller. visit and patience are nil for the
 // answer of another entry VM.
-func (x *exchange) deliver(response *upstream.Response, visit *place.Visit, patience *time.Timer) outcome {
+func (x *exchange) deliver(response *upstream.Response, visit stay, patience *time.Timer) outcome {
 	streamed := x.route.Kind == plan.Stream && response.StatusCode == http.StatusOK &&
 		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 	if streamed {
@@ -33,7 +32,7 @@
 }
 
 // deliverWhole reads an answer to its end before the caller sees any of it.
-func (x *exchange) deliverWhole(response *upstream.Response, visit *place.Visit) outcome {
+func (x *exchange) deliverWhole(response *upstream.Response, visit stay) outcome {
 	body, err := response.ReadAll(maxAnswer)
 	response.Finish(err == nil)
 	if visit != nil {
@@ -78,7 +77,7 @@
 }
 
 // deliverStream passes whole events on as they come.
-func (x *exchange) deliverStream(response *upstream.Response, visit *place.Visit, patience *time.Timer) outcome {
+func (x *exchange) deliverStream(response *upstream.Response, visit stay, patience *time.Timer) outcome {
 	last, begun := x.last, x.hasLast
 	if !begun {
 		last, begun = x.resumePoint()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -18,6 +18,8 @@
 	extraTries = 2
 )
 
+var errNoCoordinator = errors.New("the coordinator of the target can't be asked")
+
 var errSlow = errors.New("the target has not answered in time")
 
 // exchange is one request of a caller on its way.
@@ -78,7 +80,7 @@
 		if x.tries > 0 && !x.mayTryAgain(ctx, result) {
 			break
 		}
-		visit, predicted, reason := x.place()
+		visit, predicted, reason := x.place(ctx)
 		x.predicted = predicted
 		if visit == nil {
 			if x.away(ctx, &result) {
@@ -154,15 +156,6 @@
 	}
 }
 
-// place chooses a target in this region. predicted is how long the best one
-// would take, where none is chosen.
-func (x *exchange) place() (visit *place.Visit, predicted time.Duration, reason place.Reason) {
-	if !x.atHome(x.server.Region) {
-		return nil, 0, "not_at_home"
-	}
-	return x.server.Placer.Pick(x.placement(time.Now()))
-}
-
 // request returns the request as it goes to a target or an entry VM.
 func (x *exchange) request(header http.Header) upstream.Request {
 	return upstream.Request{
@@ -205,19 +198,20 @@
 }
 
 // try sends the request to one target.
-func (x *exchange) try(ctx context.Context, visit *place.Visit) outcome {
-	s, t := x.server, visit.Target
+func (x *exchange) try(ctx context.Context, visit stay) outcome {
+	s := x.server
+	target, address := visit.Where()
 	x.tries++
-	x.target = t.ID
-	x.excluded = append(x.excluded, t.ID)
-	ok := false
-	defer func() { visit.Done(ok, time.Now()) }()
+	x.target = target
+	x.excluded = append(x.excluded, target)
+	told := place.Unclear
+	defer func() { visit.Done(told, time.Now()) }()
 	// The lease is checked again: waiting for room takes time.
 	if x.keyed && !s.Lease.Valid() {
 		return notRun
 	}
 	header := x.outgoing()
-	header[s.Headers.Target] = []string{t.ID}
+	header[s.Headers.Target] = []string{target}
 	if x.keyed {
 		header[s.Headers.Organisation] = []string{x.organisation.Name}
 	}
@@ -230,20 +224,17 @@
 		}
 	})
 	defer patience.Stop()
-	response, err := s.Targets.Do(bounded, t.ID, t.Address, x.request(header))
+	response, err := s.Targets.Do(bounded, target, address, x.request(header))
 	if err != nil {
 		if x.caller.Context().Err() == nil {
-			t.Circuit.Failed()
-		} else {
-			t.Circuit.Released()
+			told = place.Bad
 		}
 		return x.failed(err)
 	}
 	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		t.Circuit.Released()
-		s.Log.Info("target has not run the request", "request", x.id, "target", t.ID, "status", response.StatusCode)
+		s.Log.Info("target has not run the request", "request", x.id, "target", target, "status", response.StatusCode)
 		return notRun
 	}
 	x.runs++
@@ -253,19 +244,15 @@
 		if err == nil {
 			x.failure = &failedAnswer{response: response, body: body}
 		}
-		t.Circuit.Released()
-		s.Log.Warn("target has failed the request", "request", x.id, "target", t.ID, "status", response.StatusCode)
+		s.Log.Warn("target has failed the request", "request", x.id, "target", target, "status", response.StatusCode)
 		return mayHaveRun
 	}
 	result := x.deliver(response, visit, patience)
-	ok = result == delivered && response.StatusCode < http.StatusInternalServerError
 	switch {
 	case result == delivered:
-		t.Circuit.Succeeded()
-	case x.caller.Context().Err() != nil:
-		t.Circuit.Released()
-	default:
-		t.Circuit.Failed()
+		told = place.Good
+	case x.caller.Context().Err() == nil:
+		told = place.Bad
 	}
 	return result
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -20,6 +20,7 @@
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quota"
 	"kingcuprill/core/retry"
+	"kingcuprill/io/coordinator"
 	"kingcuprill/io/draw"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/upstream"
@@ -40,11 +41,14 @@
 	State   *blackboard.Section[State]
 	Lease   *lease.Lease
 	Placer  *place.Placer
-	Quota   *quota.Book
-	Drawer  *draw.Client
-	Targets *upstream.Client
-	Peers   *upstream.Client
-	Entries *atomic.Pointer[[]entry.VM]
+	// Coordinators give places at targets whose load this VM doesn't know, nil
+	// where this VM is alone.
+	Coordinators *coordinator.Client
+	Quota        *quota.Book
+	Drawer       *draw.Client
+	Targets      *upstream.Client
+	Peers        *upstream.Client
+	Entries      *atomic.Pointer[[]entry.VM]
 	// RetryAllowance is the number of retries that this VM may have in hand for
 	// one service; RetryRatio is earned with each request.
 	RetryAllowance func() float64
@@ -103,6 +107,12 @@
 	s.serve(w, r, "")
 }
 
+// FromEntryVM tells whether a request is one that another entry VM has handed
+// over, and not a call of its own.
+func FromEntryVM(r *http.Request) bool {
+	return r.Header.Get(hopFrom) != ""
+}
+
 // ServeHop answers another entry VM, which has let the request in.
 func (s *Server) ServeHop(w http.ResponseWriter, r *http.Request) {
 	s.serve(w, r, r.Header.Get(hopFrom))
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kingcuprill/io/settings"
+	"kingcuprill/rpc/entry"
 	"kingcuprill/rpc/vm"
 )
 
@@ -25,6 +26,7 @@
 	Bytes       *Traffic
 	http        *http.Client
 	clients     sync.Map // address to vm.VM
+	entries     sync.Map // address to entry.Entry
 }
 
 // Traffic counts bytes between this VM and others, both ways.
@@ -101,6 +103,16 @@
 	return actual.(vm.VM)
 }
 
+// Entry returns the client for an entry VM's peer address.
+func (p *Peers) Entry(address string) entry.Entry {
+	if client, found := p.entries.Load(address); found {
+		return client.(entry.Entry)
+	}
+	client := entry.NewEntryProtobufClient("http://"+address, p.http)
+	actual, _ := p.entries.LoadOrStore(address, client)
+	return actual.(entry.Entry)
+}
+
 // Bounded returns a context that ends after the time for one call.
 func (p *Peers) Bounded(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, p.Timeouts.Peer)
