--- /dev/null
+++ b/core/place/coordinate_test.go
@@ -0,0 +1,157 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kingcuprill/core/instance"
+)
+
+// Load pattern: 27 VMs before 70 targets of 12 slots, as much load as nine
+// tenths of the slots bear. No target is overrun and hardly anybody is refused;
+// VMs that choose by themselves overrun some targets.
+func TestCoordinatedTargetsAreNotOverrun(t *testing.T) {
+	const vms, targets, slots = 27, 70, 12
+	coordinated := overruns(t, vms, targets, slots, true)
+	alone := overruns(t, vms, targets, slots, false)
+	t.Logf("above their slots: coordinated %d, alone %d; refused: coordinated %d, alone %d of %d",
+		coordinated.overrun, alone.overrun, coordinated.refused, alone.refused, coordinated.asked)
+	if coordinated.overrun > 0 {
+		t.Errorf("%d requests came to a target above its bound", coordinated.overrun)
+	}
+	if coordinated.refused*50 > coordinated.asked {
+		t.Errorf("%d of %d requests refused, though targets have room", coordinated.refused, coordinated.asked)
+	}
+	if alone.overrun == 0 {
+		t.Error("the load pattern overruns no target: the test proves nothing")
+	}
+}
+
+type overrunCount struct{ asked, refused, overrun int }
+
+func overruns(t *testing.T, vms, targets, slots int, coordinated bool) (count overrunCount) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(3, 5))
+	all := placers(vms, targets, func(r *instance.Registration) { r.Slots = slots })
+	byID := map[string]*Placer{}
+	for _, p := range all {
+		byID[p.Self] = p
+	}
+	running := map[string]int{}
+	type run struct {
+		visit *Visit
+		end   time.Time
+	}
+	var runs []run
+	const perSecond, seconds, parts = 360, 8, 400 // runs of 2 s: 720 of 840 slots
+	for i := range perSecond * seconds {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		left := runs[:0]
+		for _, r := range runs {
+			if r.end.After(now) {
+				left = append(left, r)
+				continue
+			}
+			r.visit.Done(Good, r.end)
+			running[r.visit.Target.ID]--
+		}
+		runs = left
+		r := Request{
+			Service: "llm", Sticky: true, Now: now, Deadline: now.Add(time.Minute),
+			Demand: Demand{Prompt: 500, Output: 100, Parts: []Part{{fmt.Sprintf("p%d", random.IntN(parts)), 400}, {fmt.Sprintf("own%d", i), 100}}},
+		}
+		entry := all[random.IntN(vms)]
+		count.asked++
+		visit := choose(entry, byID, r, coordinated)
+		if visit == nil {
+			count.refused++
+			continue
+		}
+		visit.Answered(now.Add(80 * time.Millisecond))
+		running[visit.Target.ID]++
+		if running[visit.Target.ID] > int(coordinatedSlack*float64(slots)) {
+			count.overrun++
+		}
+		runs = append(runs, run{visit: visit, end: now.Add(time.Second + time.Duration(random.IntN(2000))*time.Millisecond)})
+	}
+	return count
+}
+
+// choose asks the coordinators of a request's candidates, or lets the VM choose
+// by itself.
+func choose(entry *Placer, byID map[string]*Placer, r Request, coordinated bool) *Visit {
+	if !coordinated {
+		visit, _, _ := entry.Pick(r)
+		return visit
+	}
+	r.Coordinated = true
+	for _, c := range entry.Candidates(r, 3) {
+		r.Preferred = c.Target
+		if visit, _, _ := byID[c.VM].Pick(r); visit != nil {
+			return visit
+		}
+	}
+	return nil
+}
+
+// All VMs of a region agree on a target's coordinator, and another VM takes
+// over when it goes.
+func TestVMsAgreeOnCoordinators(t *testing.T) {
+	all := placers(5, 40, nil)
+	coordinators := func(ps []*Placer) map[string]bool {
+		seen := map[string]bool{}
+		for id := range ps[0].targets {
+			for _, p := range ps[1:] {
+				if p.targets[id].coordinator != ps[0].targets[id].coordinator {
+					t.Fatalf("target %s: VMs don't agree", id)
+				}
+			}
+			seen[ps[0].targets[id].coordinator] = true
+		}
+		return seen
+	}
+	if seen := coordinators(all); len(seen) != 5 {
+		t.Errorf("%d of 5 VMs coordinate targets", len(seen))
+	}
+	ready := []string{"vm3", "vm0", "vm1", "vm2"} // in any order
+	for _, p := range all[:4] {
+		p.SetVMs(ready, ready)
+	}
+	if seen := coordinators(all[:4]); seen["vm4"] || len(seen) != 4 {
+		t.Errorf("coordinators after vm4 has gone: %v", seen)
+	}
+}
+
+// Candidates of a request have different coordinators, and are the same at all
+// VMs.
+func TestCandidatesDiffer(t *testing.T) {
+	all := placers(4, 40, nil)
+	r := Request{Service: "llm", Sticky: true, Now: start, Demand: Demand{Prompt: 10, Parts: []Part{{"a", 5}, {"b", 5}}}}
+	first := all[0].Candidates(r, 3)
+	if len(first) != 3 {
+		t.Fatalf("%d candidates, want 3", len(first))
+	}
+	seen := map[string]bool{}
+	for i, c := range first {
+		if seen[c.VM] {
+			t.Errorf("VM %s is asked twice", c.VM)
+		}
+		seen[c.VM] = true
+		if other := all[3].Candidates(r, 3)[i]; other != c {
+			t.Errorf("candidate %d is %v here and %v there", i, c, other)
+		}
+	}
+}
+
+// An answer that another VM sends on is taken to go on at the target's pace.
+func TestProgressOfReportedAnswers(t *testing.T) {
+	p := placers(1, 1, nil)[0]
+	visit, _, _ := p.Pick(Request{Service: "llm", EventTokens: 1, Now: start, Deadline: start.Add(time.Minute), Demand: Demand{Expected: 100}})
+	visit.Begun(start.Add(time.Second), start.Add(time.Second))
+	visit.Paced(200, 50*time.Millisecond)
+	if got := visit.progress(start.Add(2 * time.Second)); got < 18 || got > 22 {
+		t.Errorf("%d events after a second at 50ms each, want about 20", got)
+	}
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -16,6 +16,9 @@
 	// silentUseFor is how long a target without heartbeats still gets requests
 	// after its last sign of life.
 	silentUseFor = 10 * time.Second
+	// goneFor is how long a target gets nothing after another one has answered at
+	// its address. Its last heartbeats may still be on their way.
+	goneFor = 10 * time.Second
 	// silentPenalty is added for a target whose heartbeats are missing.
 	silentPenalty = 2 * time.Second
 	// strangerPenalty keeps a request at its rendezvous target as long as the
@@ -336,6 +339,15 @@
 	return v
 }
 
+// Gone tells that another target answers at the address of one.
+func (p *Placer) Gone(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t, found := p.targets[id]; found {
+		t.goneUntil = now.Add(goneFor)
+	}
+}
+
 // Knows tells whether a target is still known.
 func (p *Placer) Knows(id string) bool {
 	p.mu.Lock()
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -238,3 +238,29 @@
 		t.Error("a target of an evacuated data centre gets requests")
 	}
 }
+
+// A target at whose address another one answers gets nothing more, whatever its
+// late heartbeats say.
+func TestDisplacedTargetGetsNothing(t *testing.T) {
+	for name, displace := range map[string]func(p *Placer, v *Visit){
+		"told by this VM": func(p *Placer, v *Visit) {
+			v.Done(Unclear, start)
+			p.Gone(v.Target.ID, start)
+		},
+		"told at the end of a stay": func(_ *Placer, v *Visit) { v.Done(Gone, start) },
+	} {
+		p := placers(1, 2, nil)[0]
+		first, _, _ := p.Pick(Request{Service: "llm", Now: start})
+		displace(p, first)
+		for i := range 20 {
+			visit, _, reason := p.Pick(Request{Service: "llm", Now: start.Add(time.Duration(i) * 100 * time.Millisecond)})
+			if visit == nil {
+				t.Fatalf("%s: no target: %s", name, reason)
+			}
+			if visit.Target.ID == first.Target.ID {
+				t.Fatalf("%s: request %d goes to the displaced target", name, i)
+			}
+			visit.Done(Good, start)
+		}
+	}
+}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -53,6 +53,8 @@
 	cached      int // tokens of parts
 	nextCold    time.Time
 	lastOK      time.Time
+	// goneUntil is set while another target answers at the address.
+	goneUntil time.Time
 }
 
 type part struct {
@@ -62,6 +64,9 @@
 
 // usable tells whether the target may get a new request at all.
 func (t *Target) usable(now time.Time) bool {
+	if now.Before(t.goneUntil) {
+		return false
+	}
 	switch t.State {
 	case instance.Ready:
 	case instance.Silent:
--- a/core/place/visit.go
+++ b/core/place/visit.go
@@ -93,6 +93,7 @@
 	Unclear Result = iota // nothing
 	Good                  // it did its work
 	Bad                   // it failed
+	Gone                  // another one is at its address
 )
 
 // Done ends the stay.
@@ -112,8 +113,11 @@
 	delete(t.streams, v)
 	t.inFlight--
 	t.memory -= v.demand.Prompt + v.demand.Output
-	if result == Good {
+	switch result {
+	case Good:
 		t.lastOK = now
+	case Gone:
+		t.goneUntil = now.Add(goneFor)
 	}
 }
 
--- /dev/null
+++ b/io/coordinator/coordinator_test.go
@@ -0,0 +1,119 @@
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"kingcuprill/core/instance"
+	"kingcuprill/core/place"
+	"kingcuprill/io/peer"
+)
+
+const patience = 5 * time.Second
+
+// pair returns a coordinator of one target with some slots, and a client of it.
+func pair(t *testing.T, slots int) (server *Server, client *Client, address string) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	placer := place.NewPlacer("there", "region")
+	placer.SetTargets(map[string]instance.Registration{
+		"t": {ID: "t", Service: "s", Address: "a:1", State: instance.Ready, Slots: slots, Heard: time.Now()},
+	}, func(string) string { return "region" })
+	server = NewServer(placer, func() map[string]bool { return nil }, log)
+	peers := peer.NewUnsigned("here")
+	web := httptest.NewServer(server.Handler(peers.Credentials))
+	t.Cleanup(web.Close)
+	return server, NewClient(peers, log), web.Listener.Addr().String()
+}
+
+func request() place.Request {
+	now := time.Now()
+	return place.Request{Service: "s", Preferred: "t", Memory: 1000, EventTokens: 1, Now: now, Deadline: now.Add(time.Minute)}
+}
+
+func mustReserve(t *testing.T, client *Client, address string) *Stay {
+	t.Helper()
+	stay, _, reason, err := client.Reserve(context.Background(), address, request())
+	if err != nil || stay == nil {
+		t.Fatalf("no place: %s, %v", reason, err)
+	}
+	return stay
+}
+
+func waitFor(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !met(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+// A place is given out until the slots are used, and again after a stay has
+// ended.
+func TestPlacesAreGivenOutOnce(t *testing.T) {
+	const slots = 2
+	server, client, address := pair(t, slots)
+	var stays []*Stay
+	for range slots {
+		stays = append(stays, mustReserve(t, client, address))
+	}
+	if id, at := stays[0].Where(); id != "t" || at != "a:1" {
+		t.Errorf("the place is at %s, %s", id, at)
+	}
+	stay, _, reason, err := client.Reserve(context.Background(), address, request())
+	if stay != nil || reason != place.Full || err != nil {
+		t.Fatalf("above the slots: %v, %s, %v", stay, reason, err)
+	}
+	stays[0].Answered(time.Now())
+	stays[0].Done(place.Good, time.Now())
+	waitFor(t, "the end is reported", func() bool { return server.Reserved() == slots-1 })
+	mustReserve(t, client, address)
+}
+
+// A reservation whose VM is gone ends with its request's deadline.
+func TestReservationRunsOut(t *testing.T) {
+	server, client, address := pair(t, 1)
+	mustReserve(t, client, address)
+	server.Expire(time.Now())
+	if server.Reserved() != 1 {
+		t.Fatal("a reservation has ended before its deadline")
+	}
+	server.Expire(time.Now().Add(time.Minute + endMargin + time.Second))
+	if server.Reserved() != 0 {
+		t.Fatal("a reservation is kept after its deadline")
+	}
+	mustReserve(t, client, address)
+}
+
+// A report of a reservation that isn't known, as after a restart, changes
+// nothing.
+func TestReportOfUnknownReservation(t *testing.T) {
+	_, client, address := pair(t, 1)
+	stray := &Stay{client: client, coordinator: address, reservation: 99}
+	held := mustReserve(t, client, address)
+	stray.Done(place.Good, time.Now())
+	held.Done(place.Good, time.Now())
+	waitFor(t, "the place is free again", func() bool {
+		stay, _, _, err := client.Reserve(context.Background(), address, request())
+		return err == nil && stay != nil
+	})
+}
+
+// A coordinator that doesn't answer isn't asked again for a while.
+func TestSilentCoordinatorRests(t *testing.T) {
+	client := NewClient(peer.NewUnsigned("here"), slog.New(slog.DiscardHandler))
+	const nobody = "127.0.0.1:1"
+	if !client.Answers(nobody) {
+		t.Fatal("a VM that was never asked counts as silent")
+	}
+	if _, _, _, err := client.Reserve(context.Background(), nobody, request()); err == nil {
+		t.Fatal("a place came from nobody")
+	}
+	if client.Answers(nobody) {
+		t.Error("a VM that has not answered is asked again at once")
+	}
+}
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// Given returns the number of places that were ever given to other VMs.
+func (s *Server) Given() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.last)
+}
+
 // Reserved returns the number of places that requests of other VMs hold.
 func (s *Server) Reserved() int64 {
 	s.mu.Lock()
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -218,6 +218,7 @@
 	v.Metrics.Gauge("entry_vms", v.count.Load)
 	v.Metrics.Gauge("coordinated_targets", v.placer.Coordinated)
 	v.Metrics.Gauge("reserved_places", v.coordinator.Reserved)
+	v.Metrics.Gauge("given_places", v.coordinator.Given)
 }
 
 // Reload takes over the settings that may change while the VM runs.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -234,6 +234,10 @@
 	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
+		if response.StatusCode == http.StatusMisdirectedRequest {
+			told = place.Gone
+			s.Placer.Gone(target, time.Now())
+		}
 		s.Log.Info("target has not run the request", "request", x.id, "target", target, "status", response.StatusCode)
 		return notRun
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -23,8 +23,10 @@
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quota"
+	"kingcuprill/io/coordinator"
 	"kingcuprill/io/draw"
 	"kingcuprill/io/metrics"
+	"kingcuprill/io/peer"
 	"kingcuprill/io/upstream"
 )
 
@@ -431,3 +433,52 @@
 		t.Errorf("status %d where the other region has no room", code)
 	}
 }
+
+// coordinated makes a world's service one of an engine, whose targets another
+// VM coordinates.
+func (w *world) coordinated(t *testing.T, vm, address string) {
+	t.Helper()
+	state := *w.server.State.Read()
+	p := state.Plan.Plan
+	p.Services = []plan.Service{{Name: "s", MemoryTokens: 1000}}
+	w.server.State.Update(func(*State) *State { return &State{Plan: plan.NewIndex(p)} })
+	w.server.Coordinators = coordinator.NewClient(peer.NewUnsigned("vm"), w.server.Log)
+	w.server.Entries.Store(&[]entry.VM{{ID: vm, Region: "region", PeerAddress: address, Ready: true}})
+	w.server.Placer.SetVMs([]string{vm}, []string{vm})
+}
+
+// Requests run at the places that the other VM of the region gives out. Where
+// it doesn't answer, this VM chooses by itself.
+func TestCoordinatorGivesPlaces(t *testing.T) {
+	const count = 16
+	var targets []*target
+	for range count {
+		targets = append(targets, startTarget(t, status(200, "", "fine")))
+	}
+	here := newWorld(t, plan.Route{Kind: plan.Idempotent, Attempts: 1}, targets...)
+	there := newWorld(t, plan.Route{Kind: plan.Idempotent, Attempts: 1}, targets...)
+	places := coordinator.NewServer(there.server.Placer, func() map[string]bool { return nil }, here.server.Log)
+	web := httptest.NewServer(places.Handler(peer.NewUnsigned("there").Credentials))
+	t.Cleanup(web.Close)
+	here.coordinated(t, "there", web.Listener.Addr().String())
+	own := here.server.Placer.Coordinated()
+	if own == 0 || own == count {
+		t.Fatalf("this VM coordinates %d of %d targets: the test proves nothing", own, count)
+	}
+	const requests = 3 * count
+	for i := range requests {
+		if code, body, _ := here.ask(t, "k"); code != 200 || body != "fine" {
+			t.Fatalf("request %d: status %d, body %q", i, code, body)
+		}
+	}
+	asked := places.Given()
+	if asked == 0 || asked == requests {
+		t.Errorf("%d of %d places came from the other VM", asked, requests)
+	}
+	web.Close()
+	for i := range requests {
+		if code, _, _ := here.ask(t, "k"); code != 200 {
+			t.Fatalf("request %d without a coordinator: status %d", i, code)
+		}
+	}
+}
--- a/io/front/timing.go
+++ b/io/front/timing.go
@@ -11,7 +11,7 @@
 	boundShare = 0.95
 	// comfortShare is the part of its objective within which a request stays at
 	// the target that has read the shared parts of its prompt.
-	comfortShare = 0.2
+	comfortShare = 0.45
 	// returnedShare is the part of its objective that a caller has waited before
 	// this VM at least, when it comes back after a refusal.
 	returnedShare = 4
