--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -84,7 +84,7 @@
 	v.Board = board.New(membership.Member{
 		ID: id, Region: c.Region, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Incarnation: 1, Control: true,
 	}, c.Heartbeat)
-	v.peers = peer.NewUnsigned(c.ID)
+	v.peers = peer.NewUnsigned(c.ID, c.DialThrough...)
 	v.meet(c.Seeds)
 	v.replica, err = replica.New(replica.Options{
 		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tick,
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -97,7 +97,7 @@
 		started: time.Now(), lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewBook(), seen: map[string]time.Time{},
 	}
 	v.entries.Store(&[]entry.VM{})
-	peers := peer.NewUnsigned(c.ID)
+	peers := peer.NewUnsigned(c.ID, c.DialThrough...)
 	v.client = &follow.Client{
 		Peers: peers, Lease: v.lease, Log: o.Log, Self: v.self, Catalogue: v.takeCatalogue, Targets: v.takeTargets, Entries: v.takeEntries,
 	}
@@ -105,13 +105,21 @@
 	v.front = &front.Server{
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
-		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: &v.entries,
+		Targets: upstream.NewClient(nil), Peers: throughPeers(peers), Entries: &v.entries,
 		RetryAllowance: v.retryAllowance, RetryRatio: c.RetryRatio * budgetShare, Metrics: v.Metrics, Log: o.Log,
 	}
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
 	return v
 }
 
+// throughPeers returns the client for requests that are handed to other entry
+// VMs, on the same way as the calls between VMs.
+func throughPeers(peers *peer.Peers) *upstream.Client {
+	client := upstream.NewClient(nil)
+	client.Through = peers.VM.Dial
+	return client
+}
+
 func (v *VM) retryAllowance() float64 {
 	return v.Config.RetrySlack * budgetShare / float64(max(1, v.count.Load()))
 }
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -60,9 +60,9 @@
 )
 
 // NewUnsigned returns the client side for VMs that share no secret.
-func NewUnsigned(id string) *Peers {
+func NewUnsigned(id string, through ...settings.DialThrough) *Peers {
 	return NewPeers(settings.Settings{
-		VM:       settings.VM{ID: id},
+		VM:       settings.VM{ID: id, DialThrough: through},
 		Timeouts: settings.Timeouts{Dial: usualDial, Peer: usualCall},
 	})
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -59,6 +59,8 @@
 // Client keeps connections to peers.
 type Client struct {
 	Dialed func() // counts new connections
+	// Through returns the address to dial for an address, nil to dial it itself.
+	Through func(address string) string
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by peer, the newest last
@@ -133,6 +135,9 @@
 		}
 		kept.end()
 	}
+	if c.Through != nil {
+		address = c.Through(address)
+	}
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -13,6 +13,7 @@
 
 	"kingcuprill/core/fault"
 	"kingcuprill/core/units"
+	"kingcuprill/io/settings"
 )
 
 // Config is the checked content of a settings file.
@@ -21,6 +22,8 @@
 	Region      string
 	DataCentre  string
 	PeerAddress string // where other VMs reach this one
+	// DialThrough are forwardings on the way to other VMs.
+	DialThrough []settings.DialThrough
 
 	CallerAddress    string
 	ReadinessAddress string
@@ -49,6 +52,10 @@
 		Region      string `json:"region"`
 		DataCentre  string `json:"data_centre"`
 		PeerAddress string `json:"peer_address"`
+		DialThrough []struct {
+			Address string `json:"address"`
+			Through string `json:"through"`
+		} `json:"dial_through"`
 	} `json:"vm"`
 	Listen struct {
 		Callers   string `json:"callers"`
@@ -138,6 +145,14 @@
 		}
 		c.Seeds = append(c.Seeds, net.JoinHostPort(host, strconv.Itoa(f.Control.PeerPort)))
 	}
+	for i, d := range f.VM.DialThrough {
+		for name, value := range map[string]string{"address": d.Address, "through": d.Through} {
+			if _, _, err := net.SplitHostPort(value); err != nil {
+				refuse("vm.dial_through.%d.%s: %q is not host:port", i, name, value)
+			}
+		}
+		c.DialThrough = append(c.DialThrough, settings.DialThrough{Address: d.Address, Through: d.Through})
+	}
 	if len(f.Control.Seeds) == 0 {
 		refuse("control.seeds: at least one is needed")
 	}
--- a/io/vmconfig/vmconfig_test.go
+++ b/io/vmconfig/vmconfig_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-const valid = `{"vm":{"id":"a","region":"r","data_centre":"d","peer_address":"10.0.0.1:7600"},
+const valid = `{"vm":{"id":"a","region":"r","data_centre":"d","peer_address":"10.0.0.1:7600","dial_through":[{"address":"10.0.0.2:7600","through":"10.0.0.9:1"}]},
 "control":{"seeds":["10.0.0.1:80"],"peer_port":7600,"failures":1,"heartbeat_ms":1200},
 "limits":{"memory_mb":284,"revoke_ms":5000,"grace_s":8,"retry_ratio":0.2,"retry_slack":52,"directory_ttl_s":5},"unknown":1}`
 
@@ -15,19 +15,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Replicas != 3 || c.Heartbeat != 1200*time.Millisecond || c.Seeds[0] != "10.0.0.1:7600" || c.Memory != 284<<20 {
+	if c.Replicas != 3 || c.Heartbeat != 1200*time.Millisecond || c.Seeds[0] != "10.0.0.1:7600" || c.Memory != 284<<20 || c.DialThrough[0].Through != "10.0.0.9:1" {
 		t.Errorf("settings are %+v", c)
 	}
 }
 
 func TestFaults(t *testing.T) {
 	tests := map[string][2]string{
-		`vm.id`:                    {`"id":"a"`, `"id":""`},
-		`control.seeds.0: "here"`:  {`10.0.0.1:80`, `here`},
-		`control.heartbeat_ms: -1`: {`1200`, `-1`},
-		`limits.memory_mb: 0`:      {`284`, `0`},
-		`control.failures: -2`:     {`"failures":1`, `"failures":-2`},
-		`not valid JSON`:           {`{"vm"`, `{vm`},
+		`vm.id`:                          {`"id":"a"`, `"id":""`},
+		`control.seeds.0: "here"`:        {`10.0.0.1:80`, `here`},
+		`control.heartbeat_ms: -1`:       {`1200`, `-1`},
+		`limits.memory_mb: 0`:            {`284`, `0`},
+		`control.failures: -2`:           {`"failures":1`, `"failures":-2`},
+		`vm.dial_through.0.through: "9"`: {`10.0.0.9:1`, `9`},
+		`not valid JSON`:                 {`{"vm"`, `{vm`},
 	}
 	for want, change := range tests {
 		_, err := Parse([]byte(strings.Replace(valid, change[0], change[1], 1)))
