Coordinate targets with few slots; admit returning callers like newcomers

Load pattern: twice what the targets read, for seconds. A caller that came back was let in up to two objectives of backlog: late anyway, and it made newcomers late. Now it waits no longer than a newcomer would.

--- a/core/place/coordinate.go
+++ b/core/place/coordinate.go
@@ -48,6 +48,26 @@
 	return found
 }
 
+// sharedSlots is the number of slots for each VM below which VMs that choose by
+// themselves fill a target unevenly.
+const sharedSlots = 2
+
+// Shared tells whether the load of a service's targets is to be coordinated: an
+// engine's memory is filled by all VMs, and so are targets with few slots.
+func (p *Placer) Shared(r Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.Memory > 0 {
+		return true
+	}
+	for _, t := range p.byName[r.Service] {
+		if t.slots() < sharedSlots*len(p.vms) {
+			return true
+		}
+	}
+	return false
+}
+
 // assign finds the coordinator of a target: the ready VM of the region that
 // rendezvous hashing gives it to.
 func (p *Placer) assign(t *Target) {
--- a/core/place/coordinate_test.go
+++ b/core/place/coordinate_test.go
@@ -59,7 +59,7 @@
 		}
 		runs = left
 		r := Request{
-			Service: "llm", Sticky: true, Now: now, Deadline: now.Add(time.Minute),
+			Service: "llm", Sticky: true, Now: now, Deadline: now.Add(time.Minute), Memory: 1_000_000,
 			Demand: Demand{Prompt: 500, Output: 100, Parts: []Part{{fmt.Sprintf("p%d", random.IntN(parts)), 400}, {fmt.Sprintf("own%d", i), 100}}},
 		}
 		entry := all[random.IntN(vms)]
@@ -155,3 +155,24 @@
 		t.Errorf("%d events after a second at 50ms each, want about 20", got)
 	}
 }
+
+// Targets of an engine are coordinated, and those whose slots are few for the
+// VMs of the region.
+func TestWhatIsCoordinated(t *testing.T) {
+	tests := []struct {
+		name       string
+		vms, slots int
+		memory     int
+		want       bool
+	}{
+		{"engine", 2, 64, 600_000, true},
+		{"plain, many slots", 2, 6, 0, false},
+		{"plain, few slots", 27, 6, 0, true},
+	}
+	for _, test := range tests {
+		p := placers(test.vms, 2, func(r *instance.Registration) { r.Slots = test.slots })[0]
+		if got := p.Shared(Request{Service: "llm", Memory: test.memory, Now: start}); got != test.want {
+			t.Errorf("%s: coordinated: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -31,6 +31,9 @@
 	// gives out. Those above one wait at the target, which goes on without a
 	// pause when a slot falls free.
 	coordinatedSlack = 1.1
+	// plainSlack is the same for services without an engine, whose short calls
+	// soon make room for those that wait.
+	plainSlack = 2
 	// coldSenders is the number of VMs of a region that may send to a cold
 	// target, so that the sum over all VMs keeps to what it bears.
 	coldSenders = 3
@@ -239,14 +242,13 @@
 // target that this VM coordinates.
 func (p *Placer) hasRoom(t *Target, r Request) bool {
 	vms, slack := len(p.vms), slotsSlack
-	if r.Coordinated {
+	switch {
+	case r.Coordinated && r.Memory > 0:
 		vms, slack = 1, coordinatedSlack
+	case r.Coordinated:
+		vms, slack = 1, plainSlack
 	}
-	slots := t.Slots
-	if slots == 0 {
-		slots = defaultSlots
-	}
-	if t.inFlight >= max(1, int(slack*float64(slots))/vms) {
+	if t.inFlight >= max(1, int(slack*float64(t.slots()))/vms) {
 		return false
 	}
 	need := r.Demand.Prompt + r.Demand.Output
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -80,6 +80,14 @@
 	return t.LeaveBy.IsZero() || now.Before(t.LeaveBy)
 }
 
+// slots returns how many requests the target runs at once.
+func (t *Target) slots() int {
+	if t.Slots == 0 {
+		return defaultSlots
+	}
+	return t.Slots
+}
+
 // uncached returns the prompt tokens of a request that the target has not read
 // as far as this VM knows.
 func (t *Target) uncached(d Demand) int {
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -31,7 +31,7 @@
 		return nil, 0, "not_at_home"
 	}
 	r := x.placement(time.Now())
-	if r.Memory == 0 || x.server.Coordinators == nil {
+	if x.server.Coordinators == nil || !x.server.Placer.Shared(r) {
 		return x.pick(r)
 	}
 	return x.coordinate(ctx, r)
--- a/io/front/timing.go
+++ b/io/front/timing.go
@@ -17,7 +17,7 @@
 	returnedShare = 4
 	// returnedBound is the number of objectives within which the answer to one
 	// that comes back must be predicted to begin.
-	returnedBound = 2
+	returnedBound = 1
 	// afterDeadline keeps the patience with a target from ending just before the
 	// request's own deadline.
 	afterDeadline = time.Second
