Draw limits ahead in each region

Cause: on the grown site a pair of an entry VM and an organisation sends once a second, so that drawing ahead holds less than one request, and nearly each request waited for the leader's region (110 ms).

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -215,8 +215,6 @@
 
 // note keeps the average of what is asked.
 func (a *account) note(cost float64, now time.Time) {
-	passed := now.Sub(a.asked)
+	a.demand = averaged(a.demand, cost, now.Sub(a.asked))
 	a.asked = now
-	kept := max(0, 1-passed.Seconds()/demandTime.Seconds())
-	a.demand = a.demand*kept + cost/demandTime.Seconds()
 }
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -98,7 +98,7 @@
 	v.Proposer = &propose.Proposer{Board: v.Board, Peers: v.peers, Replica: v.replica}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.Follow = follow.NewServer(v.Board, epoch, v.registry.Table, v.Proposer.Confirm, v.controls, log)
-	v.drawer = draw.NewServer(v.replica, v.Proposer, v.peers, v.Follow.Confirmed)
+	v.drawer = draw.NewServer(v.replica, v.Proposer, v.peers, v.Follow.Confirmed, log)
 	return v, nil
 }
 
--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -34,18 +34,21 @@
 	peers     *peer.Peers
 	confirmed func() time.Duration // age of the last confirmation
 	pool      *quota.Pool
+	relay     *quota.Relay // used while another VM leads
+	log       *slog.Logger
 }
 
 // NewServer returns a server with an empty pool.
-func NewServer(r *replica.Replica, p *propose.Proposer, peers *peer.Peers, confirmed func() time.Duration) *Server {
-	return &Server{replica: r, proposer: p, peers: peers, confirmed: confirmed, pool: quota.NewPool()}
+func NewServer(r *replica.Replica, p *propose.Proposer, peers *peer.Peers, confirmed func() time.Duration, log *slog.Logger) *Server {
+	return &Server{replica: r, proposer: p, peers: peers, confirmed: confirmed, pool: quota.NewPool(), relay: quota.NewRelay(), log: log}
 }
 
-// Answer draws from the pool if this VM leads, and asks the leader otherwise.
+// Answer draws from the pool if this VM leads, and otherwise from what it has
+// drawn from the leader ahead.
 func (s *Server) Answer(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
 	status := s.replica.Status()
 	if status.Role != raft.Leader {
-		return s.ask(ctx, request)
+		return s.pass(ctx, request)
 	}
 	if age := s.confirmed(); age > leadFor {
 		return nil, fault.New(fault.NoQuorum, "the leader was confirmed %v ago", age)
@@ -55,13 +58,50 @@
 	return &vm.DrawResponse{Granted: granted, WaitNanoseconds: int64(wait)}, nil
 }
 
-func (s *Server) ask(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
+// pass gives tokens that are held here, or asks the leader.
+func (s *Server) pass(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
+	if request.GetForwarded() {
+		return nil, fault.New(fault.NoQuorum, "this VM doesn't lead the control log")
+	}
+	name, need, want := request.GetOrganisation(), request.GetNeed(), request.GetWant()
+	limit := quota.Limit{RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst()}
+	granted, order := s.relay.Take(name, limit, need, want, time.Now())
+	switch {
+	case granted > 0 && order.Want > 0:
+		go s.refill(request, order)
+		fallthrough
+	case granted > 0:
+		return &vm.DrawResponse{Granted: granted}, nil
+	}
+	answer, err := s.ask(ctx, request, order)
+	if err != nil {
+		return nil, err
+	}
+	granted = s.relay.Pass(name, answer.GetGranted(), need, want, time.Now())
+	return &vm.DrawResponse{Granted: granted, WaitNanoseconds: answer.GetWaitNanoseconds()}, nil
+}
+
+// refill draws ahead.
+func (s *Server) refill(request *vm.DrawRequest, order quota.Order) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	answer, err := s.ask(ctx, request, order)
+	if err != nil {
+		s.log.Warn("tokens could not be drawn ahead", "organisation", request.GetOrganisation(), "want", order.Want, "error", err)
+	}
+	s.relay.Drawn(request.GetOrganisation(), answer.GetGranted(), time.Now())
+}
+
+// ask draws from the leader.
+func (s *Server) ask(ctx context.Context, request *vm.DrawRequest, order quota.Order) (*vm.DrawResponse, error) {
 	address, known := s.proposer.Leader()
-	if !known || request.GetForwarded() {
+	if !known {
 		return nil, fault.New(fault.NoQuorum, "the leader of the control log is not known")
 	}
-	request.Forwarded = true
-	return s.peers.At(address).Draw(ctx, request)
+	return s.peers.At(address).Draw(ctx, &vm.DrawRequest{
+		Organisation: request.GetOrganisation(), RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst(),
+		Need: max(0, order.Need), Want: order.Want, Forwarded: true,
+	})
 }
 
 // Client draws tokens for an entry VM.
