Fetch shared prompt parts from the target that has read them

Change: where a service's engines pass memory on, the request names the target at which its parts were read first, and the other one fetches them (core/place, source).

Ruled out before: to keep requests at their preferred target for longer (comfort) has little effect.

--- /dev/null
+++ b/core/place/fetch_test.go
@@ -0,0 +1,74 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kingcuprill/core/instance"
+)
+
+func shared(part, own string) Demand {
+	return Demand{Prompt: 5000, Output: 100, Parts: []Part{{part, 4000}, {own, 1000}}}
+}
+
+// Load pattern: many requests share one long part, and the target that has read
+// it is full. Those that go elsewhere fetch it, and are predicted so.
+func TestSharedPartsAreFetched(t *testing.T) {
+	const slots = 4
+	p := placers(1, 3, func(r *instance.Registration) { r.Slots, r.Address = slots, "at-"+r.ID })[0]
+	request := func(i int, fetch bool) Request {
+		return Request{Service: "llm", Sticky: true, Now: start, Comfort: time.Second, Memory: 1_000_000, Coordinated: true, Fetch: fetch, Demand: shared("part", fmt.Sprint(i))}
+	}
+	first, _, _ := p.Pick(request(0, true))
+	if first.Source() != "" {
+		t.Fatalf("the first request fetches from %s", first.Source())
+	}
+	fetched := 0
+	for i := 1; i < 2*slots; i++ {
+		visit, _, reason := p.Pick(request(i, true))
+		if visit == nil {
+			t.Fatalf("request %d: %s", i, reason)
+		}
+		if visit.Target.ID == first.Target.ID {
+			if visit.Source() != "" {
+				t.Errorf("request %d fetches to the target that has read the part", i)
+			}
+			continue
+		}
+		if visit.Source() == "" && visit.Target.missing(request(i, true).Demand) > 0 {
+			t.Errorf("request %d reads the part again at %s", i, visit.Target.ID)
+		}
+		if visit.Source() != "" {
+			fetched++
+		}
+		if visit.work > 1000 {
+			t.Errorf("request %d is taken to read %d tokens", i, visit.work)
+		}
+	}
+	if fetched == 0 {
+		t.Error("nothing was fetched: the test proves nothing")
+	}
+	for i := range 3 * slots {
+		if visit, _, _ := p.Pick(request(100+i, false)); visit != nil && visit.Source() != "" {
+			t.Error("a request of an engine that doesn't fetch does so")
+		}
+	}
+}
+
+// A target that is gone or in another region is no source.
+func TestSourceMustBeUsable(t *testing.T) {
+	p := placers(1, 3, nil)[0]
+	r := Request{Service: "llm", Sticky: true, Now: start, Fetch: true, Home: "t0", Demand: shared("part", "own")}
+	if got := p.source(r, nil); got == nil || got.ID != "t0" {
+		t.Fatalf("source %v, want t0", got)
+	}
+	p.Gone("t0", start)
+	if got := p.source(r, nil); got != nil {
+		t.Errorf("source %v, though it is gone", got.ID)
+	}
+	r.Home, r.Demand.Parts = "t1", r.Demand.Parts[1:]
+	if got := p.source(r, nil); got != nil {
+		t.Errorf("source %v of a prompt that shares nothing", got.ID)
+	}
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -67,6 +67,10 @@
 	// load is known here, or for the preferred one.
 	Coordinated bool
 	Preferred   string // id of a target, empty to choose by the prompt
+	// Fetch tells that targets can fetch the memory of prompts from each other,
+	// and Home names the one at which the shared parts are read first.
+	Fetch bool
+	Home  string
 }
 
 // affinity is what requests have in common that go to the same target.
@@ -168,10 +172,11 @@
 	var best *Target
 	lowest := time.Duration(0)
 	preferred := p.preferred(r)
+	source := p.source(r, preferred)
 	if preferred != nil && p.hasRoom(preferred, r) && preferred.Circuit.Closed() && !(r.long() && preferred.strained(r.Now)) {
-		_, predicted = p.cost(preferred, r, true)
+		_, predicted = p.cost(preferred, r, true, source)
 		if predicted <= r.Comfort {
-			return p.enter(preferred, r, true), predicted, ""
+			return p.enter(preferred, r, true, source), predicted, ""
 		}
 	}
 	for _, t := range p.byName[r.Service] {
@@ -189,7 +194,7 @@
 			reason = Slow
 			continue
 		}
-		cost, time := p.cost(t, r, t == preferred)
+		cost, time := p.cost(t, r, t == preferred, source)
 		if best == nil || cost < lowest {
 			best, lowest, predicted = t, cost, time
 		}
@@ -202,7 +207,7 @@
 	case !best.Circuit.Allow():
 		return nil, predicted, Full
 	}
-	return p.enter(best, r, best == preferred), predicted, ""
+	return p.enter(best, r, best == preferred, source), predicted, ""
 }
 
 // preferred returns the rendezvous target of the last shared part of a prompt.
@@ -278,8 +283,8 @@
 
 // cost returns how long a target is predicted to take, and that with what
 // speaks against it.
-func (p *Placer) cost(t *Target, r Request, preferred bool) (cost, predicted time.Duration) {
-	predicted = t.predict(t.work(r, preferred), p.slope(r.Service), r.Now)
+func (p *Placer) cost(t *Target, r Request, preferred bool, source *Target) (cost, predicted time.Duration) {
+	predicted = t.predict(t.work(r, preferred || t.fetches(r, source)), p.slope(r.Service), r.Now)
 	cost = predicted
 	if !preferred {
 		cost += strangerPenalty
@@ -301,10 +306,10 @@
 
 // work returns the prompt tokens that a target has to read. All VMs of the
 // region send the shared parts of a prompt to its preferred target, which is
-// taken to have read them.
-func (t *Target) work(r Request, preferred bool) int {
+// taken to have read them; others may fetch them.
+func (t *Target) work(r Request, shared bool) int {
 	work := t.uncached(r.Demand)
-	if preferred && len(r.Demand.Parts) > 1 {
+	if shared && len(r.Demand.Parts) > 1 {
 		own := r.Demand.Prompt
 		for _, part := range r.Demand.Parts[:len(r.Demand.Parts)-1] {
 			own -= part.Tokens
@@ -317,13 +322,17 @@
 	return work
 }
 
-func (p *Placer) enter(t *Target, r Request, preferred bool) *Visit {
-	work := t.work(r, preferred)
+func (p *Placer) enter(t *Target, r Request, preferred bool, source *Target) *Visit {
+	fetches := t.fetches(r, source)
+	work := t.work(r, preferred || fetches)
 	v := &Visit{
 		Target: t, placer: p, service: r.Service, demand: r.Demand, work: work, ahead: t.pending + work, begun: r.Now,
 		predicted: t.predict(work, p.slope(r.Service), r.Now),
 		deadline:  r.Deadline,
 	}
+	if fetches {
+		v.source = source.Address
+	}
 	if r.EventTokens > 0 {
 		v.expected = r.Demand.Expected/r.EventTokens + 1
 	}
--- a/core/place/visit.go
+++ b/core/place/visit.go
@@ -17,6 +17,7 @@
 	begun     time.Time
 	predicted time.Duration
 	answered  bool
+	source    string // address of the target that has the shared parts, if they are fetched
 
 	expected int // events
 	events   int // so far
@@ -125,3 +126,9 @@
 func (v *Visit) Where() (id, address string) {
 	return v.Target.ID, v.Target.Address
 }
+
+// Source returns the address of the target from which the memory of the shared
+// parts is to be fetched, empty for none.
+func (v *Visit) Source() string {
+	return v.source
+}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -62,7 +62,9 @@
 	ColdFor       time.Duration
 	Slots         int // requests that an engine runs at once, 0 where it is not told
 	MemoryTokens  int // of an engine
-	EventTokens   int // output tokens in one event of a stream, 0 where it is not told
+	// Fetches tells that targets fetch the memory of prompts from each other.
+	Fetches     bool
+	EventTokens int // output tokens in one event of a stream, 0 where it is not told
 }
 
 // Organisation is a tenant with its keys and its limit over all VMs.
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -58,7 +58,9 @@
 	if answer.GetReservation() == 0 {
 		return nil, predicted, place.Reason(answer.GetReason()), nil
 	}
-	return &Stay{client: c, coordinator: address, reservation: answer.GetReservation(), target: answer.GetTarget(), address: answer.GetAddress()}, predicted, "", nil
+	return &Stay{
+		client: c, coordinator: address, reservation: answer.GetReservation(), target: answer.GetTarget(), address: answer.GetAddress(), source: answer.GetSource(),
+	}, predicted, "", nil
 }
 
 func (c *Client) rest(address string, ctx context.Context, err error) {
--- a/io/coordinator/codec.go
+++ b/io/coordinator/codec.go
@@ -9,7 +9,7 @@
 
 func toRequest(m *entry.ReserveRequest, now time.Time) place.Request {
 	r := place.Request{
-		Service: m.GetService(), Preferred: m.GetTarget(), Coordinated: true, Sticky: true,
+		Service: m.GetService(), Preferred: m.GetTarget(), Coordinated: true, Sticky: true, Fetch: m.GetFetch(), Home: m.GetHome(),
 		Excluded: m.GetExcluded(), ColdRate: m.GetColdRate(), Memory: int(m.GetMemoryTokens()), EventTokens: int(m.GetEventTokens()),
 		Comfort: time.Duration(m.GetComfortNanoseconds()), Bound: time.Duration(m.GetBoundNanoseconds()),
 		Now: now, Deadline: now.Add(time.Duration(m.GetLeftNanoseconds())),
@@ -25,8 +25,8 @@
 	m := &entry.ReserveRequest{
 		Service: r.Service, Target: r.Preferred, Excluded: r.Excluded, ColdRate: r.ColdRate, MemoryTokens: int64(r.Memory),
 		EventTokens: int64(r.EventTokens), ComfortNanoseconds: int64(r.Comfort), BoundNanoseconds: int64(r.Bound),
-		LeftNanoseconds: int64(r.Deadline.Sub(r.Now)),
-		PromptTokens:    int64(r.Demand.Prompt), OutputTokens: int64(r.Demand.Output), ExpectedTokens: int64(r.Demand.Expected),
+		LeftNanoseconds: int64(r.Deadline.Sub(r.Now)), Fetch: r.Fetch, Home: r.Home,
+		PromptTokens: int64(r.Demand.Prompt), OutputTokens: int64(r.Demand.Output), ExpectedTokens: int64(r.Demand.Expected),
 	}
 	for _, p := range r.Demand.Parts {
 		m.Parts = append(m.Parts, &entry.Part{Id: p.ID, Tokens: int64(p.Tokens)})
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -60,7 +60,8 @@
 	}
 	id, address := visit.Where()
 	return &entry.ReserveResponse{
-		Reservation: s.keep(visit, wanted.Deadline), Target: id, Address: address, PredictedNanoseconds: int64(predicted),
+		Reservation: s.keep(visit, wanted.Deadline), Target: id, Address: address, Source: visit.Source(),
+		PredictedNanoseconds: int64(predicted),
 	}, nil
 }
 
--- a/io/coordinator/stay.go
+++ b/io/coordinator/stay.go
@@ -15,6 +15,7 @@
 	reservation uint64
 	target      string
 	address     string
+	source      string
 
 	begun       bool
 	events      int
@@ -26,6 +27,12 @@
 	return s.target, s.address
 }
 
+// Source returns the address of the target from which the memory of the shared
+// parts is to be fetched, empty for none.
+func (s *Stay) Source() string {
+	return s.source
+}
+
 // Answered tells that the answer has begun.
 func (s *Stay) Answered(time.Time) {
 	if s.begun {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -151,7 +151,7 @@
 	return place.Request{
 		EventTokens: eventTokens,
 		Service:     x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
-		Memory: service.MemoryTokens, Evacuated: x.server.State.Read().Evacuated,
+		Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
 		Comfort: x.comfort(now), Bound: x.bound(now), Deadline: x.deadline, Now: now,
 	}
 }
@@ -173,7 +173,7 @@
 	}
 	// The caller's key stays here, and what this system tells targets is never
 	// the caller's word.
-	for _, name := range []string{keyHeader, h.Organisation, h.Target, hopFrom} {
+	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, hopFrom} {
 		header.Del(name)
 	}
 	left := max(1, time.Until(x.deadline).Milliseconds())
@@ -215,6 +215,10 @@
 	if x.keyed {
 		header[s.Headers.Organisation] = []string{x.organisation.Name}
 	}
+	if source := visit.Source(); source != "" && s.Headers.FetchFrom != "" {
+		header[s.Headers.FetchFrom] = []string{source}
+		s.Metrics.Count("fetches")
+	}
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	patience := time.AfterFunc(x.patience(), func() {
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -23,6 +23,7 @@
 	Tokens       string // prompt tokens and most output tokens
 	Parts        string // parts of the prompt
 	LastEvent    string
+	FetchFrom    string   // address of a target that has read the shared parts of the prompt
 	OutputHint   string   // estimate of the output tokens
 	Own          []string // further ones that only this system may set; dropped from callers
 }
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -16,6 +16,9 @@
 type stay interface {
 	// Where returns the target's id and address.
 	Where() (id, address string)
+	// Source returns the address of the target that has read the shared parts of
+	// the prompt, where they are to be fetched.
+	Source() string
 	// Answered tells that the answer has begun.
 	Answered(now time.Time)
 	// Event tells that an event of a stream has come.
@@ -53,6 +56,9 @@
 	reason = place.NoTargets
 	alone := false
 	for _, candidate := range s.Placer.Candidates(r, mostAsked) {
+		if r.Home == "" {
+			r.Home = candidate.Target
+		}
 		r.Preferred, r.Now = candidate.Target, time.Now()
 		answer, err := x.ask(ctx, candidate.VM, r)
 		switch {
@@ -65,7 +71,7 @@
 		}
 	}
 	if alone || reason == place.NoTargets {
-		r.Preferred, r.Now = "", time.Now()
+		r.Preferred, r.Home, r.Now = "", "", time.Now()
 		return x.pick(r)
 	}
 	return nil, predicted, reason
