Fill limits' accounts from the begin of a term; refuse what the pool refuses

Two faults of the limits. And what the pool had refused could still overdraw an entry VM's own share, once for each VM: 1,128,000 tokens where the limit and one request are 336,000 (74 VMs, TestRefusedByThePoolIsRefused, failed first). The own share may be overdrawn only while the pool can't be reached. TestAccountsFillBeforeTheFirstRequest.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -55,6 +55,7 @@
 type Pool struct {
 	mu      sync.Mutex
 	term    uint64
+	since   time.Time // begin of the term
 	buckets map[string]*bucket
 }
 
@@ -63,8 +64,24 @@
 	return &Pool{buckets: map[string]*bucket{}}
 }
 
-// Draw takes what an entry VM needs, and up to what it wants. Accounts begin
-// empty in each term: the leader before may have given out the burst.
+// Lead tells that this VM leads in a term. All accounts are empty at its begin,
+// since the leader before may have given out the burst, and fill from then on,
+// whether they are drawn from or not.
+func (p *Pool) Lead(term uint64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lead(term, now)
+}
+
+func (p *Pool) lead(term uint64, now time.Time) {
+	if term == p.term {
+		return
+	}
+	p.term, p.since = term, now
+	p.buckets = map[string]*bucket{}
+}
+
+// Draw takes what an entry VM needs, and up to what it wants.
 func (p *Pool) Draw(term uint64, organisation string, limit Limit, need, want float64, now time.Time) (granted float64, wait time.Duration) {
 	limit = limit.scaled(poolShare)
 	if limit.RatePerSecond <= 0 {
@@ -72,13 +89,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if term != p.term {
-		p.term = term
-		p.buckets = map[string]*bucket{}
-	}
+	p.lead(term, now)
 	b, found := p.buckets[organisation]
 	if !found {
-		b = &bucket{at: now}
+		b = &bucket{at: p.since}
 		p.buckets[organisation] = b
 	}
 	b.refill(limit, now)
@@ -166,8 +180,9 @@
 }
 
 // Drawn adds what came from the pool and lets a waiting request in, if it is
-// enough. A request that got nothing may still overdraw this VM's own share.
-func (b *Book) Drawn(organisation string, limit Limit, cost, tokens float64, now time.Time) (granted bool) {
+// enough. While the pool can't be reached, a request may overdraw this VM's own
+// share: where the pool has refused, each VM would let one more in.
+func (b *Book) Drawn(organisation string, limit Limit, cost, tokens float64, reached bool, now time.Time) (granted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation, limit, now)
@@ -181,7 +196,7 @@
 		return true
 	}
 	share := b.share(limit)
-	if b.vms == 0 || a.own.wait(share, cost) > 0 {
+	if reached || b.vms == 0 || a.own.wait(share, cost) > 0 {
 		return false
 	}
 	a.own.level -= cost
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -43,10 +43,10 @@
 		tokens = f.draw(vm, order, now)
 	}
 	if granted {
-		f.books[vm].Drawn("o", f.limit, 0, tokens, now)
+		f.books[vm].Drawn("o", f.limit, 0, tokens, reachable, now)
 		return true
 	}
-	return f.books[vm].Drawn("o", f.limit, cost, tokens, now)
+	return f.books[vm].Drawn("o", f.limit, cost, tokens, reachable, now)
 }
 
 // draw takes tokens from a VM's relay, or from the pool.
@@ -191,3 +191,41 @@
 		t.Errorf("%d trips with relays, %d without: more than a tenth", trips["with"], trips["without"])
 	}
 }
+
+// Load pattern: the first requests of a day, seconds after the VMs have started
+// and nobody has asked before. The accounts have filled by then.
+func TestAccountsFillBeforeTheFirstRequest(t *testing.T) {
+	const vms, cost = 6, 12_000
+	limit := Limit{RatePerSecond: 36_000, Burst: 36_000}
+	f := newFleet(vms, limit)
+	f.pool.Lead(f.term, start)
+	refused := 0
+	for i := range 2 {
+		if !f.send(i, cost, true, start.Add(10*time.Second)) {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of the first 2 requests, 24,000 of a burst of 36,000 tokens, are refused", refused)
+	}
+}
+
+// Load pattern: an organisation far over its limit asks through many VMs with
+// requests that are large beside a VM's own share. What the pool refuses isn't
+// let in by each VM once more.
+func TestRefusedByThePoolIsRefused(t *testing.T) {
+	const vms, cost, seconds = 74, 12_000, 8
+	limit := Limit{RatePerSecond: 36_000, Burst: 36_000}
+	f := newFleet(vms, limit)
+	f.pool.Lead(f.term, start)
+	taken := 0.0
+	for i := range 200 * seconds {
+		now := start.Add(2*time.Second + time.Duration(i)*5*time.Millisecond)
+		if f.send(i%vms, cost, true, now) {
+			taken += cost
+		}
+	}
+	if most := limit.RatePerSecond*seconds + limit.Burst + cost; taken > most {
+		t.Errorf("%.0f tokens in %d s, the limit and one request are %.0f", taken, seconds, most)
+	}
+}
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -301,6 +301,7 @@
 				v.Log.Warn("target is silent", "target", row.ID, "service", row.Service, "age", now.Sub(row.Heard))
 			}
 			v.Follow.Expire(now)
+			v.drawer.Observe(now)
 		}
 	}
 }
--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -43,6 +43,14 @@
 	return &Server{replica: r, proposer: p, peers: peers, confirmed: confirmed, pool: quota.NewPool(), relay: quota.NewRelay(), log: log}
 }
 
+// Observe notes whether this VM leads, so that the accounts of its term fill
+// before they are drawn from.
+func (s *Server) Observe(now time.Time) {
+	if status := s.replica.Status(); status.Role == raft.Leader {
+		s.pool.Lead(status.Term, now)
+	}
+}
+
 // Answer draws from the pool if this VM leads, and otherwise from what it has
 // drawn from the leader ahead.
 func (s *Server) Answer(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
@@ -114,7 +122,7 @@
 
 // Draw carries an order out. An order without a need is for later requests; its
 // tokens go to the book at once. Otherwise they are returned.
-func (c *Client) Draw(ctx context.Context, organisation string, limit quota.Limit, order quota.Order) (tokens float64, wait time.Duration) {
+func (c *Client) Draw(ctx context.Context, organisation string, limit quota.Limit, order quota.Order) (tokens float64, wait time.Duration, reached bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := &vm.DrawRequest{
@@ -124,7 +132,7 @@
 	for _, address := range c.Controls() {
 		answer, err := c.Peers.At(address).Draw(ctx, request)
 		if err == nil {
-			tokens, wait = answer.GetGranted(), time.Duration(answer.GetWaitNanoseconds())
+			tokens, wait, reached = answer.GetGranted(), time.Duration(answer.GetWaitNanoseconds()), true
 			break
 		}
 		c.Log.Warn("tokens could not be drawn", "organisation", organisation, "control", address, "need", order.Need, "error", err)
@@ -133,7 +141,7 @@
 		}
 	}
 	if order.Need == 0 {
-		c.Book.Drawn(organisation, limit, 0, tokens, time.Now())
+		c.Book.Drawn(organisation, limit, 0, tokens, reached, time.Now())
 	}
-	return tokens, wait
+	return tokens, wait, reached
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -224,8 +224,8 @@
 		}
 		return nil
 	}
-	tokens, wait := s.Drawer.Draw(x.caller.Context(), o.Name, limit, order)
-	if s.Quota.Drawn(o.Name, limit, x.cost, tokens, time.Now()) {
+	tokens, wait, reached := s.Drawer.Draw(x.caller.Context(), o.Name, limit, order)
+	if s.Quota.Drawn(o.Name, limit, x.cost, tokens, reached, time.Now()) {
 		return nil
 	}
 	x.cost = 0
