Send configurations once and compressed, entry VMs as changes

Cause: each entry VM got each catalogue from every control VM, and the whole list of entry VMs from each at every change. Change: the nearest control VM sends a catalogue, gzipped once for each revision; the others tell the revision, and send it where it hasn't come 250 ms later. Entry VMs are told as changes.

Tests: TestCatalogueComesOnce (before: from both, uncompressed), TestEntriesComeAsChanges.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -81,7 +81,7 @@
 
 // Union returns every VM that any of several control VMs tells of. It is ready
 // if any of them says so.
-func Union(views map[string][]VM) []VM {
+func Union(views map[string]map[string]VM) []VM {
 	all := map[string]VM{}
 	for _, rows := range views {
 		for _, row := range rows {
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -32,7 +32,7 @@
 }
 
 func TestUnion(t *testing.T) {
-	all := Union(map[string][]VM{"x": {{ID: "a", Ready: true}}, "y": {{ID: "a"}, {ID: "b"}}})
+	all := Union(map[string]map[string]VM{"x": {"a": {ID: "a", Ready: true}}, "y": {"a": {ID: "a"}, "b": {ID: "b"}}})
 	if len(all) != 2 || !all[0].Ready || all[1].Ready {
 		t.Errorf("union is %v", all)
 	}
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -25,6 +25,9 @@
 	pollWait = time.Second
 	// pollTimeout bounds a question: its wait, a confirmation and the way.
 	pollTimeout = pollWait + confirmWait + 500*time.Millisecond
+	// announceWait is how long a catalogue of which a control VM has told may take
+	// to come from the nearest one, before it is asked of any.
+	announceWait = 250 * time.Millisecond
 	// firstPause and longestPause are the pauses after failed questions.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
@@ -52,8 +55,9 @@
 	seeds    []string
 	polls    map[string]context.CancelFunc // by control VM's peer address
 	revision uint64
+	newer    chan struct{} // closed when a newer catalogue has come
 	fleet    *instance.Fleet
-	entries  map[string][]entry.VM
+	entries  map[string]map[string]entry.VM // by control VM and id
 	nearest  []string // control VMs that answer, the one that answered first in front
 }
 
@@ -64,7 +68,8 @@
 	c.tomb = t
 	c.polls = map[string]context.CancelFunc{}
 	c.fleet = instance.NewFleet()
-	c.entries = map[string][]entry.VM{}
+	c.newer = make(chan struct{})
+	c.entries = map[string]map[string]entry.VM{}
 	c.seeds = seeds
 	c.follow(seeds)
 	t.Go(c.refresh)
@@ -112,6 +117,9 @@
 	epoch   string
 	targets uint64
 	entries uint64
+	// behind tells that this control VM has told of a catalogue that no other
+	// one has sent.
+	behind bool
 }
 
 func (c *Client) poll(ctx context.Context, address string) error {
@@ -165,6 +173,7 @@
 func (c *Client) ask(ctx context.Context, address string, at *position, wait time.Duration) error {
 	c.mu.Lock()
 	revision := c.revision
+	announce := !at.behind && len(c.nearest) > 0 && c.nearest[0] != address
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -172,44 +181,94 @@
 	answer, err := c.Peers.At(address).Follow(ctx, &vm.FollowRequest{
 		Entry: codec.FromEntryVM(c.Self()), Revision: revision, Epoch: at.epoch,
 		TargetsVersion: at.targets, EntriesVersion: at.entries, WaitNanoseconds: int64(wait),
+		Announce: announce,
 	})
 	if err != nil {
 		return err
 	}
-	c.take(address, answer, sent, at)
 	c.answers(address, true, answer.GetRegion() == c.Self().Region)
+	if err := c.take(address, answer, at); err != nil {
+		return err
+	}
+	has := c.await(ctx, answer.GetRevision())
+	at.behind = !has
+	if has && answer.GetConfirmed() {
+		c.Lease.Confirm(sent)
+	}
 	return nil
 }
 
-func (c *Client) take(address string, answer *vm.FollowResponse, sent time.Duration, at *position) {
+// await waits until this VM has a revision of which a control VM has told. The
+// nearest one sends it, so that a catalogue comes once and not from each.
+func (c *Client) await(ctx context.Context, revision uint64) (has bool) {
+	timer := time.NewTimer(announceWait)
+	defer timer.Stop()
+	for {
+		c.mu.Lock()
+		has, newer := c.revision >= revision, c.newer
+		c.mu.Unlock()
+		if has {
+			return true
+		}
+		select {
+		case <-newer:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (c *Client) take(address string, answer *vm.FollowResponse, at *position) (err error) {
+	var catalogue *catalogue.Catalogue
+	if packed := answer.GetCatalogue(); len(packed) > 0 {
+		if catalogue, err = unpack(packed); err != nil {
+			return err
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if answer.GetCatalogue() != nil && answer.GetRevision() > c.revision {
-		c.revision = answer.GetRevision()
-		c.Catalogue(codec.ToCatalogue(answer.GetCatalogue()))
+	if catalogue != nil && catalogue.Revision > c.revision {
+		c.revision = catalogue.Revision
+		c.Catalogue(catalogue)
+		close(c.newer)
+		c.newer = make(chan struct{})
 	}
-	if answer.GetConfirmed() && c.revision >= answer.GetRevision() {
-		c.Lease.Confirm(sent)
+	c.takeTargets(address, answer, now)
+	c.takeEntries(address, answer)
+	at.epoch, at.targets, at.entries = answer.GetEpoch(), answer.GetTargetsVersion(), answer.GetEntriesVersion()
+	c.follow(answer.GetControlAddresses())
+	return nil
+}
+
+func (c *Client) takeTargets(address string, answer *vm.FollowResponse, now time.Time) {
+	if len(answer.GetTargets()) == 0 && !answer.GetWhole() {
+		return
 	}
-	if len(answer.GetTargets()) > 0 || answer.GetWhole() {
-		rows := make([]instance.Registration, 0, len(answer.GetTargets()))
-		for _, m := range answer.GetTargets() {
-			rows = append(rows, codec.ToRegistration(m, now))
-		}
-		c.fleet.Update(address, answer.GetEpoch(), rows, now)
-		c.Targets(c.fleet.All(now))
+	rows := make([]instance.Registration, 0, len(answer.GetTargets()))
+	for _, m := range answer.GetTargets() {
+		rows = append(rows, codec.ToRegistration(m, now))
 	}
-	if len(answer.GetEntries()) > 0 {
-		vms := make([]entry.VM, 0, len(answer.GetEntries()))
-		for _, m := range answer.GetEntries() {
-			vms = append(vms, codec.ToEntryVM(m))
-		}
-		c.entries[address] = vms
-		c.Entries(entry.Union(c.entries))
+	c.fleet.Update(address, answer.GetEpoch(), rows, now)
+	c.Targets(c.fleet.All(now))
+}
+
+func (c *Client) takeEntries(address string, answer *vm.FollowResponse) {
+	if len(answer.GetEntries()) == 0 {
+		return
 	}
-	*at = position{epoch: answer.GetEpoch(), targets: answer.GetTargetsVersion(), entries: answer.GetEntriesVersion()}
-	c.follow(answer.GetControlAddresses())
+	known := c.entries[address]
+	if known == nil || answer.GetWhole() {
+		known = map[string]entry.VM{}
+		c.entries[address] = known
+	}
+	for _, m := range answer.GetEntries() {
+		row := codec.ToEntryVM(m)
+		known[row.ID] = row
+	}
+	c.Entries(entry.Union(c.entries))
 }
 
 // Controls returns the control VMs that answer, those of this region first.
--- /dev/null
+++ b/io/follow/follow_test.go
@@ -0,0 +1,205 @@
+package follow
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"kingcuprill/core/board"
+	"kingcuprill/core/catalogue"
+	"kingcuprill/core/entry"
+	"kingcuprill/core/instance"
+	"kingcuprill/core/lease"
+	"kingcuprill/core/membership"
+	"kingcuprill/core/versioned"
+	"kingcuprill/io/boottime"
+	"kingcuprill/io/peer"
+	"kingcuprill/rpc/vm"
+)
+
+const patience = 10 * time.Second
+
+// control is a control VM with nothing but what entry VMs follow.
+type control struct {
+	vm.VM // calls that aren't used
+
+	server  *Server
+	board   *board.Board
+	address string
+
+	mu   sync.Mutex
+	sent []*vm.FollowResponse
+}
+
+// Follow answers and keeps what was answered.
+func (c *control) Follow(ctx context.Context, request *vm.FollowRequest) (*vm.FollowResponse, error) {
+	answer := c.server.Answer(ctx, request)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent = append(c.sent, answer)
+	return answer, nil
+}
+
+// catalogues counts the catalogues that were sent, and their bytes.
+func (c *control) catalogues() (count, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, answer := range c.sent {
+		if len(answer.GetCatalogue()) > 0 {
+			count++
+			size += len(answer.GetCatalogue())
+		}
+	}
+	return count, size
+}
+
+func startControl(t *testing.T, id, region string) *control {
+	t.Helper()
+	c := &control{board: board.New(membership.Member{ID: id, Region: region}, time.Second)}
+	confirm := func(context.Context) (uint64, error) { return c.board.Catalogue.Read().Revision, nil }
+	c.server = NewServer(c.board, id, versioned.NewTable[instance.Registration](), confirm, func() []string { return nil }, slog.New(slog.DiscardHandler))
+	mux := http.NewServeMux()
+	mux.Handle(vm.VMPathPrefix, vm.NewVMServer(c))
+	web := httptest.NewServer(mux)
+	t.Cleanup(web.Close)
+	c.address = web.Listener.Addr().String()
+	return c
+}
+
+// change brings a catalogue into force.
+func (c *control) change(revision uint64, document string) {
+	c.board.Catalogue.Update(func(*catalogue.Catalogue) *catalogue.Catalogue {
+		return &catalogue.Catalogue{Revision: revision, Plan: catalogue.Plan{Version: revision, Document: []byte(document)}}
+	})
+}
+
+// follower is an entry VM that follows some control VMs.
+type follower struct {
+	*Client
+	mu       sync.Mutex
+	document string
+	entries  []entry.VM
+}
+
+func startFollower(t *testing.T, controls ...*control) *follower {
+	t.Helper()
+	f := &follower{}
+	f.Client = &Client{
+		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: slog.New(slog.DiscardHandler),
+		Self: func() entry.VM { return entry.VM{ID: "e", Region: "near", Ready: true} },
+		Catalogue: func(c *catalogue.Catalogue) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.document = string(c.Plan.Document)
+		},
+		Targets: func(map[string]instance.Registration) {},
+		Entries: func(vms []entry.VM) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.entries = vms
+		},
+	}
+	var seeds []string
+	for _, c := range controls {
+		seeds = append(seeds, c.address)
+	}
+	var group tomb.Tomb
+	f.Run(&group, seeds)
+	t.Cleanup(func() {
+		group.Kill(nil)
+		_ = group.Wait()
+	})
+	return f
+}
+
+func (f *follower) has(document string) func() bool {
+	return func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.document == document
+	}
+}
+
+func waitFor(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !met(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+// Load pattern: a large configuration before VMs with narrow links and many
+// control VMs. It comes compressed and once, from the nearest control VM.
+func TestCatalogueComesOnce(t *testing.T) {
+	far, near := startControl(t, "far", "abroad"), startControl(t, "near", "near")
+	f := startFollower(t, far, near)
+	waitFor(t, "both answer", func() bool { return len(f.Controls()) == 2 })
+	large := strings.Repeat(`{"name":"r-1","host":"h.example","pathPrefix":"/a/"}`, 4000)
+	for _, c := range []*control{far, near} {
+		c.change(1, large)
+	}
+	waitFor(t, "the catalogue is in force", f.has(large))
+	waitFor(t, "the lease holds", f.Lease.Valid)
+	if count, _ := far.catalogues(); count > 0 {
+		t.Errorf("the far control VM has sent %d catalogues", count)
+	}
+	count, size := near.catalogues()
+	if count != 1 || size > len(large)/10 {
+		t.Errorf("the near control VM has sent %d catalogues of %d bytes for one of %d", count, size, len(large))
+	}
+}
+
+// A catalogue that the nearest control VM doesn't have comes from another one.
+func TestCatalogueComesFromAnother(t *testing.T) {
+	far, near := startControl(t, "far", "abroad"), startControl(t, "near", "near")
+	f := startFollower(t, far, near)
+	waitFor(t, "both answer", func() bool { return len(f.Controls()) == 2 })
+	far.change(7, "newer")
+	waitFor(t, "the catalogue is in force", f.has("newer"))
+}
+
+// Only entry VMs that have changed are told of.
+func TestEntriesComeAsChanges(t *testing.T) {
+	c := startControl(t, "c", "near")
+	for _, id := range []string{"a", "b"} {
+		c.server.note(&vm.EntryVM{Id: id, Ready: true})
+	}
+	f := startFollower(t, c)
+	known := func(count int, ready bool) func() bool {
+		return func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.entries) == count && f.entries[0].Ready == ready
+		}
+	}
+	waitFor(t, "all are known", known(3, true))
+	c.mu.Lock()
+	c.sent = nil
+	c.mu.Unlock()
+	c.server.note(&vm.EntryVM{Id: "a", Ready: false})
+	waitFor(t, "the change is known", known(3, false))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, answer := range c.sent {
+		if len(answer.GetEntries()) > 1 {
+			t.Errorf("%d entry VMs are told of where one has changed", len(answer.GetEntries()))
+		}
+	}
+}
+
+func TestUnpackRefusesRubbish(t *testing.T) {
+	for name, data := range map[string][]byte{"no gzip": []byte("rubbish"), "cut": bytes.Repeat([]byte{0x1f, 0x8b}, 1)} {
+		if _, err := unpack(data); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -44,6 +44,7 @@
 	controls func() []string
 	started  time.Time
 
+	packed    atomic.Pointer[packed]
 	confirmed atomic.Int64 // begin of the last round that succeeded, boot time in nanoseconds
 }
 
@@ -194,8 +195,8 @@
 	answer := &vm.FollowResponse{
 		Revision: c.Revision, Confirmed: confirmed, Epoch: s.Epoch, Whole: whole, ControlAddresses: s.controls(), Region: s.Board.Region,
 	}
-	if c.Revision > request.GetRevision() {
-		answer.Catalogue = codec.FromCatalogue(c)
+	if c.Revision > request.GetRevision() && !request.GetAnnounce() {
+		answer.Catalogue = s.pack(c)
 	}
 	rows, version := s.Targets.Since(targetsSince)
 	now := time.Now()
@@ -203,15 +204,11 @@
 		answer.Targets = append(answer.Targets, codec.FromRegistration(row, now))
 	}
 	answer.TargetsVersion = version
-	if changed, _ := s.entries.Version(); changed > entriesSince || whole {
-		var seen []entry.Seen
-		seen, answer.EntriesVersion = s.entries.Since(0)
-		for _, row := range seen {
-			answer.Entries = append(answer.Entries, codec.FromEntryVM(row.VM))
-		}
-	} else {
-		answer.EntriesVersion = changed
+	seen, version := s.entries.Since(entriesSince)
+	for _, row := range seen {
+		answer.Entries = append(answer.Entries, codec.FromEntryVM(row.VM))
 	}
+	answer.EntriesVersion = version
 	return answer
 }
 
