Don't count requests whose answers are lost as a target's load

The requests that wait for lost answers fill the places of a coordinated target until their deadlines and make it look stalled, now to all VMs. Change: a waiting request that a later one has overtaken tells of no stall, and takes no place once it has waited four times what was predicted.

--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -19,6 +19,11 @@
 	baseFades = 1500 * time.Millisecond
 	// samplesKept is the number of answers over which the slope is learned.
 	samplesKept = 200.0
+	// lostFactor is how many times its predicted time a request waits, and
+	// lostAfter how long at least, until its answer counts as lost if the target
+	// has answered a later one.
+	lostFactor = 4
+	lostAfter  = 250 * time.Millisecond
 	// stallFactor is how many times its predicted time a request may wait before
 	// its target counts as stalled.
 	stallFactor = 2
@@ -74,6 +79,9 @@
 	predicted := max(0, first) + usual.perToken()*time.Duration(t.pending+work)
 	stall := time.Duration(0)
 	for v := range t.waiting {
+		if t.overtook(v) {
+			continue
+		}
 		stall = max(stall, now.Sub(v.begun)-stallFactor*v.predicted)
 	}
 	return predicted + stall
@@ -86,3 +94,23 @@
 	t.base.observe(rest, now)
 	usual.base += time.Duration(baseWeight / 2 * float64(rest-usual.base))
 }
+
+// overtook tells whether the target has answered a request that came later, so
+// that it goes on although this one waits.
+func (t *Target) overtook(v *Visit) bool {
+	return v.begun.Before(t.newest)
+}
+
+// lost counts the requests whose answers will not come. They take no slot.
+//
+// The load pattern it answers: a target that loses a few of its answers. Without
+// this, the requests that wait for them fill its places until their deadlines,
+// and it seems to have stalled.
+func (t *Target) lost(now time.Time) (count int) {
+	for v := range t.waiting {
+		if t.overtook(v) && now.Sub(v.begun) > max(lostAfter, lostFactor*v.predicted) {
+			count++
+		}
+	}
+	return count
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -253,7 +253,7 @@
 	case r.Coordinated:
 		vms, slack = 1, plainSlack
 	}
-	if t.inFlight >= max(1, int(slack*float64(t.slots()))/vms) {
+	if t.inFlight-t.lost(r.Now) >= max(1, int(slack*float64(t.slots()))/vms) {
 		return false
 	}
 	need := r.Demand.Prompt + r.Demand.Output
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -264,3 +264,45 @@
 		}
 	}
 }
+
+// Load pattern: a plain service's target loses one answer in forty, and the
+// requests that wait for them go on for seconds. The others are served.
+func TestLostAnswersDontFillATarget(t *testing.T) {
+	const work, timeout = 30 * time.Millisecond, 3 * time.Second
+	p := placers(1, 1, func(r *instance.Registration) { r.Slots = 6 })[0]
+	type call struct {
+		visit *Visit
+		end   time.Time
+		lost  bool
+	}
+	var calls []call
+	refused := 0
+	const perSecond, seconds = 120, 10
+	for i := range perSecond * seconds {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		calls = slices.DeleteFunc(calls, func(c call) bool {
+			if c.end.After(now) {
+				return false
+			}
+			if !c.lost {
+				c.visit.Answered(c.end)
+			}
+			c.visit.Done(Good, c.end)
+			return true
+		})
+		visit, _, _ := p.Pick(Request{Service: "llm", Coordinated: true, Bound: 400 * time.Millisecond, Now: now, Deadline: now.Add(timeout)})
+		if visit == nil {
+			refused++
+			continue
+		}
+		lost := i%40 == 39
+		end := now.Add(work)
+		if lost {
+			end = now.Add(timeout)
+		}
+		calls = append(calls, call{visit: visit, end: end, lost: lost})
+	}
+	if refused*50 > perSecond*seconds {
+		t.Errorf("%d of %d requests are refused", refused, perSecond*seconds)
+	}
+}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -45,6 +45,7 @@
 	inFlight    int
 	pending     int // work sent that no answer has come for, tokens
 	base        base
+	newest      time.Time       // begin of the newest visit that was answered
 	waiting     map[*Visit]bool // visits without an answer yet
 	streams     map[*Visit]bool // visits whose answers run
 	gap         time.Duration   // average time between two events
--- a/core/place/visit.go
+++ b/core/place/visit.go
@@ -33,6 +33,9 @@
 	if v.answered {
 		return
 	}
+	if v.begun.After(v.Target.newest) {
+		v.Target.newest = v.begun
+	}
 	took := now.Sub(v.begun)
 	v.Target.observe(v.ahead, took, v.placer.slope(v.service), now)
 	v.leave()
