Pass over frozen control VMs; ask full regions less and less

And while all regions are full, each request asks another region again after 150 ms, held for 110 ms and for nothing. Changes: a control VM that doesn't answer a draw rests for 0.5 to 2 s; pauses of regions double up to 0.6 s until the first success (core/pause). Tests: pauses in virtual time, a control VM that accepts and answers nothing.

--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
 	"kingcuprill/core/fault"
+	"kingcuprill/core/pause"
 	"kingcuprill/core/quota"
 	"kingcuprill/core/raft"
 	"kingcuprill/io/peer"
@@ -20,6 +22,13 @@
 	// timeout bounds a request's wait for tokens: a control VM of the region asks
 	// the leader in another one.
 	timeout = 350 * time.Millisecond
+	// oneTimeout bounds one control VM's answer: a round trip to the leader's
+	// region and what a busy VM takes.
+	oneTimeout = 220 * time.Millisecond
+	// shortestRest and longestRest bound how long a control VM that has not
+	// answered isn't asked. It may be frozen, and its connections look sound.
+	shortestRest = 500 * time.Millisecond
+	longestRest  = 2 * time.Second
 	// leadFor is how long after a confirmation by a majority the leader hands
 	// tokens out. Another leader can't have been elected long before it ends.
 	leadFor = 2 * time.Second
@@ -118,6 +127,16 @@
 	Book     *quota.Book
 	Controls func() []string // control VMs that answer, the nearest first
 	Log      *slog.Logger
+
+	resting pause.Pauses[string] // control VMs that have not answered
+}
+
+// NewClient returns a client.
+func NewClient(peers *peer.Peers, book *quota.Book, controls func() []string, log *slog.Logger) *Client {
+	return &Client{
+		Peers: peers, Book: book, Controls: controls, Log: log,
+		resting: pause.Pauses[string]{Shortest: shortestRest, Longest: longestRest},
+	}
 }
 
 // Draw carries an order out. An order without a need is for later requests; its
@@ -130,7 +149,10 @@
 	}
 	wait = unknownWait
 	for _, address := range c.Controls() {
-		answer, err := c.Peers.At(address).Draw(ctx, request)
+		if c.resting.Paused(address, time.Now()) {
+			continue
+		}
+		answer, err := c.ask(ctx, address, request)
 		if err == nil {
 			tokens, wait, reached = answer.GetGranted(), time.Duration(answer.GetWaitNanoseconds()), true
 			break
@@ -145,3 +167,17 @@
 	}
 	return tokens, wait, reached
 }
+
+// ask asks one control VM.
+func (c *Client) ask(ctx context.Context, address string, request *vm.DrawRequest) (*vm.DrawResponse, error) {
+	bounded, cancel := context.WithTimeout(ctx, oneTimeout)
+	defer cancel()
+	answer, err := c.Peers.At(address).Draw(bounded, request)
+	switch {
+	case err == nil:
+		c.resting.Succeeded(address)
+	case bounded.Err() != nil && !errors.Is(ctx.Err(), context.Canceled):
+		c.resting.Refused(address, time.Now())
+	}
+	return answer, err
+}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -101,7 +101,7 @@
 	v.client = &follow.Client{
 		Peers: peers, Lease: v.lease, Log: o.Log, Self: v.self, Catalogue: v.takeCatalogue, Targets: v.takeTargets, Entries: v.takeEntries,
 	}
-	drawer := &draw.Client{Peers: peers, Book: v.quota, Controls: v.client.Controls, Log: o.Log}
+	drawer := draw.NewClient(peers, v.quota, v.client.Controls, o.Log)
 	v.front = &front.Server{
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -16,8 +16,6 @@
 	hopHeadroom = 250 * time.Millisecond
 	// hopReturn is the way of an answer between regions.
 	hopReturn = 60 * time.Millisecond
-	// busyFor is how long a region that has refused a request isn't asked again.
-	busyFor = 150 * time.Millisecond
 )
 
 // regions returns where the request may run.
@@ -47,7 +45,7 @@
 				there = append(there, v)
 			}
 		}
-		if len(there) > 0 && (!x.atHome(x.server.Region) || !x.server.busy(region, x.service)) {
+		if len(there) > 0 && (!x.atHome(x.server.Region) || !x.server.regions.Paused(regionService{region, x.service}, time.Now())) {
 			vms = append(vms, there[rand.IntN(len(there))])
 		}
 	}
@@ -83,10 +81,11 @@
 	if reason := response.Header.Get(hopNotRun); reason != "" {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		x.server.markBusy(v.Region, x.service)
+		x.server.regions.Refused(regionService{v.Region, x.service}, time.Now())
 		x.server.Log.Info("entry VM has not run the request", "request", x.id, "vm", v.ID, "reason", reason)
 		return notRun
 	}
+	x.server.regions.Succeeded(regionService{v.Region, x.service})
 	x.runs++
 	return x.deliver(response, nil, nil)
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -16,6 +16,7 @@
 	"kingcuprill/core/blackboard"
 	"kingcuprill/core/entry"
 	"kingcuprill/core/lease"
+	"kingcuprill/core/pause"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quota"
@@ -57,8 +58,8 @@
 	Log            *slog.Logger
 
 	stop    atomic.Pointer[planned]
-	budgets sync.Map // service to *retry.Budget
-	regions sync.Map // regionService to the time until which it counts as busy
+	budgets sync.Map                    // service to *retry.Budget
+	regions pause.Pauses[regionService] // that have refused requests
 	running atomic.Int64
 }
 
@@ -254,16 +255,6 @@
 
 type regionService struct{ region, service string }
 
-// busy tells whether a region has refused a request for a service just now.
-func (s *Server) busy(region, service string) bool {
-	until, found := s.regions.Load(regionService{region, service})
-	return found && time.Now().Before(until.(time.Time))
-}
-
-func (s *Server) markBusy(region, service string) {
-	s.regions.Store(regionService{region, service}, time.Now().Add(busyFor))
-}
-
 // refuse answers the caller without a target's answer.
 func (x *exchange) refuse(r *refusal) {
 	s := x.server
