Let the region that runs a handed-over request try again

Change: the number of runs that are left of the route's attempts goes with the request, and the other VM tries again by its own knowledge. Tests: TestHopTriesAgain (504 after one send before), TestCallersSetNoRuns.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -98,10 +98,21 @@
 }
 
 func (x *exchange) mostTries() int {
-	if x.from != "" {
+	return x.attempts() + extraTries
+}
+
+// attempts is the number of targets that may run the request here. An entry VM
+// that hands a request over tells how many are left of the route's.
+func (x *exchange) attempts() int {
+	allowed := max(1, x.route.Attempts)
+	if x.from == "" {
+		return allowed
+	}
+	left, err := strconv.Atoi(x.header.Get(hopRuns))
+	if err != nil {
 		return 1
 	}
-	return max(1, x.route.Attempts) + extraTries
+	return min(max(1, left), allowed)
 }
 
 // mayTryAgain decides whether a request may be sent once more.
@@ -109,7 +120,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if x.runs > 0 && (!x.route.MayRepeat() || x.runs >= max(1, x.route.Attempts)) {
+	if x.runs > 0 && (!x.route.MayRepeat() || x.runs >= x.attempts()) {
 		return false
 	}
 	if result == broken && !x.hasLast {
@@ -173,7 +184,7 @@
 	}
 	// The caller's key stays here, and what this system tells targets is never
 	// the caller's word.
-	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, hopFrom} {
+	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, hopFrom, hopRuns} {
 		header.Del(name)
 	}
 	left := max(1, time.Until(x.deadline).Milliseconds())
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -482,3 +482,45 @@
 		}
 	}
 }
+
+// A region in which answers are lost tries again itself, as far as the route
+// allows: the VM that has handed the request over doesn't know its targets.
+func TestHopTriesAgain(t *testing.T) {
+	lose := func(net.Conn, *http.Request) {} // the answer never comes
+	tests := []struct {
+		name  string
+		route plan.Route
+		code  int
+		sends int
+	}{
+		{"repeatable", plan.Route{Kind: plan.Idempotent, Attempts: 2}, 200, 2},
+		{"repeatable, one attempt", plan.Route{Kind: plan.Idempotent, Attempts: 1, Timeout: time.Second}, 504, 1},
+		{"not repeatable", plan.Route{Kind: plan.NonIdempotent, Attempts: 2, Timeout: time.Second}, 504, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startTarget(t, lose, status(200, "", "fine"))
+			there := newWorld(t, test.route, s, s)
+			hop := httptest.NewServer(http.HandlerFunc(there.server.ServeHop))
+			t.Cleanup(hop.Close)
+			here := newWorld(t, test.route)
+			here.server.Placer.SetTargets(map[string]instance.Registration{"t0": {ID: "t0", Service: "s", State: instance.Ready}},
+				func(string) string { return "abroad" })
+			here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: hop.Listener.Addr().String(), Ready: true}})
+			code, _, _ := here.ask(t, "k")
+			if code != test.code || s.count() != test.sends {
+				t.Errorf("status %d after %d sends, want %d after %d", code, s.count(), test.code, test.sends)
+			}
+		})
+	}
+}
+
+// What a caller says of the runs that are left counts for nothing.
+func TestCallersSetNoRuns(t *testing.T) {
+	s := startTarget(t, reset)
+	w := newWorld(t, plan.Route{Kind: plan.Idempotent, Attempts: 1}, s, s, s)
+	w.ask(t, "k", hopRuns, "9")
+	if s.count() != 1 {
+		t.Errorf("%d sends on a route of one attempt", s.count())
+	}
+}
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -34,6 +34,7 @@
 // Headers of the calls between entry VMs.
 const (
 	hopFrom   = "Kc-Hop-From"
+	hopRuns   = "Kc-Hop-Runs" // runs that are left of the route's attempts
 	hopNotRun = "Kc-Hop-Not-Run"
 )
 
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"kingcuprill/core/entry"
@@ -71,6 +72,7 @@
 	x.target = "vm:" + v.ID
 	header := x.outgoing()
 	header.Set(hopFrom, x.server.Self)
+	header.Set(hopRuns, strconv.Itoa(max(1, x.attempts()-x.runs)))
 	if key := x.header.Get(keyHeader); key != "" {
 		header.Set(keyHeader, key)
 	}
--- a/io/front/timing.go
+++ b/io/front/timing.go
@@ -66,5 +66,5 @@
 
 // couldRepeatAfter tells whether the route allows another run after some.
 func (x *exchange) couldRepeatAfter(runs int) bool {
-	return x.from == "" && x.route.MayRepeat() && runs < max(1, x.route.Attempts) && x.tries < x.mostTries()
+	return x.route.MayRepeat() && runs < x.attempts() && x.tries < x.mostTries()
 }
