--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -20,7 +20,8 @@
 	relays []*Relay // each serves every so manieth VM, none: all draw from the pool
 	term   uint64
 	limit  Limit
-	trips  int // to the pool for a request that waits
+	trips  int  // to the pool for a request that waits
+	away   bool // the relays can't reach the pool
 }
 
 func newFleet(vms int, limit Limit) *fleet {
@@ -59,13 +60,18 @@
 	relay := f.relays[vm%len(f.relays)]
 	granted, ahead := relay.Take("o", f.limit, order.Need, order.Want, now)
 	if granted > 0 {
-		if ahead.Want > 0 {
+		if ahead.Want > 0 && f.away {
+			relay.Drawn("o", 0, now)
+		} else if ahead.Want > 0 {
 			tokens, _ = f.pool.Draw(f.term, "o", f.limit, 0, ahead.Want, now)
 			relay.Drawn("o", tokens, now)
 		}
 		return granted
 	}
 	f.trips++
+	if f.away {
+		return 0
+	}
 	tokens, _ = f.pool.Draw(f.term, "o", f.limit, max(0, ahead.Need), ahead.Want, now)
 	return relay.Pass("o", tokens, order.Need, order.Want, now)
 }
@@ -229,3 +235,27 @@
 		t.Errorf("%.0f tokens in %d s, the limit and one request are %.0f", taken, seconds, most)
 	}
 }
+
+// Load pattern: the leader is lost for a second at half of the rate. What the
+// relays hold serves nearly all of it.
+func TestRelaysCoverAnElection(t *testing.T) {
+	const vms, perSecond, cost = 30, 60, 4_000
+	limit := Limit{RatePerSecond: 2 * perSecond * cost, Burst: 2 * perSecond * cost}
+	f := newFleet(vms, limit)
+	for range 3 {
+		f.relays = append(f.relays, NewRelay())
+	}
+	f.pool.Lead(f.term, start)
+	random := rand.New(rand.NewPCG(1, 1))
+	refused := 0
+	for i := range 5 * perSecond {
+		now := start.Add(2*time.Second + time.Duration(i)*time.Second/perSecond)
+		f.away = i >= 4*perSecond
+		if !f.send(random.IntN(vms), cost, true, now) {
+			refused++
+		}
+	}
+	if refused*4 > perSecond {
+		t.Errorf("%d of %d requests are refused while there is no leader", refused, perSecond)
+	}
+}
--- a/core/quota/relay.go
+++ b/core/quota/relay.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// aheadBurst is the part of a burst that a relay draws ahead at most, so that
-// what all relays hold stays below one burst.
-const aheadBurst = 0.2
+const (
+	// aheadBurst is the part of a burst that a relay draws ahead at most, so that
+	// what all relays hold stays below one burst.
+	aheadBurst = 0.2
+	// relayTime is how much of its demand a relay holds. It covers the election
+	// of another leader.
+	relayTime = 1200 * time.Millisecond
+)
 
 // Relay holds tokens that a control VM has drawn from the pool ahead of what
 // the entry VMs of its region need.
@@ -44,7 +49,7 @@
 	defer r.mu.Unlock()
 	a := r.account(organisation, now)
 	a.note(want, now)
-	ahead := min(a.demand*aheadTime.Seconds(), aheadBurst*limit.Burst)
+	ahead := min(a.demand*relayTime.Seconds(), aheadBurst*limit.Burst)
 	if a.held < need || a.held <= 0 {
 		return 0, Order{Need: need - a.held, Want: want - a.held + ahead}
 	}
