--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,71 +23,6 @@
 	// strangerPenalty keeps a request at its rendezvous target as long as the
 	// others are not faster by more.
 	strangerPenalty = 4 * time.Millisecond
-	// slotsSlack lets one VM use more than its even part of a target's slots, as
-	// load is not even.
-	slotsSlack = 1.5
-	// coordinatedSlack is the part of a target's slots that its coordinator
-	// gives out. Those above one wait at the target, which goes on without a
-	// pause when a slot falls free.
-	coordinatedSlack = 1.1
-	// plainSlack is the same for services without an engine, whose short calls
-	// soon make room for those that wait.
-	plainSlack = 2
-	// coldSenders is the number of VMs of a region that may send to a cold
-	// target, so that the sum over all VMs keeps to what it bears.
-	coldSenders = 3
-	// memoryShare is the part of an engine's memory that is filled.
-	memoryShare = 0.9
-	// defaultSlots holds where a target doesn't tell how much it runs at once.
-	defaultSlots = 8
-)
-
-// Request is what the placer needs to know of a request.
-type Request struct {
-	Service   string
-	Demand    Demand
-	Sticky    bool
-	Excluded  []string // ids of targets that were tried
-	ColdRate  float64  // requests a second that a cold target bears
-	Memory    int      // tokens of a target's engine, 0 where it has no bound
-	Evacuated map[string]bool
-	// Comfort is the time until the answer begins with which the request stays
-	// at the target that has read its shared parts, though others may be faster.
-	Comfort time.Duration
-	// Bound is the longest time until the answer begins that is worth while, 0
-	// for any.
-	Bound time.Duration
-	// EventTokens is the number of output tokens in an event of a stream, 0 for
-	// answers that are no streams.
-	EventTokens int
-	Deadline    time.Time
-	Now         time.Time
-	// Coordinated asks for a target that this VM coordinates, so that all of its
-	// load is known here, or for the preferred one.
-	Coordinated bool
-	Preferred   string // id of a target, empty to choose by the prompt
-	// Fetch tells that targets can fetch the memory of prompts from each other,
-	// and Home names the one at which the shared parts are read first.
-	Fetch bool
-	Home  string
-}
-
-// affinity is what requests have in common that go to the same target.
-func (r Request) affinity() string {
-	if r.Sticky && len(r.Demand.Parts) > 0 {
-		return r.Demand.shared()
-	}
-	return strconv.FormatInt(r.Now.UnixNano(), 36)
-}
-
-// Reason tells why no target was chosen.
-type Reason string
-
-// Reasons.
-const (
-	NoTargets Reason = "no_targets" // none that may be used is known
-	Full      Reason = "full"       // all are at their bounds
-	Slow      Reason = "slow"       // none would begin to answer in time
 )
 
 // Placer keeps the targets of this VM's region. It is safe for concurrent use.
@@ -168,9 +102,6 @@
 func (p *Placer) Pick(r Request) (visit *Visit, predicted time.Duration, reason Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reason = NoTargets
-	var best *Target
-	lowest := time.Duration(0)
 	preferred := p.preferred(r)
 	source := p.source(r, preferred)
 	if preferred != nil && p.hasRoom(preferred, r) && preferred.Circuit.Closed() && !(r.long() && preferred.strained(r.Now)) {
@@ -179,11 +110,25 @@
 			return p.enter(preferred, r, true, source), predicted, ""
 		}
 	}
+	best, predicted, reason := p.fastest(r, preferred, source)
+	switch {
+	case best == nil:
+		return nil, predicted, reason
+	case r.Bound > 0 && predicted > r.Bound && best.inFlight > 0:
+		return nil, predicted, Slow
+	case !best.Circuit.Allow():
+		return nil, predicted, Full
+	}
+	return p.enter(best, r, best == preferred, source), predicted, ""
+}
+
+// fastest returns the target with the least cost among those that may take the
+// request. Without one it tells the reason.
+func (p *Placer) fastest(r Request, preferred, source *Target) (best *Target, predicted time.Duration, reason Reason) {
+	reason = NoTargets
+	lowest := time.Duration(0)
 	for _, t := range p.byName[r.Service] {
-		if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) {
-			continue
-		}
-		if r.Coordinated && t.coordinator != p.Self && t != preferred {
+		if !p.eligible(t, r, preferred) {
 			continue
 		}
 		if !p.hasRoom(t, r) || !t.Circuit.Ready() {
@@ -194,20 +139,20 @@
 			reason = Slow
 			continue
 		}
-		cost, time := p.cost(t, r, t == preferred, source)
+		cost, first := p.cost(t, r, t == preferred, source)
 		if best == nil || cost < lowest {
-			best, lowest, predicted = t, cost, time
+			best, lowest, predicted = t, cost, first
 		}
 	}
-	switch {
-	case best == nil:
-		return nil, predicted, reason
-	case r.Bound > 0 && predicted > r.Bound && best.inFlight > 0:
-		return nil, predicted, Slow
-	case !best.Circuit.Allow():
-		return nil, predicted, Full
+	return best, predicted, reason
+}
+
+// eligible tells whether a target may take the request, leaving its load aside.
+func (p *Placer) eligible(t *Target, r Request, preferred *Target) bool {
+	if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) {
+		return false
 	}
-	return p.enter(best, r, best == preferred, source), predicted, ""
+	return !r.Coordinated || t.coordinator == p.Self || t == preferred
 }
 
 // preferred returns the rendezvous target of the last shared part of a prompt.
@@ -242,45 +187,6 @@
 	return !slices.Contains(r.Excluded, t.ID)
 }
 
-// hasRoom tells whether a target is within its bounds with one more request.
-// The other VMs of the region are taken to load it as this one does, but for a
-// target that this VM coordinates.
-func (p *Placer) hasRoom(t *Target, r Request) bool {
-	vms, slack := len(p.vms), slotsSlack
-	switch {
-	case r.Coordinated && r.Memory > 0:
-		vms, slack = 1, coordinatedSlack
-	case r.Coordinated:
-		vms, slack = 1, plainSlack
-	}
-	if t.inFlight-t.lost(r.Now) >= max(1, int(slack*float64(t.slots()))/vms) {
-		return false
-	}
-	need := r.Demand.Prompt + r.Demand.Output
-	if r.Memory > 0 && t.inFlight > 0 && (t.memory+need)*vms > int(memoryShare*float64(r.Memory)) {
-		return false
-	}
-	return !r.Now.Before(t.ColdUntil) || p.coldRoom(t, r)
-}
-
-// coldRoom tells whether this VM may send to a cold target now.
-func (p *Placer) coldRoom(t *Target, r Request) bool {
-	if r.ColdRate <= 0 {
-		return true
-	}
-	if r.Now.Before(t.nextCold) {
-		return false
-	}
-	own := rank(p.Self, t)
-	before := 0
-	for _, id := range p.known {
-		if rank(id, t) > own {
-			before++
-		}
-	}
-	return before < coldSenders
-}
-
 // cost returns how long a target is predicted to take, and that with what
 // speaks against it.
 func (p *Placer) cost(t *Target, r Request, preferred bool, source *Target) (cost, predicted time.Duration) {
@@ -326,7 +232,7 @@
 	fetches := t.fetches(r, source)
 	work := t.work(r, preferred || fetches)
 	v := &Visit{
-		Target: t, placer: p, service: r.Service, demand: r.Demand, work: work, ahead: t.pending + work, begun: r.Now,
+		Target: t, id: t.ID, address: t.Address, placer: p, service: r.Service, demand: r.Demand, work: work, ahead: t.pending + work, begun: r.Now,
 		predicted: t.predict(work, p.slope(r.Service), r.Now),
 		deadline:  r.Deadline,
 	}
--- a/core/place/visit.go
+++ b/core/place/visit.go
@@ -9,6 +9,8 @@
 type Visit struct {
 	Target *Target
 
+	id        string // of the target, which may report another address later
+	address   string
 	placer    *Placer
 	service   string
 	demand    Demand
@@ -127,7 +129,7 @@
 
 // Where returns the target's id and address.
 func (v *Visit) Where() (id, address string) {
-	return v.Target.ID, v.Target.Address
+	return v.id, v.address
 }
 
 // Source returns the address of the target from which the memory of the shared
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	answer, err := c.Peers.Entry(address).Reserve(bounded, fromRequest(r))
 	if err != nil {
-		c.rest(address, ctx, err)
+		c.rest(ctx, address, err)
 		return nil, 0, "", err
 	}
 	predicted = time.Duration(answer.GetPredictedNanoseconds())
@@ -63,7 +63,7 @@
 	}, predicted, "", nil
 }
 
-func (c *Client) rest(address string, ctx context.Context, err error) {
+func (c *Client) rest(ctx context.Context, address string, err error) {
 	if ctx.Err() != nil {
 		return // the caller has left
 	}
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -10,10 +10,9 @@
 	"kingcuprill/core/instance"
 	"kingcuprill/core/place"
 	"kingcuprill/io/peer"
+	"kingcuprill/io/rig/eventually"
 )
 
-const patience = 5 * time.Second
-
 // pair returns a coordinator of one target with some slots, and a client of it.
 func pair(t *testing.T, slots int) (server *Server, client *Client, address string) {
 	t.Helper()
@@ -43,15 +42,6 @@
 	return stay
 }
 
-func waitFor(t *testing.T, what string, met func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !met(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not within %v: %s", patience, what)
-		}
-	}
-}
-
 // A place is given out until the slots are used, and again after a stay has
 // ended.
 func TestPlacesAreGivenOutOnce(t *testing.T) {
@@ -70,7 +60,7 @@
 	}
 	stays[0].Answered(time.Now())
 	stays[0].Done(place.Good, time.Now())
-	waitFor(t, "the end is reported", func() bool { return server.Reserved() == slots-1 })
+	eventually.Until(t, "the end is reported", func() bool { return server.Reserved() == slots-1 })
 	mustReserve(t, client, address)
 }
 
@@ -97,7 +87,7 @@
 	held := mustReserve(t, client, address)
 	stray.Done(place.Good, time.Now())
 	held.Done(place.Good, time.Now())
-	waitFor(t, "the place is free again", func() bool {
+	eventually.Until(t, "the place is free again", func() bool {
 		stay, _, _, err := client.Reserve(context.Background(), address, request())
 		return err == nil && stay != nil
 	})
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -22,11 +22,10 @@
 	"kingcuprill/core/versioned"
 	"kingcuprill/io/boottime"
 	"kingcuprill/io/peer"
+	"kingcuprill/io/rig/eventually"
 	"kingcuprill/rpc/vm"
 )
 
-const patience = 10 * time.Second
-
 // control is a control VM with nothing but what entry VMs follow.
 type control struct {
 	vm.VM // calls that aren't used
@@ -139,27 +138,18 @@
 	}
 }
 
-func waitFor(t *testing.T, what string, met func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !met(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not within %v: %s", patience, what)
-		}
-	}
-}
-
 // Load pattern: a large configuration before VMs with narrow links and many
 // control VMs. It comes compressed and once, from the nearest control VM.
 func TestCatalogueComesOnce(t *testing.T) {
 	far, near := startControl(t, "far", "abroad"), startControl(t, "near", "near")
 	f := startFollower(t, far, near)
-	waitFor(t, "only the near one is asked for catalogues", func() bool { return far.announces() && !near.announces() })
+	eventually.Until(t, "only the near one is asked for catalogues", func() bool { return far.announces() && !near.announces() })
 	large := strings.Repeat(`{"name":"r-1","host":"h.example","pathPrefix":"/a/"}`, 4000)
 	for _, c := range []*control{far, near} {
 		c.change(1, large)
 	}
-	waitFor(t, "the catalogue is in force", f.has(large))
-	waitFor(t, "the lease holds", f.Lease.Valid)
+	eventually.Until(t, "the catalogue is in force", f.has(large))
+	eventually.Until(t, "the lease holds", f.Lease.Valid)
 	if count, _ := far.catalogues(); count > 0 {
 		t.Errorf("the far control VM has sent %d catalogues", count)
 	}
@@ -173,9 +163,9 @@
 func TestCatalogueComesFromAnother(t *testing.T) {
 	far, near := startControl(t, "far", "abroad"), startControl(t, "near", "near")
 	f := startFollower(t, far, near)
-	waitFor(t, "only the near one is asked for catalogues", func() bool { return far.announces() && !near.announces() })
+	eventually.Until(t, "only the near one is asked for catalogues", func() bool { return far.announces() && !near.announces() })
 	far.change(7, "newer")
-	waitFor(t, "the catalogue is in force", f.has("newer"))
+	eventually.Until(t, "the catalogue is in force", f.has("newer"))
 }
 
 // Only entry VMs that have changed are told of.
@@ -192,12 +182,12 @@
 			return len(f.entries) == count && f.entries[0].Ready == ready
 		}
 	}
-	waitFor(t, "all are known", known(3, true))
+	eventually.Until(t, "all are known", known(3, true))
 	c.mu.Lock()
 	c.sent = nil
 	c.mu.Unlock()
 	c.server.note(&vm.EntryVM{Id: "a", Ready: false})
-	waitFor(t, "the change is known", known(3, false))
+	eventually.Until(t, "the change is known", known(3, false))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, answer := range c.sent {
--- a/io/listener/listener_test.go
+++ b/io/listener/listener_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/net/netutil"
+
+	"kingcuprill/io/rig/eventually"
 )
 
 const (
@@ -73,22 +75,13 @@
 	return stopped
 }
 
-func waitFor(t *testing.T, what string, met func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !met(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not within %v: %s", patience, what)
-		}
-	}
-}
-
 // A connection that waits in the accept queue when the stop begins is served.
 func TestQueuedConnectionIsServed(t *testing.T) {
 	s, release := started(t, func(l net.Listener) net.Listener { return netutil.LimitListener(l, 1) })
 	first, queued := dial(t, s), dial(t, s)
 	_, _ = io.WriteString(first, wholeRequest)
 	_, _ = io.WriteString(queued, wholeRequest)
-	waitFor(t, "a request runs", func() bool {
+	eventually.Until(t, "a request runs", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return len(s.conns) == 1
@@ -111,7 +104,7 @@
 	_, _ = io.WriteString(c, wholeRequest)
 	answered(t, "first", c)
 	_, _ = io.WriteString(c, wholeRequest[:8])
-	waitFor(t, "the first bytes are read", func() bool {
+	eventually.Until(t, "the first bytes are read", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.conns {
@@ -122,7 +115,7 @@
 		return false
 	})
 	stopped := stop(t, s)
-	waitFor(t, "the stop has begun", func() bool {
+	eventually.Until(t, "the stop has begun", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return s.closed
@@ -143,7 +136,7 @@
 	used, unused := dial(t, s), dial(t, s)
 	_, _ = io.WriteString(used, wholeRequest)
 	answered(t, "used", used)
-	waitFor(t, "both are taken in", func() bool {
+	eventually.Until(t, "both are taken in", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return len(s.conns) == 2
@@ -164,7 +157,7 @@
 	defer close(release)
 	c := dial(t, s)
 	_, _ = io.WriteString(c, wholeRequest)
-	waitFor(t, "the request runs", func() bool {
+	eventually.Until(t, "the request runs", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.conns {
