Leave a region from which no answer comes

Change: patience with another region for what may be repeated; failures of another region are tried again; of a route's runs one stays here. Tests: TestSilentRegionIsLeft failed first; TestHopTriesAgain now says what two and three attempts mean.

--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -20,8 +20,8 @@
 // errCaller tells that the caller's connection takes no more bytes.
 var errCaller = errors.New("the caller has left")
 
-// deliver passes an answer on to the caller. visit and patience are nil for the
-// answer of another entry VM.
+// deliver passes an answer on to the caller. visit is nil for the answer of
+// another entry VM.
 func (x *exchange) deliver(response *upstream.Response, visit stay, patience *time.Timer) outcome {
 	streamed := x.route.Kind == plan.Stream && response.StatusCode == http.StatusOK &&
 		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
@@ -106,9 +106,6 @@
 // waitForNext sets how long the next event may take. Streams that can't be
 // resumed are waited for until the deadline.
 func (x *exchange) waitForNext(patience *time.Timer) {
-	if patience == nil {
-		return
-	}
 	left := time.Until(x.deadline) + afterDeadline
 	if x.couldRepeat() && x.route.MaxGap > 0 {
 		left = min(left, gapsUntilBroken*x.route.MaxGap)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -195,8 +195,9 @@
 	return header
 }
 
-// failed maps an error of the connection to how the try ended.
-func (x *exchange) failed(err error) outcome {
+// failed maps an error of the connection to how the try ended, which may have
+// been some runs.
+func (x *exchange) failed(err error, runs int) outcome {
 	var failure *upstream.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
 	x.server.Metrics.Count("tries.failed")
@@ -204,10 +205,38 @@
 	if !sent {
 		return notRun
 	}
-	x.runs++
+	x.runs += runs
+	return mayHaveRun
+}
+
+// keepFailure reads an answer that tells of a failure, in case that no other try
+// does better.
+func (x *exchange) keepFailure(response *upstream.Response) outcome {
+	body, err := response.ReadAll(maxAnswer)
+	response.Finish(err == nil)
+	if err == nil {
+		x.failure = &failedAnswer{response: response, body: body}
+	}
+	x.server.Log.Warn("target has failed the request", "request", x.id, "target", x.target, "status", response.StatusCode)
 	return mayHaveRun
 }
 
+// impatient returns a context that ends when a try takes too long, and the timer
+// that decides it.
+func (x *exchange) impatient(ctx context.Context, patience time.Duration) (bounded context.Context, timer *time.Timer, cancel func()) {
+	bounded, end := context.WithCancelCause(ctx)
+	timer = time.AfterFunc(patience, func() {
+		// Without a retry in hand, a slow answer is better than none.
+		if x.server.budget(x.service).Available() {
+			end(errSlow)
+		}
+	})
+	return bounded, timer, func() {
+		timer.Stop()
+		end(nil)
+	}
+}
+
 // try sends the request to one target.
 func (x *exchange) try(ctx context.Context, visit stay) outcome {
 	s := x.server
@@ -230,21 +259,14 @@
 		header[s.Headers.FetchFrom] = []string{source}
 		s.Metrics.Count("fetches")
 	}
-	bounded, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	patience := time.AfterFunc(x.patience(), func() {
-		// Without a retry in hand, a slow answer is better than none.
-		if s.budget(x.service).Available() {
-			cancel(errSlow)
-		}
-	})
-	defer patience.Stop()
+	bounded, patience, cancel := x.impatient(ctx, x.patience())
+	defer cancel()
 	response, err := s.Targets.Do(bounded, target, address, x.request(header))
 	if err != nil {
 		if x.caller.Context().Err() == nil {
 			told = place.Bad
 		}
-		return x.failed(err)
+		return x.failed(err, 1)
 	}
 	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		_, err := response.ReadAll(maxAnswer)
@@ -258,13 +280,7 @@
 	}
 	x.runs++
 	if response.StatusCode >= http.StatusInternalServerError && x.couldRepeat() {
-		body, err := response.ReadAll(maxAnswer)
-		response.Finish(err == nil)
-		if err == nil {
-			x.failure = &failedAnswer{response: response, body: body}
-		}
-		s.Log.Warn("target has failed the request", "request", x.id, "target", target, "status", response.StatusCode)
-		return mayHaveRun
+		return x.keepFailure(response)
 	}
 	result := x.deliver(response, visit, patience)
 	switch {
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -15,6 +16,9 @@
 	// hopHeadroom is the least time left that makes a way to another region
 	// worthwhile.
 	hopHeadroom = 250 * time.Millisecond
+	// hopPatience is added to the patience with a target for the way to another
+	// region, and for the first try of the VM there.
+	hopPatience = 500 * time.Millisecond
 	// hopReturn is the way of an answer between regions.
 	hopReturn = 60 * time.Millisecond
 )
@@ -57,28 +61,36 @@
 // where none took it.
 func (x *exchange) away(ctx context.Context, result *outcome) bool {
 	for _, v := range x.neighbours() {
+		if x.runs > 0 && !x.mayTryAgain(ctx, *result) {
+			break
+		}
 		if *result = x.hop(ctx, v); *result == delivered {
 			return true
 		}
-		if x.runs > 0 {
-			break
-		}
 	}
 	return false
 }
 
+// runsToHandOver is the number of runs that another region may use. One of
+// several stays here, for the case that nothing comes back from there.
+func (x *exchange) runsToHandOver() int {
+	return max(1, x.attempts()-x.runs-1)
+}
+
 func (x *exchange) hop(ctx context.Context, v entry.VM) outcome {
 	x.server.Metrics.Away.Inc(1)
 	x.target = "vm:" + v.ID
 	header := x.outgoing()
 	header.Set(hopFrom, x.server.Self)
-	header.Set(hopRuns, strconv.Itoa(max(1, x.attempts()-x.runs)))
+	header.Set(hopRuns, strconv.Itoa(x.runsToHandOver()))
 	if key := x.header.Get(keyHeader); key != "" {
 		header.Set(keyHeader, key)
 	}
-	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
+	bounded, patience, cancel := x.impatient(ctx, x.patience()+hopPatience)
+	defer cancel()
+	response, err := x.server.Peers.Do(bounded, v.ID, v.PeerAddress, x.request(header))
 	if err != nil {
-		return x.failed(err)
+		return x.failed(err, x.runsToHandOver())
 	}
 	if reason := response.Header.Get(hopNotRun); reason != "" {
 		_, err := response.ReadAll(maxAnswer)
@@ -88,6 +100,9 @@
 		return notRun
 	}
 	x.server.regions.Succeeded(regionService{v.Region, x.service})
-	x.runs++
-	return x.deliver(response, nil, nil)
+	x.runs += x.runsToHandOver()
+	if response.StatusCode >= http.StatusInternalServerError && x.couldRepeat() {
+		return x.keepFailure(response)
+	}
+	return x.deliver(response, nil, patience)
 }
