--- a/core/place/coordinate_test.go
+++ b/core/place/coordinate_test.go
@@ -149,7 +149,7 @@
 func TestProgressOfReportedAnswers(t *testing.T) {
 	p := placers(1, 1, nil)[0]
 	visit, _, _ := p.Pick(Request{Service: "llm", EventTokens: 1, Now: start, Deadline: start.Add(time.Minute), Demand: Demand{Expected: 100}})
-	visit.Begun(start.Add(time.Second), start.Add(time.Second))
+	visit.Begun(start.Add(time.Second))
 	visit.Paced(200, 50*time.Millisecond)
 	if got := visit.progress(start.Add(2 * time.Second)); got < 18 || got > 22 {
 		t.Errorf("%d events after a second at 50ms each, want about 20", got)
--- a/core/place/visit.go
+++ b/core/place/visit.go
@@ -67,8 +67,8 @@
 
 // Begun tells that the answer of a request that another VM sends has begun.
 // That VM tells of the events only at the end, with Paced.
-func (v *Visit) Begun(at, now time.Time) {
-	v.Answered(at)
+func (v *Visit) Begun(now time.Time) {
+	v.Answered(now)
 	v.placer.mu.Lock()
 	defer v.placer.mu.Unlock()
 	v.reported, v.last = true, now
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -93,7 +93,7 @@
 		return // of an earlier process, or one that has run out
 	}
 	if p.GetBegun() {
-		r.visit.Begun(now.Add(-time.Duration(p.GetBegunNanoseconds())), now)
+		r.visit.Begun(now)
 	}
 	if !p.GetEnded() {
 		return
--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -83,11 +83,10 @@
 	name, need, want := request.GetOrganisation(), request.GetNeed(), request.GetWant()
 	limit := quota.Limit{RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst()}
 	granted, order := s.relay.Take(name, limit, need, want, time.Now())
-	switch {
-	case granted > 0 && order.Want > 0:
+	if granted > 0 && order.Want > 0 {
 		go s.refill(request, order)
-		fallthrough
-	case granted > 0:
+	}
+	if granted > 0 {
 		return &vm.DrawResponse{Granted: granted}, nil
 	}
 	answer, err := s.ask(ctx, request, order)
