--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -77,6 +77,7 @@
 	return max(1, x.attempts()-x.runs-1)
 }
 
+// hop hands the request to one entry VM of another region.
 func (x *exchange) hop(ctx context.Context, v entry.VM) outcome {
 	x.server.Metrics.Away.Inc(1)
 	x.target = "vm:" + v.ID
