--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -144,7 +144,7 @@
 	far, near := startControl(t, "far", "abroad"), startControl(t, "near", "near")
 	f := startFollower(t, far, near)
 	eventually.Until(t, "only the near one is asked for catalogues", func() bool { return far.announces() && !near.announces() })
-	large := strings.Repeat(`{"name":"r-1","host":"h.example","pathPrefix":"/a/"}`, 4000)
+	large := strings.Repeat(`{"name":"r-1","host":"h.example","prefix":"/a/"}`, 4000)
 	for _, c := range []*control{far, near} {
 		c.change(1, large)
 	}
