Let one suspect at a time run at a target

Log: a request that crashes targets and an innocent one beside it were tried again in the same millisecond; both found the other target free of suspects, since a suspect was counted only after it had been placed. The innocent one was struck by the second crash as well and refused. Change: the place of a suspect is taken by compare-and-swap when it is chosen.

--- a/core/target/target.go
+++ b/core/target/target.go
@@ -50,13 +50,24 @@
 // of the table share it.
 type Live struct {
 	InFlight       atomic.Int64 // this VM's own requests
-	Suspects       atomic.Int64 // own requests that were in flight at a crash before
+	Suspects       atomic.Int64 // own requests that were in flight at a crash before, one at most
 	OthersAtReport atomic.Int64 // load of other VMs when the target last reported
 	Circuit        circuit.Breaker
 	Prefixes       PrefixSet
 	Since          time.Time // first announcement of this boot
 }
 
+// TakeSuspect lets one request run that was in flight at a crash. A second one
+// beside it would hide which of them crashes targets. LeaveSuspect must follow.
+func (l *Live) TakeSuspect() bool {
+	return l.Suspects.CompareAndSwap(0, 1)
+}
+
+// LeaveSuspect tells that the request has ended.
+func (l *Live) LeaveSuspect() {
+	l.Suspects.Add(-1)
+}
+
 // Target is one row of the table.
 type Target struct {
 	Announcement
--- /dev/null
+++ b/core/target/target_test.go
@@ -0,0 +1,35 @@
+package target
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// Two requests that were in flight at a crash are tried again at the same moment
+// and find the same target free of suspects. Only one may run there: otherwise the
+// one that does no harm is struck by the second crash too, and refused for good.
+func TestOneSuspectAtATime(t *testing.T) {
+	const requests = 64
+	var live Live
+	var taken atomic.Int64
+	var group sync.WaitGroup
+	begin := make(chan struct{})
+	for range requests {
+		group.Go(func() {
+			<-begin
+			if live.TakeSuspect() {
+				taken.Add(1)
+			}
+		})
+	}
+	close(begin)
+	group.Wait()
+	if taken.Load() != 1 {
+		t.Fatalf("%d of %d suspects run beside each other", taken.Load(), requests)
+	}
+	live.LeaveSuspect()
+	if !live.TakeSuspect() {
+		t.Error("the target takes no suspect after the first one has ended")
+	}
+}
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -179,9 +179,8 @@
 	live := p.row.Live
 	live.InFlight.Add(1)
 	defer live.InFlight.Add(-1)
-	if r.suspect {
-		live.Suspects.Add(1)
-		defer live.Suspects.Add(-1)
+	if r.isolated() {
+		defer live.LeaveSuspect() // r.choose has taken it
 	}
 	live.Prefixes.Add(r.wanted.Prefixes...)
 	job := engine.Job{ExchangeID: r.exchangeID(), Priority: r.request.Route.Priority, Generation: *r.request.Generation}
--- a/io/dispatch/place.go
+++ b/io/dispatch/place.go
@@ -34,12 +34,23 @@
 			return place{vm: vm}, true, r.shed(there)
 		}
 	}
-	if hasLocal {
-		r.d.turns.Chosen(row)
-		row.Live.Circuit.Allow() // where the circuit is open, this request is the probe
-		return place{row: row}, true, r.shed(here)
+	if !hasLocal {
+		return place{}, false, nil
 	}
-	return place{}, false, nil
+	if err := r.shed(here); err != nil {
+		return place{}, true, err
+	}
+	if r.isolated() && !row.Live.TakeSuspect() {
+		return place{}, false, nil // another suspect was faster
+	}
+	r.d.turns.Chosen(row)
+	row.Live.Circuit.Allow() // where the circuit is open, this request is the probe
+	return place{row: row}, true, nil
+}
+
+// isolated tells whether the request must not run beside another suspect.
+func (r *run) isolated() bool {
+	return r.suspect && r.request.Generation != nil
 }
 
 // shed refuses a request that would wait beyond its deadline anyway.
