Begin reservation ids of a coordinator at a random number

Cause: ids began at 1 in each process, so that a late report of a reservation that an earlier process at the address had made ended the place of another request. Test: TestReportOfEarlierProcess, which failed before.

--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -11,6 +11,7 @@
 	"kingcuprill/core/place"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/rig/eventually"
+	"kingcuprill/rpc/entry"
 )
 
 // startCoordinator starts a coordinator of one target with some slots. It returns
@@ -94,6 +95,19 @@
 	})
 }
 
+// A report of a reservation that an earlier process of the coordinator made doesn't
+// end one that this process has made.
+func TestReportOfEarlierProcess(t *testing.T) {
+	_, clientBefore, addressBefore := startCoordinator(t, 1)
+	earlier := mustReserve(t, clientBefore, addressBefore)
+	server, client, address := startCoordinator(t, 1)
+	mustReserve(t, client, address)
+	server.applyProgress(&entry.Progress{Reservation: earlier.id, Ended: true}, time.Now())
+	if server.Reserved() != 1 {
+		t.Error("the report of an earlier process's reservation has ended another one")
+	}
+}
+
 // A coordinator that doesn't answer isn't asked again for a while.
 func TestSilentCoordinatorIsNotAskedAgain(t *testing.T) {
 	client := NewClient(peer.NewUnsigned("here"), slog.New(slog.DiscardHandler))
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -34,6 +35,7 @@
 
 	mu       sync.Mutex
 	last     uint64 // id of the newest reservation
+	given    int64
 	reserved map[uint64]*reservedPlace
 }
 
@@ -42,9 +44,11 @@
 	until      time.Time
 }
 
-// NewServer returns a server without reservations.
+// NewServer returns a server without reservations. Their ids begin at a random
+// number, so that late reports of reservations that an earlier process at the same
+// address made don't end those of this one.
 func NewServer(placer *place.Placer, evacuated func() map[string]bool, log *slog.Logger) *Server {
-	return &Server{Placer: placer, Evacuated: evacuated, Log: log, reserved: map[uint64]*reservedPlace{}}
+	return &Server{Placer: placer, Evacuated: evacuated, Log: log, last: rand.Uint64(), reserved: map[uint64]*reservedPlace{}}
 }
 
 // Handler returns the handler of the calls between entry VMs.
@@ -73,6 +77,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.last++
+	if s.last == 0 { // stands for no reservation
+		s.last++
+	}
+	s.given++
 	s.reserved[s.last] = &reservedPlace{assignment: assignment, until: deadline.Add(expiryMargin)}
 	return s.last
 }
@@ -133,7 +141,7 @@
 func (s *Server) Given() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return int64(s.last)
+	return s.given
 }
 
 // Reserved returns the number of reservations that other VMs hold now.
