Serialise flushes of the log writer

Cause: two flushes at once used the spare buffer together, so that last lines could be overwritten. Test: TestFlushesAtOnce, which failed before (lines in wrong order, data race).

--- a/io/logline/logline.go
+++ b/io/logline/logline.go
@@ -20,6 +20,7 @@
 // Writer buffers log lines for an output. Write is safe for concurrent use.
 type Writer struct {
 	out      io.Writer
+	flushing sync.Mutex // serialises writes to the output
 	mu       sync.Mutex
 	buffered []byte
 	spare    []byte // emptied buffer that the next Flush reuses
@@ -60,6 +61,8 @@
 
 // Flush writes the buffered lines to the output and waits for it.
 func (w *Writer) Flush() {
+	w.flushing.Lock()
+	defer w.flushing.Unlock()
 	w.mu.Lock()
 	lines, dropped := w.buffered, w.dropped
 	w.buffered, w.dropped = w.spare[:0], 0
