Keep the files of a replica sound after partial and large writes

Cause: SaveWithdrawn left a partial write in the file, below the next one, which Open takes for damage; the length of a record has 24 bits and wasn't checked. Files written before can be read as before.

--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -2,9 +2,14 @@
 
 import (
 	"encoding/binary"
+	"errors"
+	"fmt"
 	"hash/crc32"
 
 	"google.golang.org/protobuf/proto"
+
+	"kingcuprill/core/raft"
+	"kingcuprill/io/codec"
 )
 
 // A record is a header of 12 bytes and a payload. The header holds the length
@@ -27,6 +32,13 @@
 	batchRecord
 )
 
+// MaxEntryBytes is the largest encoded entry of the log that can be saved: with the
+// headers of its record and its batch it must fit into maxRecordSize.
+const MaxEntryBytes = maxRecordSize - 2*headerSize - 1
+
+// ErrTooLarge reports an entry that is larger than MaxEntryBytes.
+var ErrTooLarge = errors.New("too large for one record")
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // appendRecord appends an encoded record to a buffer.
@@ -35,12 +47,21 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(payload) > MaxEntryBytes {
+		return nil, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(payload), MaxEntryBytes)
+	}
+	return appendPayload(buffer, kind, payload), nil
+}
+
+// appendPayload appends a record with an encoded payload, which must be shorter than
+// maxRecordSize, to a buffer.
+func appendPayload(buffer []byte, kind recordKind, payload []byte) []byte {
 	var header [headerSize]byte
 	binary.LittleEndian.PutUint32(header[0:], uint32(len(payload))|uint32(kind)<<24)
 	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(header[:4], castagnoli))
 	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(payload, castagnoli))
 	buffer = append(buffer, header[:]...)
-	return append(buffer, payload...), nil
+	return append(buffer, payload...)
 }
 
 type parsedRecord struct {
@@ -80,12 +101,34 @@
 
 // appendBatch appends the encoded records of one write to a buffer, as one record.
 func appendBatch(buffer, records []byte) []byte {
-	var header [headerSize]byte
-	binary.LittleEndian.PutUint32(header[0:], uint32(len(records))|uint32(batchRecord)<<24)
-	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(header[:4], castagnoli))
-	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(records, castagnoli))
-	buffer = append(buffer, header[:]...)
-	return append(buffer, records...)
+	return appendPayload(buffer, batchRecord, records)
+}
+
+// encodeBatches encodes entries and the hard state that follows them as batches, as
+// many as their size needs. The hard state is in the last one.
+func encodeBatches(hard raft.HardState, entries []raft.Entry) (batches [][]byte, err error) {
+	var records []byte
+	add := func(kind recordKind, message proto.Message) error {
+		record, err := appendRecord(nil, kind, message)
+		if err != nil {
+			return err
+		}
+		if len(records)+len(record) >= maxRecordSize {
+			batches = append(batches, appendBatch(nil, records))
+			records = nil
+		}
+		records = append(records, record...)
+		return nil
+	}
+	for _, entry := range entries {
+		if err := add(entryRecord, codec.FromEntry(entry)); err != nil {
+			return nil, fmt.Errorf("entry %d: %w", entry.Index, err)
+		}
+	}
+	if err := add(hardStateRecord, codec.FromHardState(hard)); err != nil {
+		return nil, err
+	}
+	return append(batches, appendBatch(nil, records)), nil
 }
 
 // unpack returns the records of a batch, or the record itself if it is no batch, and
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -12,6 +12,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
@@ -66,14 +67,16 @@
 // Store is an open data folder, locked to this process.
 type Store struct {
 	// BeforeWrite, if set, is called before each write with its size in bytes. Tests
-	// return an error from it in place of a disk error.
-	BeforeWrite func(size int) error
-
-	folder    string
-	lock      *os.File
-	log       *os.File
-	size      int64 // of the log up to the last complete write, bytes
-	withdrawn *os.File
+	// return from it an error in place of a disk error, and the number of bytes that
+	// are written nevertheless.
+	BeforeWrite func(size int) (written int, err error)
+
+	folder        string
+	lock          *os.File
+	log           *os.File
+	size          int64 // of the log up to the last complete write, bytes
+	withdrawn     *os.File
+	withdrawnSize int64 // of the withdrawn keys up to the last complete write, bytes
 }
 
 // Format creates the data folder of a replica. With a membership, the replica is one
@@ -199,29 +202,35 @@
 	if !sync {
 		return nil
 	}
-	var buffer []byte
-	for _, entry := range entries {
-		if buffer, err = appendRecord(buffer, entryRecord, codec.FromEntry(entry)); err != nil {
+	batches, err := encodeBatches(hard, entries)
+	if err != nil {
+		return err
+	}
+	for _, batch := range batches {
+		if err := s.appendBatch(s.log, &s.size, batch); err != nil {
 			return err
 		}
 	}
-	if buffer, err = appendRecord(buffer, hardStateRecord, codec.FromHardState(hard)); err != nil {
-		return err
-	}
-	buffer = appendBatch(nil, buffer)
-	if err := s.write(s.log, buffer); err != nil {
-		return errors.Join(err, s.truncatePartialWrite())
+	return nil
+}
+
+// appendBatch writes a batch at the end of a file, syncs it and adds it to the size of
+// the file. If the write fails, a partial write is removed again.
+func (s *Store) appendBatch(file *os.File, size *int64, batch []byte) error {
+	if err := s.write(file, batch); err != nil {
+		return errors.Join(err, truncate(file, *size))
 	}
-	if err := s.log.Sync(); err != nil {
+	if err := file.Sync(); err != nil {
 		return fmt.Errorf("%w: %w", ErrSync, err)
 	}
-	s.size += int64(len(buffer))
+	*size += int64(len(batch))
 	return nil
 }
 
 func (s *Store) write(file *os.File, data []byte) error {
 	if s.BeforeWrite != nil {
-		if err := s.BeforeWrite(len(data)); err != nil {
+		if written, err := s.BeforeWrite(len(data)); err != nil {
+			_, _ = file.Write(data[:written])
 			return err
 		}
 	}
@@ -229,13 +238,13 @@
 	return err
 }
 
-// truncatePartialWrite removes a partial write from the end of the log. The error is
-// ErrSync if the truncation fails.
-func (s *Store) truncatePartialWrite() error {
-	if err := s.log.Truncate(s.size); err != nil {
+// truncate removes a partial write behind the given size of a file. The error is
+// ErrSync if that fails.
+func truncate(file *os.File, size int64) error {
+	if err := file.Truncate(size); err != nil {
 		return fmt.Errorf("%w: truncate a partial write: %w", ErrSync, err)
 	}
-	_, err := s.log.Seek(s.size, 0)
+	_, err := file.Seek(size, 0)
 	return err
 }
 
@@ -246,20 +255,15 @@
 	if err := s.writeSnapshotFile(snapshot); err != nil {
 		return err
 	}
-	var buffer []byte
-	for _, entry := range entries {
-		if buffer, err = appendRecord(buffer, entryRecord, codec.FromEntry(entry)); err != nil {
-			return err
-		}
-	}
-	if buffer, err = appendRecord(buffer, hardStateRecord, codec.FromHardState(hard)); err != nil {
+	batches, err := encodeBatches(hard, entries)
+	if err != nil {
 		return err
 	}
-	buffer = appendBatch(nil, buffer)
-	if err := s.replaceFile(logFile, buffer); err != nil {
+	log := slices.Concat(batches...)
+	if err := s.replaceFile(logFile, log); err != nil {
 		return err
 	}
-	return s.reopenLog(int64(len(buffer)))
+	return s.reopenLog(int64(len(log)))
 }
 
 func (s *Store) reopenLog(size int64) (err error) {
@@ -275,11 +279,18 @@
 	return err
 }
 
+// writeSnapshotFile replaces the snapshot. Its encoding is divided into records, as
+// many as its size needs.
 func (s *Store) writeSnapshotFile(snapshot raft.Snapshot) error {
-	buffer, err := appendRecord(nil, snapshotRecord, codec.FromLogSnapshot(snapshot))
+	encoded, err := proto.Marshal(codec.FromLogSnapshot(snapshot))
 	if err != nil {
 		return err
 	}
+	first := min(len(encoded), maxRecordSize-1)
+	buffer := appendPayload(nil, snapshotRecord, encoded[:first])
+	for piece := range slices.Chunk(encoded[first:], maxRecordSize-1) {
+		buffer = appendPayload(buffer, snapshotRecord, piece)
+	}
 	return s.replaceFile(snapshotFile, buffer)
 }
 
@@ -321,10 +332,7 @@
 			return err
 		}
 	}
-	if err := s.write(s.withdrawn, appendBatch(nil, buffer)); err != nil {
-		return err
-	}
-	return s.withdrawn.Sync()
+	return s.appendBatch(s.withdrawn, &s.withdrawnSize, appendBatch(nil, buffer))
 }
 
 // Size returns the size of the log file in bytes.
@@ -346,12 +354,17 @@
 	if err != nil {
 		return snapshot, err
 	}
-	record, result := parseRecord(data)
-	if result != recordComplete || record.kind != snapshotRecord || record.size != len(data) {
-		return snapshot, fmt.Errorf("%s: offset 0: %w; replace this replica", s.path(snapshotFile), ErrDamaged)
+	var encoded []byte
+	for offset := 0; offset < len(data) || offset == 0; {
+		record, result := parseRecord(data[offset:])
+		if result != recordComplete || record.kind != snapshotRecord {
+			return snapshot, fmt.Errorf("%s: offset %d: %w; replace this replica", s.path(snapshotFile), offset, ErrDamaged)
+		}
+		encoded = append(encoded, record.payload...)
+		offset += record.size
 	}
 	message := &state.LogSnapshot{}
-	if err := proto.Unmarshal(record.payload, message); err != nil {
+	if err := proto.Unmarshal(encoded, message); err != nil {
 		return snapshot, fmt.Errorf("%s: offset 0: %w: %w", s.path(snapshotFile), ErrDamaged, err)
 	}
 	return codec.ToLogSnapshot(message), nil
@@ -457,9 +470,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.withdrawn.Truncate(int64(completeBytes)); err != nil {
-		return nil, err
-	}
-	_, err = s.withdrawn.Seek(int64(completeBytes), 0)
-	return keys, err
+	s.withdrawnSize = int64(completeBytes)
+	return keys, truncate(s.withdrawn, s.withdrawnSize)
 }
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -1,6 +1,7 @@
 package disk_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -116,7 +117,7 @@
 	writeEntries(t, folder)
 	store, _ := open(t, folder)
 	full := errors.New("no space left on device")
-	store.BeforeWrite = func(int) error { return full }
+	store.BeforeWrite = func(int) (int, error) { return 0, full }
 	next := []raft.Entry{entry(6, 1)}
 	if err := store.Save(raft.HardState{Term: 1}, next, true); !errors.Is(err, full) || errors.Is(err, disk.ErrSync) {
 		t.Fatalf("error %v, want the disk's own", err)
@@ -211,6 +212,61 @@
 	}
 }
 
+// TestFullDiskOfWithdrawnKeys lets a write of withdrawn keys fail halfway. The part
+// that was written must not damage the file: keys that are saved later must be there
+// after a restart.
+func TestFullDiskOfWithdrawnKeys(t *testing.T) {
+	folder := formatFolder(t)
+	store, _ := open(t, folder)
+	full := errors.New("no space left on device")
+	store.BeforeWrite = func(size int) (int, error) { return size / 2, full }
+	if err := store.SaveWithdrawn([]string{"a"}); !errors.Is(err, full) {
+		t.Fatalf("error %v, want the disk's own", err)
+	}
+	store.BeforeWrite = nil
+	if err := store.SaveWithdrawn([]string{"b"}); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	if _, saved := open(t, folder); !slices.Equal(saved.Withdrawn, []string{"b"}) {
+		t.Fatalf("withdrawn %v, want b", saved.Withdrawn)
+	}
+}
+
+// TestLargeSnapshot saves a snapshot that is larger than one record can hold.
+func TestLargeSnapshot(t *testing.T) {
+	folder := formatFolder(t)
+	store, _ := open(t, folder)
+	snapshot := raft.Snapshot{Index: 3, Term: 1, Data: bytes.Repeat([]byte("state"), 17<<20/5)}
+	if err := store.SaveSnapshot(snapshot, raft.HardState{Term: 1, Commit: 3}, nil); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	if _, saved := open(t, folder); saved.Snapshot.Index != 3 || !bytes.Equal(saved.Snapshot.Data, snapshot.Data) {
+		t.Fatalf("snapshot of index %d and %d bytes, want index 3 and %d bytes", saved.Snapshot.Index, len(saved.Snapshot.Data), len(snapshot.Data))
+	}
+}
+
+// TestLargeBatch saves entries at once that together are larger than one record can
+// hold, and then one that alone is.
+func TestLargeBatch(t *testing.T) {
+	folder := formatFolder(t)
+	store, _ := open(t, folder)
+	large := func(index uint64, size int) raft.Entry {
+		return raft.Entry{Index: index, Term: 1, Kind: raft.EntryCommand, Data: make([]byte, size)}
+	}
+	if err := store.Save(raft.HardState{Term: 1}, []raft.Entry{large(1, 9<<20), large(2, 9<<20), large(3, 1)}, true); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Save(raft.HardState{Term: 1}, []raft.Entry{large(4, 17<<20)}, true); !errors.Is(err, disk.ErrTooLarge) {
+		t.Errorf("error %v for an entry of 17 MiB, want one that says it is too large", err)
+	}
+	store.Close()
+	if _, saved := open(t, folder); len(saved.Entries) != 3 || saved.HardState.Term != 1 {
+		t.Fatalf("%d entries, term %d, want 3 of term 1", len(saved.Entries), saved.HardState.Term)
+	}
+}
+
 func FuzzOpen(f *testing.F) {
 	f.Add([]byte("not a log"))
 	f.Add(make([]byte, 64))
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -37,6 +37,8 @@
 	snapshotInterval  = 512 // entries
 	trailingEntries   = 256 // entries applied after a capture before it replaces the log, for followers that lag
 	diskRetryInterval = time.Second
+	// maxCommandBytes is the largest encoded command: its entry has some bytes more.
+	maxCommandBytes = disk.MaxEntryBytes - 64
 )
 
 // Transport sends messages to another replica. Send must not block; messages may
@@ -422,6 +424,10 @@
 		p.answer <- proposalAnswer{err: fault.New(fault.Invalid, "encode the command: %v", err)}
 		return
 	}
+	if len(data) > maxCommandBytes {
+		p.answer <- proposalAnswer{err: fault.New(fault.Invalid, "the command has %d bytes, more than the %d that the control log can hold; split the change", len(data), maxCommandBytes)}
+		return
+	}
 	index, term, err := r.node.Propose(data)
 	if err != nil {
 		p.answer <- proposalAnswer{err: fault.New(fault.NoQuorum, "%v", err)}
