Use a share that a VM gains only after loans from before have expired

Cause: a change of the VM set lowers a lender's base share below what it has lent, while the VM that gains the share accrued from the settlement on, so that both it and the borrower used it. Change: gains are withheld for the duration of a loan after the settlement.

--- a/core/limit/account.go
+++ b/core/limit/account.go
@@ -63,6 +63,7 @@
 	base       Amount // this VM's part of the limit without loans
 	borrowed   []Loan
 	lent       []Loan
+	withheld   []Loan    // gains of the base that other VMs may still use as loans
 	level      float64   // tokens
 	updated    time.Time // time up to which the level has accrued
 	useRate    float64   // decayed average of admitted tokens a second
@@ -93,21 +94,27 @@
 	return a
 }
 
-// SetBase changes the account's base: its part of the limit without loans.
-func (a *Account) SetBase(base Amount, now time.Time) {
+// SetBase changes the account's base: its part of the limit without loans. What the
+// base gains is used from growFrom on, which may be in the past.
+func (a *Account) SetBase(base Amount, growFrom, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.accrue(now)
+	if gain := base.minus(a.base); growFrom.After(now) && gain != (Amount{}) {
+		a.withheld = append(a.withheld, Loan{Amount: gain, Until: growFrom})
+	}
 	a.base = base
 	a.clampLevel()
 	a.grantWaiting(now)
 }
 
-// remainingBase returns the base less what is lent.
+// remainingBase returns the base less what is lent or withheld.
 func (a *Account) remainingBase() Amount {
 	remaining := a.base
-	for _, loan := range a.lent {
-		remaining = remaining.minus(loan.Amount)
+	for _, loans := range [][]Loan{a.lent, a.withheld} {
+		for _, loan := range loans {
+			remaining = remaining.minus(loan.Amount)
+		}
 	}
 	return remaining
 }
@@ -136,7 +143,7 @@
 // nextExpiry returns the first expiry of a loan before now, or now.
 func (a *Account) nextExpiry(now time.Time) time.Time {
 	next := now
-	for _, loans := range [][]Loan{a.borrowed, a.lent} {
+	for _, loans := range [][]Loan{a.borrowed, a.lent, a.withheld} {
 		for _, loan := range loans {
 			if loan.Until.After(a.updated) && loan.Until.Before(next) {
 				next = loan.Until
@@ -149,6 +156,7 @@
 func (a *Account) expire(now time.Time) {
 	a.borrowed = unexpired(a.borrowed, now)
 	a.lent = unexpired(a.lent, now)
+	a.withheld = unexpired(a.withheld, now)
 	a.clampLevel()
 }
 
--- a/core/limit/directed_test.go
+++ b/core/limit/directed_test.go
@@ -94,3 +94,45 @@
 		f.history.check(t, 0, rate, burst)
 	})
 }
+
+// TestJoinWhileLent lets a VM join while another one uses a loan of a third one's
+// whole share. The joined VM must not use its share before the loan has expired.
+func TestJoinWhileLent(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(newRandom(seed), 2)
+			time.Sleep(20 * time.Second)
+			for _, link := range [][2]int{{0, 1}, {1, 0}, {1, 2}, {2, 0}, {2, 1}, {0, 2}} {
+				f.cut[link] = true
+			}
+			lender, _ := f.limiter(0).Account(organisation)
+			borrower, _ := f.limiter(1).Account(organisation)
+			asked := time.Now()
+			borrower.Borrow(lender.Lend(limit.Amount{RatePerSecond: rate, Burst: burst}, asked), asked, asked)
+			var group sync.WaitGroup
+			for range 20 { // spends the burst at once
+				group.Go(func() { f.request(1, 10, 10, 0) })
+			}
+			group.Go(func() { f.saturate([]int{1, 2}, 6*time.Second) })
+			group.Go(func() { f.change(withVM(f.current, 2)) })
+			group.Wait()
+			f.history.check(t, seed, rate, burst)
+		})
+	}
+}
+
+// TestJoinedVMGetsItsShare lets a VM join that can't borrow. Once loans from before
+// have expired it must admit at its share of a third.
+func TestJoinedVMGetsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(newRandom(1), 2)
+		f.cut[[2]int{2, 0}], f.cut[[2]int{2, 1}] = true, true
+		time.Sleep(20 * time.Second)
+		f.change(withVM(f.current, 2))
+		time.Sleep(limit.StartupDelay)
+		f.saturate([]int{2}, 20*time.Second)
+		if got := 5 * float64(len(f.history.rows)); got < rate/3*19 {
+			t.Errorf("%.0f tokens were admitted in 20s, want about %.0f", got, rate/3*20)
+		}
+	})
+}
--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -19,6 +19,7 @@
 	accounts   sync.Map // organisation name to *Account
 	mu         sync.Mutex
 	accrueFrom time.Time            // when new accounts begin to accrue
+	growFrom   time.Time            // when shares that a settled change of the VM set has raised are used
 	vmRevision uint64               // VM revision of the applied catalogue
 	unsettled  bool                 // a change of the VM set is not settled
 	firstSeen  map[string]time.Time // when organisations appeared in the catalogue
@@ -28,9 +29,10 @@
 // NewLimiter returns a limiter without accounts. Accounts begin to accrue after
 // StartupDelay.
 func NewLimiter(vm string, current *watch.Value[catalogue.Catalogue]) *Limiter {
+	applied := current.Read()
 	return &Limiter{
-		VM: vm, Catalogue: current, accrueFrom: time.Now().Add(StartupDelay),
-		firstSeen: map[string]time.Time{}, applied: current.Read(),
+		VM: vm, Catalogue: current, accrueFrom: time.Now().Add(StartupDelay), applied: applied,
+		vmRevision: applied.VMRevision, unsettled: applied.Unsettled(), firstSeen: map[string]time.Time{},
 	}
 }
 
@@ -73,22 +75,29 @@
 		name, account := key.(string), value.(*Account)
 		row, found := next.Organisations[name]
 		if !found {
-			account.SetBase(Amount{}, now)
+			account.SetBase(Amount{}, l.growFrom, now)
 			l.accounts.Delete(name)
 			return true
 		}
-		account.SetBase(l.base(next, row), now)
+		account.SetBase(l.base(next, row), l.growFrom, now)
 		return true
 	})
 }
 
 // trackVMSet makes accounts that don't exist yet accrue from now on when the VM
-// set has changed or a change of it is settled, that is, acknowledged by every VM:
-// until then another VM may have spent the share.
+// set has changed: until then another VM may have spent the share. When a change is
+// settled, that is, acknowledged by every VM, shares that it raises are used only
+// after loans from before it have expired: a VM whose share it lowers may have lent
+// more than it has left.
 func (l *Limiter) trackVMSet(next *catalogue.Catalogue, now time.Time) {
 	unsettled := next.Unsettled()
 	if (l.unsettled && !unsettled) || next.VMRevision != l.vmRevision {
-		l.accrueFrom = later(l.accrueFrom, now)
+		from := now
+		if !unsettled {
+			from = now.Add(LoanDuration + LoanDrift)
+			l.growFrom = from
+		}
+		l.accrueFrom = later(l.accrueFrom, from)
 	}
 	l.unsettled = unsettled
 	l.vmRevision = next.VMRevision
