--- a/io/cli/factory/factory.go
+++ b/io/cli/factory/factory.go
@@ -82,7 +82,15 @@
 		}
 		failures = append(failures, fmt.Sprintf("%s: %v", address, err))
 	}
-	return fmt.Errorf("none of the VMs answered; check the addresses in --vms and that the VMs run:\n%s", strings.Join(failures, "\n"))
+	return fmt.Errorf("%w; check the addresses in --vms and that the VMs run:\n%s", errNoAnswer, strings.Join(failures, "\n"))
+}
+
+var errNoAnswer = errors.New("none of the VMs answered")
+
+// OutcomeUnknown reports whether a call that ended with this error may have been
+// carried out.
+func OutcomeUnknown(err error) bool {
+	return fault.CodeOf(err) == fault.OutcomeUnknown || errors.Is(err, errNoAnswer)
 }
 
 // unreachable reports whether an error came from the connection or from inside the
@@ -174,11 +182,12 @@
 
 // withAdvice adds to an error what the operator should do next.
 func withAdvice(err error, requestID string) error {
+	if OutcomeUnknown(err) {
+		return fmt.Errorf("%w; repeat the command with --request-id %s to learn its outcome", err, requestID)
+	}
 	switch fault.CodeOf(err) {
 	case fault.StaleRevision:
 		return fmt.Errorf("%w; another change was committed first: check the catalogue, then repeat the command; if you set --expected-revision, set it to the current revision", err)
-	case fault.OutcomeUnknown:
-		return fmt.Errorf("%w; repeat the command with --request-id %s to learn its outcome", err, requestID)
 	case fault.NoQuorum:
 		return fmt.Errorf("%w; run 'kingcuprill status show' to see which control VMs can be reached, then repeat the command", err)
 	}
