Draw tokens of the limits from the leader in batches

Load pattern: traffic of 40 organisations begins through 294 entry VMs at once. Each entry VM draws for each organisation, the relays are empty, and each draw was a call of its own to the leader's region: a new connection (110 ms) and the call (110 ms) took longer than the entry VM waits (220 ms). Change: a relay sends waiting draws together, at most 4 calls at a time; only one order of an organisation at a time includes a refill; tokens that are held count for one waiting draw only. Tests: TestDrawsOfManyEntryVMs, TestFirstRequestsAtOnce, TestTokensSetAside.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -154,6 +154,9 @@
 type Order struct {
 	Need float64 // tokens that the waiting request must have; 0: no request waits
 	Want float64 // tokens at most
+
+	aside  float64 // tokens held already, which nobody else may use until the draw has ended
+	refill bool    // Want includes a relay's refill
 }
 
 // Take admits a request of a cost in tokens if this VM has enough of them. If it
@@ -180,7 +183,9 @@
 		a.local.level -= cost
 		granted = true
 	default:
-		return false, Order{Need: max(0, cost-a.drawn), Want: cost - a.drawn + prefetch}
+		order = Order{Need: cost - a.drawn, Want: cost - a.drawn + prefetch, aside: a.drawn}
+		a.drawn = 0
+		return false, order
 	}
 	if a.drawn < prefetch/2 && !a.drawPending {
 		a.drawPending = true
@@ -189,17 +194,19 @@
 	return true, Order{}
 }
 
-// AddDrawn adds tokens that came from the pool and admits a waiting request of a
-// cost if they are enough; the cost is 0 if no request waits. A request may
+// AddDrawn adds the tokens that the pool granted for an order, and admits a waiting
+// request of a cost if they are enough; the cost is 0 if no request waits. A request may
 // overdraw this VM's local bucket only if the pool could not be reached. If that
 // were allowed after a refusal by the pool, each VM would admit one request more
 // than the limit.
-func (l *Limiter) AddDrawn(organisation string, limit Limit, cost, tokens float64, reached bool, now time.Time) (granted bool) {
+func (l *Limiter) AddDrawn(organisation string, limit Limit, order Order, cost, tokens float64, reached bool, now time.Time) (granted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(organisation, limit, now)
-	a.drawn += tokens
-	a.drawPending = false
+	a.drawn += order.aside + tokens
+	if order.Need == 0 {
+		a.drawPending = false
+	}
 	if cost == 0 {
 		return false
 	}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -44,10 +44,10 @@
 		tokens = f.draw(vm, order, now)
 	}
 	if granted {
-		f.limiters[vm].AddDrawn("o", f.limit, 0, tokens, reachable, now)
+		f.limiters[vm].AddDrawn("o", f.limit, order, 0, tokens, reachable, now)
 		return true
 	}
-	return f.limiters[vm].AddDrawn("o", f.limit, cost, tokens, reachable, now)
+	return f.limiters[vm].AddDrawn("o", f.limit, order, cost, tokens, reachable, now)
 }
 
 // draw takes tokens from a VM's relay, or from the pool.
@@ -61,19 +61,20 @@
 	granted, prefetch := relay.Take("o", f.limit, order.Need, order.Want, now)
 	if granted > 0 {
 		if prefetch.Want > 0 && f.noLeader {
-			relay.AddDrawn("o", 0, now)
+			relay.AddDrawn("o", prefetch, 0, now)
 		} else if prefetch.Want > 0 {
 			tokens, _ = f.pool.Draw(f.term, "o", f.limit, 0, prefetch.Want, now)
-			relay.AddDrawn("o", tokens, now)
+			relay.AddDrawn("o", prefetch, tokens, now)
 		}
 		return granted
 	}
 	f.roundTrips++
 	if f.noLeader {
+		relay.AddDrawn("o", prefetch, 0, now)
 		return 0
 	}
 	tokens, _ = f.pool.Draw(f.term, "o", f.limit, max(0, prefetch.Need), prefetch.Want, now)
-	return relay.Pass("o", tokens, order.Need, order.Want, now)
+	return relay.Pass("o", prefetch, tokens, order.Need, order.Want, now)
 }
 
 func highestSum(rows []admission, window time.Duration) (highest float64) {
@@ -264,3 +265,51 @@
 		t.Errorf("%d of %d requests are refused while there is no leader", refused, perSecond)
 	}
 }
+
+// TestFirstRequestsAtOnce sends the first requests of an organisation through many
+// VMs of one region at the same time: each waits for a draw while the draws of the
+// others are under way. Together they are well within the limit, so that requests of
+// another region must be admitted too.
+func TestFirstRequestsAtOnce(t *testing.T) {
+	const requests, cost = 40, 4_000
+	limit := Limit{RatePerSecond: 400_000, Burst: 400_000}
+	pool, relay := NewPool(), NewRelay()
+	pool.StartTerm(1, start)
+	now := start.Add(10 * time.Second)
+	var orders []Order
+	for range requests {
+		granted, order := relay.Take("o", limit, cost, cost, now)
+		if granted > 0 {
+			t.Fatal("an empty relay has granted tokens")
+		}
+		orders = append(orders, order)
+	}
+	for i, order := range orders {
+		tokens, wait := pool.Draw(1, "o", limit, order.Need, order.Want, now)
+		if granted := relay.Pass("o", order, tokens, cost, cost, now); granted < cost {
+			t.Fatalf("request %d gets %.0f tokens and is told to wait %v", i, granted, wait)
+		}
+	}
+	if tokens, _ := pool.Draw(1, "o", limit, cost, cost, now); tokens < cost {
+		t.Errorf("a request of another region gets %.0f tokens, though %.0f of %.0f are used", tokens, float64(requests*cost), poolShare*limit.Burst)
+	}
+}
+
+// TestTokensSetAside lets two requests wait for draws at once. The tokens that the
+// VM holds must count for one of them only.
+func TestTokensSetAside(t *testing.T) {
+	limit := Limit{RatePerSecond: 100_000, Burst: 100_000}
+	l := NewLimiter()
+	l.SetVMs(100)
+	l.AddDrawn("o", limit, Order{}, 0, 3_000, true, start)
+	_, first := l.Take("o", limit, 4_000, start)
+	_, second := l.Take("o", limit, 4_000, start)
+	if first.Need+second.Need != 5_000 {
+		t.Fatalf("orders of %.0f and %.0f tokens, want 5000 together", first.Need, second.Need)
+	}
+	for i, order := range []Order{second, first} {
+		if !l.AddDrawn("o", limit, order, 4_000, order.Need, true, start) {
+			t.Errorf("request %d is refused, though the pool has granted what it needed", i)
+		}
+	}
+}
--- a/core/quota/relay.go
+++ b/core/quota/relay.go
@@ -35,7 +35,7 @@
 	held          float64 // tokens
 	demand        float64 // tokens a second
 	updated       time.Time
-	refillPending bool // a refill from the pool is under way
+	refillPending bool // a draw from the pool that includes a refill is under way
 }
 
 // NewRelay returns a relay without tokens.
@@ -45,8 +45,13 @@
 
 // Take grants an entry VM at least need and up to want tokens if the relay holds
 // need. It returns what to draw from the pool. If nothing was granted, the entry
-// VM waits for the draw and its result goes to Pass. If tokens were granted, the
-// order is a refill that may be drawn later, for AddDrawn, or zero.
+// VM waits for the draw and its result goes to Pass; what the relay holds is set
+// aside for it in the order. If tokens were granted, the order is a refill that may
+// be drawn later, for AddDrawn, or zero.
+//
+// Only one order of an organisation at a time includes a refill. Otherwise, when
+// many entry VMs send their first requests at once, the first relay would draw a
+// refill for each of them and leave nothing in the pool for the others.
 func (r *Relay) Take(organisation string, limit Limit, need, want float64, now time.Time) (granted float64, order Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -54,33 +59,53 @@
 	a.recordDemand(want, now)
 	prefetch := min(a.demand*relayPrefetchTime.Seconds(), maxPrefetchShare*limit.Burst)
 	if a.held < need || a.held <= 0 {
-		return 0, Order{Need: need - a.held, Want: want - a.held + prefetch}
+		order = Order{Need: need - a.held, Want: want - a.held, aside: a.held}
+		a.held = 0
+		a.addRefill(&order, prefetch)
+		return 0, order
 	}
 	granted = max(need, min(want, a.held))
 	a.held -= granted
-	if a.held < prefetch/2 && !a.refillPending {
-		a.refillPending = true
-		order.Want = prefetch - a.held
+	if a.held < prefetch/2 {
+		a.addRefill(&order, prefetch-a.held)
 	}
 	return granted, order
 }
 
-// AddDrawn adds the tokens that a refill drew from the pool, also if there are none.
-func (r *Relay) AddDrawn(organisation string, tokens float64, now time.Time) {
+// addRefill adds tokens for later requests to an order, unless another order under
+// way has them.
+func (a *relayAccount) addRefill(order *Order, tokens float64) {
+	if a.refillPending {
+		return
+	}
+	a.refillPending = true
+	order.refill = true
+	order.Want += tokens
+}
+
+// AddDrawn adds the tokens that the pool granted for an order, also if there are
+// none.
+func (r *Relay) AddDrawn(organisation string, order Order, tokens float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := r.account(organisation, now)
-	a.held += tokens
-	a.refillPending = false
+	r.add(organisation, order, tokens, now)
 }
 
-// Pass adds tokens that were drawn from the pool for a waiting entry VM, and
-// grants it at least need and up to want, or nothing if need is not available.
-func (r *Relay) Pass(organisation string, tokens, need, want float64, now time.Time) (granted float64) {
+func (r *Relay) add(organisation string, order Order, tokens float64, now time.Time) (a *relayAccount) {
+	a = r.account(organisation, now)
+	a.held += order.aside + tokens
+	if order.refill {
+		a.refillPending = false
+	}
+	return a
+}
+
+// Pass adds the tokens that the pool granted for the order of a waiting entry VM,
+// and grants it at least need and up to want, or nothing if need is not available.
+func (r *Relay) Pass(organisation string, order Order, tokens, need, want float64, now time.Time) (granted float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := r.account(organisation, now)
-	a.held += tokens
+	a := r.add(organisation, order, tokens, now)
 	if a.held < need || a.held <= 0 {
 		return 0
 	}
--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -49,12 +49,15 @@
 	confirmed func() time.Duration // time since a majority last confirmed this leader
 	pool      *quota.Pool
 	relay     *quota.Relay // used while another VM leads
+	batches   *batcher     // sends draws to the leader
 	log       *slog.Logger
 }
 
 // NewServer returns a server with an empty pool.
 func NewServer(r *replica.Replica, p *propose.Proposer, peers *peer.Peers, confirmed func() time.Duration, log *slog.Logger) *Server {
-	return &Server{replica: r, proposer: p, peers: peers, confirmed: confirmed, pool: quota.NewPool(), relay: quota.NewRelay(), log: log}
+	s := &Server{replica: r, proposer: p, peers: peers, confirmed: confirmed, pool: quota.NewPool(), relay: quota.NewRelay(), log: log}
+	s.batches = &batcher{send: s.sendBatch}
+	return s
 }
 
 // Observe must be called regularly. It starts the pool's term when this VM becomes
@@ -73,58 +76,88 @@
 	if status.Role != raft.Leader {
 		return s.relayDraw(ctx, request)
 	}
+	answers, err := s.drawFromPool(status.Term, request)
+	if err != nil {
+		return nil, err
+	}
+	return answers[0], nil
+}
+
+// DrawAll draws from the pool for another control VM. The error is fault.NoQuorum if
+// this VM doesn't lead or may not hand out tokens.
+func (s *Server) DrawAll(request *vm.DrawAllRequest) (*vm.DrawAllResponse, error) {
+	status := s.replica.Status()
+	if status.Role != raft.Leader {
+		return nil, fault.New(fault.NoQuorum, "this VM is not the leader of the control log")
+	}
+	answers, err := s.drawFromPool(status.Term, request.GetDraws()...)
+	return &vm.DrawAllResponse{Answers: answers}, err
+}
+
+func (s *Server) drawFromPool(term uint64, requests ...*vm.DrawRequest) (answers []*vm.DrawResponse, err error) {
 	if age := s.confirmed(); age > leaderLease {
 		return nil, fault.New(fault.NoQuorum, "this leader hands out no tokens: a majority last confirmed it %v ago", age)
 	}
-	limit := quota.Limit{RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst()}
-	granted, wait := s.pool.Draw(status.Term, request.GetOrganisation(), limit, request.GetNeed(), request.GetWant(), time.Now())
-	return &vm.DrawResponse{Granted: granted, WaitNanoseconds: int64(wait)}, nil
+	now := time.Now()
+	for _, r := range requests {
+		limit := quota.Limit{RatePerSecond: r.GetRatePerSecond(), Burst: r.GetBurst()}
+		granted, wait := s.pool.Draw(term, r.GetOrganisation(), limit, r.GetNeed(), r.GetWant(), now)
+		answers = append(answers, &vm.DrawResponse{Granted: granted, WaitNanoseconds: int64(wait)})
+	}
+	return answers, nil
 }
 
 // relayDraw grants tokens that this VM holds, or draws from the leader.
 func (s *Server) relayDraw(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
-	if request.GetForwarded() {
-		return nil, fault.New(fault.NoQuorum, "this VM is not the leader of the control log")
-	}
 	name, need, want := request.GetOrganisation(), request.GetNeed(), request.GetWant()
 	limit := quota.Limit{RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst()}
 	granted, order := s.relay.Take(name, limit, need, want, time.Now())
 	if granted > 0 && order.Want > 0 {
-		go s.refill(request, order)
+		go s.keep(name, order, s.askLeader(request, order))
 	}
 	if granted > 0 {
 		return &vm.DrawResponse{Granted: granted}, nil
 	}
-	answer, err := s.askLeader(ctx, request, order)
-	if err != nil {
-		return nil, err
+	drawn := s.askLeader(request, order)
+	select {
+	case <-ctx.Done():
+		go s.keep(name, order, drawn)
+		return nil, ctx.Err()
+	case o := <-drawn:
+		if o.err != nil {
+			s.relay.AddDrawn(name, order, 0, time.Now())
+			return nil, o.err
+		}
+		granted = s.relay.Pass(name, order, o.response.GetGranted(), need, want, time.Now())
+		return &vm.DrawResponse{Granted: granted, WaitNanoseconds: o.response.GetWaitNanoseconds()}, nil
 	}
-	granted = s.relay.Pass(name, answer.GetGranted(), need, want, time.Now())
-	return &vm.DrawResponse{Granted: granted, WaitNanoseconds: answer.GetWaitNanoseconds()}, nil
 }
 
-// refill draws tokens in advance and adds them to the relay. If the draw fails it
-// adds none, which only ends the refill, so that a later draw may start another.
-func (s *Server) refill(request *vm.DrawRequest, order quota.Order) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	answer, err := s.askLeader(ctx, request, order)
-	if err != nil {
-		s.log.Warn("drawing tokens in advance from the leader failed; a later draw tries again", "organisation", request.GetOrganisation(), "want", order.Want, "error", err)
+// keep adds the tokens of a draw to the relay when they come.
+func (s *Server) keep(organisation string, order quota.Order, drawn <-chan outcome) {
+	o := <-drawn
+	if o.err != nil {
+		s.log.Warn("drawing tokens in advance from the leader failed; a later draw tries again", "organisation", organisation, "want", order.Want, "error", o.err)
 	}
-	s.relay.AddDrawn(request.GetOrganisation(), answer.GetGranted(), time.Now())
+	s.relay.AddDrawn(organisation, order, o.response.GetGranted(), time.Now())
 }
 
-// askLeader draws from the leader.
-func (s *Server) askLeader(ctx context.Context, request *vm.DrawRequest, order quota.Order) (*vm.DrawResponse, error) {
+// askLeader draws from the leader, together with other draws.
+func (s *Server) askLeader(request *vm.DrawRequest, order quota.Order) <-chan outcome {
+	return s.batches.draw(&vm.DrawRequest{
+		Organisation: request.GetOrganisation(), RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst(),
+		Need: max(0, order.Need), Want: order.Want,
+	})
+}
+
+// sendBatch sends draws to the leader.
+func (s *Server) sendBatch(ctx context.Context, draws []*vm.DrawRequest) ([]*vm.DrawResponse, error) {
 	address, known := s.proposer.Leader()
 	if !known {
 		return nil, fault.New(fault.NoQuorum, "no tokens can be drawn: this VM knows no leader of the control log")
 	}
-	return s.peers.At(address).Draw(ctx, &vm.DrawRequest{
-		Organisation: request.GetOrganisation(), RatePerSecond: request.GetRatePerSecond(), Burst: request.GetBurst(),
-		Need: max(0, order.Need), Want: order.Want, Forwarded: true,
-	})
+	answer, err := s.peers.At(address).DrawAll(ctx, &vm.DrawAllRequest{Draws: draws})
+	return answer.GetAnswers(), err
 }
 
 // Client draws tokens for an entry VM.
@@ -171,7 +204,7 @@
 		}
 	}
 	if order.Need == 0 {
-		c.Limiter.AddDrawn(organisation, limit, 0, tokens, reached, time.Now())
+		c.Limiter.AddDrawn(organisation, limit, order, 0, tokens, reached, time.Now())
 	}
 	return tokens, wait, reached
 }
--- a/io/draw/draw_test.go
+++ b/io/draw/draw_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"kingcuprill/core/quota"
@@ -66,3 +70,52 @@
 		t.Errorf("%v tokens, wait %v, reached %v", tokens, wait, reached)
 	}
 }
+
+// Many entry VMs send their first draws of many organisations at once, and the leader
+// is in another region. Few calls may be made, and every draw must be answered in
+// little more than one round trip.
+func TestDrawsOfManyEntryVMs(t *testing.T) {
+	const draws, roundTrip = 2000, 110 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int64
+		b := &batcher{send: func(_ context.Context, batch []*vm.DrawRequest) (answers []*vm.DrawResponse, err error) {
+			calls.Add(1)
+			time.Sleep(roundTrip)
+			for _, d := range batch {
+				answers = append(answers, &vm.DrawResponse{Granted: d.GetNeed()})
+			}
+			return answers, nil
+		}}
+		begun := time.Now()
+		var group sync.WaitGroup
+		for i := range draws {
+			time.Sleep(100 * time.Microsecond)
+			group.Go(func() {
+				sent := time.Now()
+				o := <-b.draw(&vm.DrawRequest{Need: float64(i)})
+				if o.err != nil || o.response.GetGranted() != float64(i) {
+					t.Errorf("draw %d: %v, %v", i, o.response, o.err)
+				}
+				if took := time.Since(sent); took > attemptTimeout {
+					t.Errorf("draw %d took %v", i, took)
+				}
+			})
+		}
+		group.Wait()
+		if most := int64(maxBatches * (time.Since(begun)/roundTrip + 1)); calls.Load() > most {
+			t.Errorf("%d calls for %d draws, want %d at most", calls.Load(), draws, most)
+		}
+	})
+}
+
+// A call that fails must end each of its draws with the error.
+func TestFailedBatch(t *testing.T) {
+	failure := errors.New("reset")
+	b := &batcher{send: func(context.Context, []*vm.DrawRequest) ([]*vm.DrawResponse, error) { return nil, failure }}
+	first, second := b.draw(&vm.DrawRequest{}), b.draw(&vm.DrawRequest{})
+	for _, drawn := range []<-chan outcome{first, second} {
+		if o := <-drawn; !errors.Is(o.err, failure) {
+			t.Errorf("error %v, want that of the call", o.err)
+		}
+	}
+}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -229,7 +229,7 @@
 		return nil
 	}
 	tokens, wait, reached := s.Drawer.Draw(x.caller.Context(), o.Name, limit, order)
-	if s.Quota.AddDrawn(o.Name, limit, x.cost, tokens, reached, time.Now()) {
+	if s.Quota.AddDrawn(o.Name, limit, order, x.cost, tokens, reached, time.Now()) {
 		return nil
 	}
 	x.cost = 0
--- a/io/vm/server.go
+++ b/io/vm/server.go
@@ -162,6 +162,18 @@
 	return s.FollowServer.Answer(ctx, request), nil
 }
 
+// DrawAll grants another control VM tokens of several organisations' limits.
+func (s *Server) DrawAll(_ context.Context, request *vm.DrawAllRequest) (*vm.DrawAllResponse, error) {
+	if s.DrawServer == nil {
+		return nil, peer.ToTwirp(fault.New(fault.NotFound, "VM %s has no pool of limits", s.VMState.Self))
+	}
+	answer, err := s.DrawServer.DrawAll(request)
+	if err != nil {
+		return nil, peer.ToTwirp(err)
+	}
+	return answer, nil
+}
+
 // Draw grants an entry VM tokens of an organisation's limit.
 func (s *Server) Draw(ctx context.Context, request *vm.DrawRequest) (*vm.DrawResponse, error) {
 	if s.DrawServer == nil {
