Send entry VMs only the targets of their region, and entry VMs from near

Cause: each entry VM got the rows of all targets and all entry VMs from every control VM, also from those of other regions: at 294 entry VMs, 210 targets and 6 control VMs some 63 KB from each at the start alone, most of the bytes between regions. Entry VMs use targets of their own region only. Change: a poll asks for the targets of its region; the others are counted for each service and data centre, which is what the choice of a region needs. While a control VM of the region answers, others are not asked for entry VMs, only for their number, by which limits and retry budgets are split; they hold polls for 2 s in place of 1 s and still answer news at once. Rows without a data centre (targets that left and never reported) go to all. Control VMs and entry VMs of the release before work with this one. Test: TestFarControlVMsSendLittle.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -34,7 +34,7 @@
 	mu        sync.Mutex
 	targets   map[string]*Target       // by id
 	byService map[string][]*Target     // by service, in this region
-	remote    map[string][]*Target     // by service, in the other regions
+	remote    []Remote                 // of the other regions
 	models    map[string]*latencyModel // by service
 	readyVMs  []string                 // ready entry VMs of the region, this one included
 	allVMs    []string                 // all entry VMs of the region, ready or not
@@ -77,7 +77,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := make(map[string]*Target, len(rows))
-	byService, remote := map[string][]*Target{}, map[string][]*Target{}
+	byService := map[string][]*Target{}
 	for id, row := range rows {
 		t, found := p.targets[id]
 		if !found || t.Born != row.Born {
@@ -88,14 +88,12 @@
 		next[id] = t
 		if t.Region == p.Region {
 			byService[row.Service] = append(byService[row.Service], t)
-		} else {
-			remote[row.Service] = append(remote[row.Service], t)
 		}
 	}
 	for _, targets := range byService {
 		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	}
-	p.targets, p.byService, p.remote = next, byService, remote
+	p.targets, p.byService = next, byService
 }
 
 // Pick selects a target and counts the request there until Done, which must be
@@ -277,32 +275,3 @@
 	_, found := p.targets[id]
 	return found
 }
-
-// Regions returns the other regions in which a request can run, by their highest
-// rendezvous weight for its shared prompt part, so that all VMs send a part to
-// the same region. Each target has a weight, so regions with more targets get
-// more parts.
-func (p *Placer) Regions(r Request) (regions []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	shared := r.Service
-	if len(r.Demand.Parts) > 0 {
-		shared = r.Demand.shared()
-	}
-	best := map[string]uint64{}
-	for _, t := range p.remote[r.Service] {
-		if t.usable(r.Now) && !r.Evacuated[t.DataCentre] && !r.Now.Before(t.ColdUntil) {
-			best[t.Region] = max(best[t.Region], xxhash.Sum64String(shared+"\x00"+t.ID))
-		}
-	}
-	for region := range best {
-		regions = append(regions, region)
-	}
-	slices.SortFunc(regions, func(a, b string) int {
-		if best[a] > best[b] {
-			return -1
-		}
-		return 1
-	})
-	return regions
-}
--- /dev/null
+++ b/core/place/remote.go
@@ -0,0 +1,60 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Remote is the number of usable targets of a service in a data centre of another
+// region.
+type Remote struct {
+	Service    string
+	DataCentre string
+	Region     string
+	Targets    int
+}
+
+// SetRemote replaces what is known of the targets in other regions.
+func (p *Placer) SetRemote(remote []Remote) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remote = remote
+}
+
+// Regions returns the other regions in which a request can run, by weighted
+// rendezvous hashing of its shared prompt part, so that all VMs send a part to the
+// same region. A region gets parts in proportion to its targets.
+func (p *Placer) Regions(r Request) (regions []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shared := r.Service
+	if len(r.Demand.Parts) > 0 {
+		shared = r.Demand.shared()
+	}
+	targets := map[string]int{}
+	for _, remote := range p.remote {
+		if remote.Service == r.Service && remote.Targets > 0 && !r.Evacuated[remote.DataCentre] {
+			targets[remote.Region] += remote.Targets
+		}
+	}
+	weights := map[string]float64{}
+	for region, count := range targets {
+		weights[region] = weight(shared, region, count)
+		regions = append(regions, region)
+	}
+	slices.SortFunc(regions, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return regions
+}
+
+// weight returns the rendezvous weight of a region for a part. The region with the
+// highest weight is each one with a probability in proportion to its count.
+func weight(part, region string, count int) float64 {
+	const buckets = 1 << 53
+	uniform := (float64(xxhash.Sum64String(part+"\x00"+region)%buckets) + 0.5) / buckets
+	return -float64(count) / math.Log(uniform)
+}
--- a/core/versioned/table.go
+++ b/core/versioned/table.go
@@ -13,15 +13,26 @@
 
 // Table maps ids to versioned rows. It is safe for concurrent use.
 type Table[V any] struct {
+	// Group, if set, returns the group of a value. Readers may wait for the changes
+	// of one group. It must be set before the first use.
+	Group func(V) string
+
 	mu      sync.Mutex
 	rows    map[string]Row[V]
 	version uint64
 	changed chan struct{}
+	groups  map[string]*group
+}
+
+// group holds the version of the last published change of a group's rows.
+type group struct {
+	version uint64
+	changed chan struct{}
 }
 
 // NewTable returns an empty table.
 func NewTable[V any]() *Table[V] {
-	return &Table[V]{rows: map[string]Row[V]{}, changed: make(chan struct{})}
+	return &Table[V]{rows: map[string]Row[V]{}, changed: make(chan struct{}), groups: map[string]*group{}}
 }
 
 // Put sets a row's value. With publish set, the row gets a new version and readers
@@ -30,17 +41,49 @@
 func (t *Table[V]) Put(id string, value V, publish bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row := t.rows[id]
+	row, found := t.rows[id]
+	before := row.Value
 	row.Value = value
 	if publish {
 		t.version++
 		row.Version = t.version
 		close(t.changed)
 		t.changed = make(chan struct{})
+		if t.Group != nil {
+			t.publishGroup(t.Group(value))
+		}
+		if t.Group != nil && found && t.Group(before) != t.Group(value) {
+			t.publishGroup(t.Group(before))
+		}
 	}
 	t.rows[id] = row
 }
 
+func (t *Table[V]) group(name string) *group {
+	g, found := t.groups[name]
+	if !found {
+		g = &group{changed: make(chan struct{})}
+		t.groups[name] = g
+	}
+	return g
+}
+
+func (t *Table[V]) publishGroup(name string) {
+	g := t.group(name)
+	g.version = t.version
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// GroupVersion returns the version of the last published change in a group, and a
+// channel that is closed at the next one.
+func (t *Table[V]) GroupVersion(name string) (version uint64, changed <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.group(name)
+	return g.version, g.changed
+}
+
 // Delete removes a row. Readers of Since are not told.
 func (t *Table[V]) Delete(id string) {
 	t.mu.Lock()
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -89,6 +89,7 @@
 		return nil, err
 	}
 	v = &VM{Config: c, Log: log, id: id, Metrics: metrics.New(), registry: instance.NewRegistry(c.Heartbeat)}
+	v.registry.Table.Group = func(row instance.Registration) string { return c.Regions[row.DataCentre] }
 	v.VMState = vmstate.New(membership.Member{
 		ID: id, Region: c.Region, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Incarnation: 1, Control: true,
 	}, c.Heartbeat)
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -163,14 +163,30 @@
 	v.Log.Info("catalogue is in force", "revision", c.Revision, "plan", c.Plan.Version, "before", old.Revision, "evacuated", len(c.Evacuated))
 }
 
-func (v *VM) applyTargets(rows map[string]instance.Registration) {
+func (v *VM) applyTargets(rows map[string]instance.Registration, remote []follow.RemoteTargets) {
 	v.placer.SetTargets(rows, func(dataCentre string) string { return v.Config.Regions[dataCentre] })
+	var others []place.Remote
+	add := func(service, dataCentre string, count int) {
+		if region := v.Config.Regions[dataCentre]; region != v.Config.Region && region != "" {
+			others = append(others, place.Remote{Service: service, DataCentre: dataCentre, Region: region, Targets: count})
+		}
+	}
+	for _, r := range remote {
+		add(r.Service, r.DataCentre, r.Targets)
+	}
+	// A control VM of an earlier release sends the rows of all regions.
+	for _, row := range rows {
+		if row.State == instance.Ready {
+			add(row.Service, row.DataCentre, 1)
+		}
+	}
+	v.placer.SetRemote(others)
 }
 
 // applyEntries takes the entry VMs that a control VM reported. Those of this region
 // share its targets. Those of all regions that were reported within shareTimeout
-// share the rate limits and the retry budget.
-func (v *VM) applyEntries(vms []entry.VM) {
+// share the rate limits and the retry budget; there are count of them at least.
+func (v *VM) applyEntries(vms []entry.VM, count int) {
 	now := time.Now()
 	var ready, known []string
 	for _, e := range vms {
@@ -189,8 +205,9 @@
 		}
 	}
 	v.placer.SetVMs(ready, known)
-	v.vmCount.Store(int64(len(v.lastSeen)))
-	v.quota.SetVMs(len(v.lastSeen))
+	count = max(count, len(v.lastSeen))
+	v.vmCount.Store(int64(count))
+	v.quota.SetVMs(count)
 	v.entries.Store(&vms)
 }
 
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -23,8 +23,11 @@
 	// pollWait is how long a control VM holds a poll until something changes. The
 	// lease is renewed about once in this time.
 	pollWait = time.Second
-	// pollTimeout bounds a poll: its wait, a confirmation and the round trip.
-	pollTimeout = pollWait + confirmTimeout + 500*time.Millisecond
+	// farPollWait is pollWait for control VMs of other regions while one of this region
+	// answers. They still answer at once when they have news.
+	farPollWait = 2 * time.Second
+	// answerTimeout bounds a poll beyond its wait: a confirmation and the round trip.
+	answerTimeout = confirmTimeout + 500*time.Millisecond
 	// catalogueWait is how long the nearest control VM may take to send a catalogue
 	// that another one has announced, before the other one is asked for it.
 	catalogueWait = 250 * time.Millisecond
@@ -48,10 +51,12 @@
 	Self func() entry.VM
 	// OnCatalogue is called with each catalogue that is newer than the one before.
 	OnCatalogue func(c *catalogue.Catalogue)
-	// OnTargets is called with all known targets, by id.
-	OnTargets func(rows map[string]instance.Registration)
-	// OnEntries is called with all known entry VMs.
-	OnEntries func(vms []entry.VM)
+	// OnTargets is called with all known targets of this region, by id, and the number
+	// of usable targets in the other data centres.
+	OnTargets func(rows map[string]instance.Registration, remote []RemoteTargets)
+	// OnEntries is called with all known entry VMs, and with the number of those that
+	// have polled some control VM lately, which may be higher.
+	OnEntries func(vms []entry.VM, count int)
 
 	mu        sync.Mutex
 	tomb      *tomb.Tomb
@@ -61,7 +66,9 @@
 	newer     chan struct{} // closed when a newer catalogue arrives
 	fleet     *instance.Fleet
 	entries   map[string]map[string]entry.VM // by control VM and id
+	reports   map[string]report              // by control VM
 	reachable []string                       // addresses of the control VMs that answer, those of this region first
+	near      map[string]bool                // addresses of the control VMs of this region
 }
 
 // Run starts goroutines in the tomb that poll the control VMs until it dies. The
@@ -75,6 +82,8 @@
 	c.fleet = instance.NewFleet()
 	c.newer = make(chan struct{})
 	c.entries = map[string]map[string]entry.VM{}
+	c.reports = map[string]report{}
+	c.near = map[string]bool{}
 	c.seeds = seeds
 	c.startPolls(seeds)
 	t.Go(c.refresh)
@@ -113,8 +122,8 @@
 			return nil
 		case now := <-ticker.C:
 			c.mu.Lock()
-			c.OnTargets(c.fleet.All(now))
-			c.OnEntries(entry.Union(c.entries))
+			c.publishTargets(now)
+			c.publishEntries(now)
 			c.mu.Unlock()
 		}
 	}
@@ -128,6 +137,8 @@
 	// needsCatalogue is set if this control VM has announced a catalogue that no
 	// other one has sent. The next poll then asks this one for it.
 	needsCatalogue bool
+	// noEntries is set if this control VM is not asked for the entry VMs.
+	noEntries bool
 }
 
 func (c *Client) poll(ctx context.Context, address string) error {
@@ -136,7 +147,7 @@
 	reached := time.Now()
 	lost := false
 	for ctx.Err() == nil {
-		err := c.pollOnce(ctx, address, &seen, pollWait)
+		err := c.pollOnce(ctx, address, &seen)
 		if err == nil {
 			if lost {
 				c.Log.Info("control VM answers again", "control", address, "after", time.Since(reached))
@@ -172,24 +183,26 @@
 	c.polls[address]()
 	delete(c.polls, address)
 	delete(c.entries, address)
+	delete(c.reports, address)
 	c.fleet.Forget(address)
 	c.Log.Warn("control VM has been silent for too long and is not in the settings; it is not polled any more", "control", address, "silent", time.Since(reached))
 	return true
 }
 
 // pollOnce sends one poll to a control VM and applies the answer.
-func (c *Client) pollOnce(ctx context.Context, address string, seen *cursor, wait time.Duration) error {
+func (c *Client) pollOnce(ctx context.Context, address string, seen *cursor) error {
 	c.mu.Lock()
 	revision := c.revision
 	revisionOnly := !seen.needsCatalogue && len(c.reachable) > 0 && c.reachable[0] != address
+	wait := c.setScope(address, seen)
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	sent := c.Lease.Now()
 	answer, err := c.Peers.At(address).Follow(ctx, &vm.FollowRequest{
 		Entry: codec.FromEntryVM(c.Self()), Revision: revision, Epoch: seen.epoch,
 		TargetsVersion: seen.targets, EntriesVersion: seen.entries, WaitNanoseconds: int64(wait),
-		Announce: revisionOnly,
+		Announce: revisionOnly, OnlyRegion: true, NoEntries: seen.noEntries,
 	})
 	if err != nil {
 		return err
@@ -253,6 +266,7 @@
 }
 
 func (c *Client) applyTargets(address string, answer *vm.FollowResponse, now time.Time) {
+	c.reports[address] = newReport(answer, now)
 	if len(answer.GetTargets()) == 0 && !answer.GetWhole() {
 		return
 	}
@@ -261,7 +275,7 @@
 		rows = append(rows, codec.ToRegistration(m, now))
 	}
 	c.fleet.Update(address, answer.GetEpoch(), rows, now)
-	c.OnTargets(c.fleet.All(now))
+	c.publishTargets(now)
 }
 
 func (c *Client) applyEntries(address string, answer *vm.FollowResponse) {
@@ -277,7 +291,7 @@
 		row := codec.ToEntryVM(m)
 		known[row.ID] = row
 	}
-	c.OnEntries(entry.Union(c.entries))
+	c.publishEntries(time.Now())
 }
 
 // Controls returns the addresses of the control VMs that answer, those of this
@@ -294,6 +308,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := slices.Contains(c.reachable, address)
+	c.near[address] = reached && near
 	switch {
 	case !reached:
 		c.reachable = slices.DeleteFunc(c.reachable, func(other string) bool { return other == address })
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -32,6 +33,7 @@
 
 	server  *Server
 	vmState *vmstate.State
+	web     *httptest.Server
 	address string
 
 	mu    sync.Mutex
@@ -76,11 +78,14 @@
 	t.Helper()
 	c := &control{vmState: vmstate.New(membership.Member{ID: id, Region: region}, time.Second)}
 	confirm := func(context.Context) (uint64, error) { return c.vmState.Catalogue.Read().Revision, nil }
-	c.server = NewServer(c.vmState, id, versioned.NewTable[instance.Registration](), confirm, func() []string { return nil }, slog.New(slog.DiscardHandler))
+	targets := versioned.NewTable[instance.Registration]()
+	targets.Group = func(row instance.Registration) string { return row.DataCentre }
+	c.server = NewServer(c.vmState, id, targets, confirm, func() []string { return nil }, slog.New(slog.DiscardHandler))
 	mux := http.NewServeMux()
 	mux.Handle(vm.VMPathPrefix, vm.NewVMServer(c))
 	web := httptest.NewServer(mux)
 	t.Cleanup(web.Close)
+	c.web = web
 	c.address = web.Listener.Addr().String()
 	return c
 }
@@ -98,6 +103,9 @@
 	mu       sync.Mutex
 	document string
 	entries  []entry.VM
+	count    int // of entry VMs
+	targets  map[string]instance.Registration
+	remote   []RemoteTargets
 }
 
 func startFollower(t *testing.T, controls ...*control) *follower {
@@ -111,11 +119,15 @@
 			defer f.mu.Unlock()
 			f.document = string(c.Plan.Document)
 		},
-		OnTargets: func(map[string]instance.Registration) {},
-		OnEntries: func(vms []entry.VM) {
+		OnTargets: func(rows map[string]instance.Registration, remote []RemoteTargets) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			f.entries = vms
+			f.targets, f.remote = rows, remote
+		},
+		OnEntries: func(vms []entry.VM, count int) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.entries, f.count = vms, count
 		},
 	}
 	var seeds []string
@@ -198,6 +210,43 @@
 	}
 }
 
+// While a control VM of the region answers, those of other regions send the targets of
+// the region only, the number of the others, and no entry VMs. When the near one has
+// gone, a far one sends the entry VMs.
+func TestFarControlVMsSendLittle(t *testing.T) {
+	far, near := startControl(t, "far", "abroad"), startControl(t, "near", "near")
+	for _, c := range []*control{far, near} {
+		for i := range 50 {
+			c.server.recordEntry(&vm.EntryVM{Id: fmt.Sprint("e-", i), Region: "abroad", Ready: true})
+		}
+	}
+	far.server.recordEntry(&vm.EntryVM{Id: "known-there-only", Region: "abroad", Ready: true})
+	put := func(id, dataCentre string, state instance.State) {
+		far.server.Targets.Put(id, instance.Registration{ID: id, Service: "s", DataCentre: dataCentre, State: state}, true)
+	}
+	put("own", "near", instance.Ready)
+	put("ended", "", instance.Left)
+	for i := range 40 {
+		put(fmt.Sprint("other-", i), "abroad", instance.Ready)
+	}
+	f := startFollower(t, far, near)
+	check := func(what string, holds func() bool) {
+		eventually.Until(t, what, func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return holds()
+		})
+	}
+	check("the near control VM's entry VMs are known, and the number of all", func() bool { return len(f.entries) == 51 && f.count == 52 })
+	check("the targets of the region and the ended one are known", func() bool { return len(f.targets) == 2 })
+	check("the others are counted", func() bool { return len(f.remote) == 1 && f.remote[0] == RemoteTargets{"s", "abroad", 40} })
+	put("own", "near", instance.Draining)
+	check("a change of an own target comes at once", func() bool { return f.targets["own"].State == instance.Draining })
+	near.web.CloseClientConnections()
+	near.web.Close()
+	check("the far control VM tells its entry VMs", func() bool { return len(f.entries) == 52 })
+}
+
 func TestDecompressRefusesInvalidData(t *testing.T) {
 	for name, data := range map[string][]byte{"no gzip": []byte("rubbish"), "cut": bytes.Repeat([]byte{0x1f, 0x8b}, 1)} {
 		if _, err := decompress(data); err == nil {
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -141,8 +141,8 @@
 	defer deadline.Stop()
 	confirmed := s.awaitConfirmation(ctx, confirmation)
 	for !s.hasNewer(request) {
-		_, targets := s.Targets.Version()
-		_, entries := s.entries.Version()
+		targets, targetsOfAll := s.targetChanges(request)
+		entries := s.entryChanges(request)
 		changed := s.VMState.Catalogue.Changed()
 		if s.hasNewer(request) {
 			break
@@ -153,6 +153,7 @@
 		case <-deadline.C:
 			return s.newAnswer(request, confirmed)
 		case <-targets:
+		case <-targetsOfAll:
 		case <-entries:
 		case <-changed:
 		}
@@ -192,9 +193,11 @@
 	if request.GetEpoch() != s.Epoch || s.VMState.Catalogue.Read().Revision > request.GetRevision() {
 		return true
 	}
-	targets, _ := s.Targets.Version()
+	if s.targetsVersion(request) > request.GetTargetsVersion() {
+		return true
+	}
 	entries, _ := s.entries.Version()
-	return targets > request.GetTargetsVersion() || entries > request.GetEntriesVersion()
+	return !request.GetNoEntries() && entries > request.GetEntriesVersion()
 }
 
 func (s *Server) newAnswer(request *vm.FollowRequest, confirmed bool) *vm.FollowResponse {
@@ -210,18 +213,32 @@
 	if c.Revision > request.GetRevision() && !request.GetAnnounce() {
 		answer.Catalogue = s.pack(c)
 	}
-	rows, version := s.Targets.Since(targetsSince)
-	now := time.Now()
-	for _, row := range rows {
-		answer.Targets = append(answer.Targets, codec.FromRegistration(row, now))
+	s.addTargets(answer, request, targetsSince)
+	if !request.GetNoEntries() {
+		s.addEntries(answer, entriesSince)
 	}
-	answer.TargetsVersion = version
-	seen, version := s.entries.Since(entriesSince)
+	answer.EntryCount = int32(s.entryCount())
+	return answer
+}
+
+func (s *Server) addEntries(answer *vm.FollowResponse, since uint64) {
+	seen, version := s.entries.Since(since)
 	for _, row := range seen {
 		answer.Entries = append(answer.Entries, codec.FromEntryVM(row.VM))
 	}
 	answer.EntriesVersion = version
-	return answer
+}
+
+// entryCount returns the number of entry VMs that have polled within entryTimeout.
+func (s *Server) entryCount() (count int) {
+	now := time.Now()
+	seen, _ := s.entries.Since(0)
+	for _, row := range seen {
+		if now.Sub(row.At) < entryTimeout {
+			count++
+		}
+	}
+	return count
 }
 
 // recordEntry keeps the state that an entry VM reports of itself.
