Recognise returned requests at the coordinators, not by their time left

Cause: the time that a caller has left was compared with the route's timeout to tell how long it had waited before. Change: coordinators remember what they refused, by the prompt's own part, until its deadline; a request that returns meets the same coordinators. The log tells the time left on arrival (left) in place of waited_before.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -36,13 +36,14 @@
 	byService map[string][]*Target     // by service, in this region
 	remote    []Remote                 // of the other regions
 	models    map[string]*latencyModel // by service
-	readyVMs  []string                 // ready entry VMs of the region, this one included
-	allVMs    []string                 // all entry VMs of the region, ready or not
+	refusals  refusals
+	readyVMs  []string // ready entry VMs of the region, this one included
+	allVMs    []string // all entry VMs of the region, ready or not
 }
 
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
-	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, readyVMs: []string{self}, allVMs: []string{self}}
+	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, refusals: refusals{rows: map[string]refusal{}}, readyVMs: []string{self}, allVMs: []string{self}}
 }
 
 // SetVMs sets the entry VMs that share the targets of this region: those that are
@@ -104,6 +105,17 @@
 func (p *Placer) Pick(r Request) (assignment *Assignment, predicted time.Duration, reason Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r = p.refusals.withReturn(r)
+	assignment, predicted, reason = p.pick(r)
+	if assignment == nil {
+		p.refusals.add(r)
+	} else {
+		p.refusals.forget(r)
+	}
+	return assignment, predicted, reason
+}
+
+func (p *Placer) pick(r Request) (assignment *Assignment, predicted time.Duration, reason Reason) {
 	preferred := p.preferred(r)
 	source := p.source(r, preferred)
 	if preferred != nil && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !(r.long() && preferred.streamsLate(r.Now)) {
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -19,6 +19,9 @@
 	PreferredBound time.Duration
 	// Bound is the longest acceptable time until the answer begins, 0 for any.
 	Bound time.Duration
+	// Objective is the time within which the answer to a request should begin, counted
+	// from the caller's first attempt, 0 if it isn't known.
+	Objective time.Duration
 	// EventTokens is the number of output tokens per event of a stream, 0 for
 	// answers that aren't streamed.
 	EventTokens int
--- a/io/coordinator/codec.go
+++ b/io/coordinator/codec.go
@@ -11,7 +11,7 @@
 	r := place.Request{
 		Service: m.GetService(), Preferred: m.GetTarget(), Coordinated: true, Sticky: true, Fetch: m.GetFetch(), Home: m.GetHome(),
 		Excluded: m.GetExcluded(), ColdRate: m.GetColdRate(), Memory: int(m.GetMemoryTokens()), EventTokens: int(m.GetEventTokens()),
-		PreferredBound: time.Duration(m.GetComfortNanoseconds()), Bound: time.Duration(m.GetBoundNanoseconds()),
+		PreferredBound: time.Duration(m.GetComfortNanoseconds()), Bound: time.Duration(m.GetBoundNanoseconds()), Objective: time.Duration(m.GetObjectiveNanoseconds()),
 		Now: now, Deadline: now.Add(time.Duration(m.GetLeftNanoseconds())),
 	}
 	r.Demand = place.Demand{Prompt: int(m.GetPromptTokens()), Output: int(m.GetOutputTokens()), Expected: int(m.GetExpectedTokens())}
@@ -24,7 +24,7 @@
 func fromRequest(r place.Request) *entry.ReserveRequest {
 	m := &entry.ReserveRequest{
 		Service: r.Service, Target: r.Preferred, Excluded: r.Excluded, ColdRate: r.ColdRate, MemoryTokens: int64(r.Memory),
-		EventTokens: int64(r.EventTokens), ComfortNanoseconds: int64(r.PreferredBound), BoundNanoseconds: int64(r.Bound),
+		EventTokens: int64(r.EventTokens), ComfortNanoseconds: int64(r.PreferredBound), BoundNanoseconds: int64(r.Bound), ObjectiveNanoseconds: int64(r.Objective),
 		LeftNanoseconds: int64(r.Deadline.Sub(r.Now)), Fetch: r.Fetch, Home: r.Home,
 		PromptTokens: int64(r.Demand.Prompt), OutputTokens: int64(r.Demand.Output), ExpectedTokens: int64(r.Demand.Expected),
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -167,7 +167,7 @@
 		EventTokens: eventTokens,
 		Service:     x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
 		Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
-		PreferredBound: x.preferredBound(now), Bound: x.bound(now), Deadline: x.deadline, Now: now,
+		PreferredBound: x.preferredBound(now), Bound: x.bound(now), Objective: x.route.Objective, Deadline: x.deadline, Now: now,
 	}
 }
 
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -424,8 +424,7 @@
 	hop := httptest.NewServer(http.HandlerFunc(there.server.ServeForwarded))
 	t.Cleanup(hop.Close)
 	here := newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1})
-	here.server.Placer.SetTargets(map[string]instance.Registration{"t0": {ID: "t0", Service: "s", State: instance.Ready}},
-		func(string) string { return "abroad" })
+	here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
 	here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: hop.Listener.Addr().String(), Ready: true}})
 	if code, body, _ := here.ask(t, "k"); code != 200 || body != "fine" {
 		t.Errorf("status %d, body %q", code, body)
@@ -507,8 +506,7 @@
 			hop := httptest.NewServer(http.HandlerFunc(there.server.ServeForwarded))
 			t.Cleanup(hop.Close)
 			here := newFixture(t, test.route)
-			here.server.Placer.SetTargets(map[string]instance.Registration{"t0": {ID: "t0", Service: "s", State: instance.Ready}},
-				func(string) string { return "abroad" })
+			here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
 			here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: hop.Listener.Addr().String(), Ready: true}})
 			code, _, _ := here.ask(t, "k")
 			if code != test.code || s.count() != test.sends {
@@ -548,10 +546,10 @@
 			hop := httptest.NewServer(http.HandlerFunc(there.server.ServeForwarded))
 			t.Cleanup(hop.Close)
 			here := newFixture(t, route)
-			here.server.Placer.SetTargets(map[string]instance.Registration{
-				"t0": {ID: "t0", Service: "s", State: instance.Ready, DataCentre: "first"},
-				"t1": {ID: "t1", Service: "s", State: instance.Ready, DataCentre: "second"},
-			}, func(dataCentre string) string { return dataCentre })
+			here.server.Placer.SetRemote([]place.Remote{
+				{Service: "s", DataCentre: "first", Region: "first", Targets: 1},
+				{Service: "s", DataCentre: "second", Region: "second", Targets: 1},
+			})
 			first := here.server.Placer.Regions(place.Request{Service: "s", Now: time.Now()})[0]
 			address := map[bool]string{true: silent.address, false: hop.Listener.Addr().String()}
 			here.server.Entries.Store(&[]entry.VM{
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -288,7 +288,7 @@
 		"request", x.id, "route", x.route.Name, "organisation", x.organisation.Name, "from", x.from,
 		"tries", x.tries, "target", x.target, "took", time.Since(x.arrived).Round(time.Millisecond / 10),
 		"predicted", x.predicted.Round(time.Millisecond / 10), "first", x.first.Round(time.Millisecond / 10), "prompt", x.demand.Prompt,
-		"waited_before", x.elapsed(x.arrived).Round(time.Millisecond),
+		"left", x.deadline.Sub(x.arrived).Round(time.Millisecond),
 	}
 	if x.state != nil && x.state.Plan != nil {
 		fields = append(fields, "plan", x.state.Plan.Plan.Version, "lease_left", s.Lease.Left().Round(time.Millisecond))
