Let a coordinator have eight targets, not one

Load pattern: a region of 98 entry VMs and 102 targets whose slots are nearly all taken. Every VM coordinated about one target, so that a request, which asks three coordinators, saw three targets: it was refused or went to a slow one while others had room. Seen in the logs: "full" and late answers at a load of half the region's slots. Change: a part of the ready VMs, by rendezvous hashing, coordinates the targets, one for eight of them, and three at least.

--- a/core/place/coordinate.go
+++ b/core/place/coordinate.go
@@ -4,6 +4,9 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"kingcuprill/core/instance"
+	"kingcuprill/core/rendezvous"
 )
 
 // Candidate is a target that may serve a request, and the VM that coordinates it.
@@ -70,11 +73,46 @@
 	return false
 }
 
-// assignCoordinator sets the coordinator of a target: the ready VM of the region
-// with the highest rendezvous weight.
+const (
+	// targetsPerCoordinator is the number of targets that a coordinator has on
+	// average.
+	targetsPerCoordinator = 8
+	// minCoordinators is the least number of coordinators of a region with as many
+	// ready VMs, so that the loss of one concerns a part of the targets only.
+	minCoordinators = 3
+)
+
+// chooseCoordinators sets the VMs of the region that coordinate its targets, by
+// rendezvous hashing, and assigns the targets to them.
+//
+// With as many VMs as targets, each VM would coordinate one target. A request that
+// asks a few coordinators would then be refused when their targets are full, though
+// most others have room.
+func (p *Placer) chooseCoordinators() {
+	targets := 0
+	for _, t := range p.targets {
+		if t.Region == p.Region && t.State <= instance.Ready {
+			targets++
+		}
+	}
+	count := max(minCoordinators, (targets+targetsPerCoordinator-1)/targetsPerCoordinator)
+	count = min(count, len(p.readyVMs))
+	changed := len(p.coordinators) != count
+	if changed {
+		p.coordinators = rendezvous.Order(p.Region, p.readyVMs)[:count]
+	}
+	for _, t := range p.targets {
+		if changed || t.coordinator == "" {
+			p.assignCoordinator(t)
+		}
+	}
+}
+
+// assignCoordinator sets the coordinator of a target: the one with the highest
+// rendezvous weight.
 func (p *Placer) assignCoordinator(t *Target) {
 	highest := uint64(0)
-	for _, id := range p.readyVMs {
+	for _, id := range p.coordinators {
 		if w := rank(id, t); w >= highest {
 			t.coordinator, highest = id, w
 		}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -31,14 +31,15 @@
 	Self   string // this VM's id
 	Region string
 
-	mu        sync.Mutex
-	targets   map[string]*Target       // by id
-	byService map[string][]*Target     // by service, in this region
-	remote    []Remote                 // of the other regions
-	models    map[string]*latencyModel // by service
-	refusals  refusals
-	readyVMs  []string // ready entry VMs of the region, this one included
-	allVMs    []string // all entry VMs of the region, ready or not
+	mu           sync.Mutex
+	targets      map[string]*Target       // by id
+	byService    map[string][]*Target     // by service, in this region
+	remote       []Remote                 // of the other regions
+	models       map[string]*latencyModel // by service
+	refusals     refusals
+	readyVMs     []string // ready entry VMs of the region, this one included
+	allVMs       []string // all entry VMs of the region, ready or not
+	coordinators []string // ready entry VMs that coordinate the targets of the region
 }
 
 // NewPlacer returns a placer without targets.
@@ -57,9 +58,8 @@
 	if slices.Equal(before, p.readyVMs) {
 		return
 	}
-	for _, t := range p.targets {
-		p.assignCoordinator(t)
-	}
+	p.coordinators = nil
+	p.chooseCoordinators()
 }
 
 // withSelf returns the sorted ids, with that of this VM added.
@@ -83,7 +83,6 @@
 		t, found := p.targets[id]
 		if !found || t.Born != row.Born {
 			t = &Target{Registration: row, parts: map[string]cachedPart{}, waiting: map[*Assignment]bool{}, streams: map[*Assignment]bool{}}
-			p.assignCoordinator(t)
 		}
 		t.Registration, t.Region = row, region(row.DataCentre)
 		next[id] = t
@@ -95,6 +94,7 @@
 		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	}
 	p.targets, p.byService = next, byService
+	p.chooseCoordinators()
 }
 
 // Pick selects a target and counts the request there until Done, which must be
