--- a/core/place/coordinate_test.go
+++ b/core/place/coordinate_test.go
@@ -13,9 +13,9 @@
 // coordination no target is overloaded and few requests are refused; VMs that
 // select targets independently overload some.
 func TestCoordinatedTargetsAreNotOverrun(t *testing.T) {
-	const vms, targets, slots = 27, 70, 12
-	coordinated := countOverloads(t, vms, targets, slots, true)
-	alone := countOverloads(t, vms, targets, slots, false)
+	const vms, targets, slots, perSecond = 27, 70, 12, 360 // runs of 2 s: 720 of 840 slots
+	coordinated := countOverloads(t, vms, targets, slots, perSecond, true)
+	alone := countOverloads(t, vms, targets, slots, perSecond, false)
 	t.Logf("above their slots: coordinated %d, alone %d; refused: coordinated %d, alone %d of %d",
 		coordinated.overloaded, alone.overloaded, coordinated.refused, alone.refused, coordinated.asked)
 	if coordinated.overloaded > 0 {
@@ -31,7 +31,7 @@
 
 type overloadCount struct{ asked, refused, overloaded int }
 
-func countOverloads(t *testing.T, vms, targets, slots int, coordinated bool) (count overloadCount) {
+func countOverloads(t *testing.T, vms, targets, slots, perSecond int, coordinated bool) (count overloadCount) {
 	t.Helper()
 	random := rand.New(rand.NewPCG(3, 5))
 	all := placers(vms, targets, func(r *instance.Registration) { r.Slots = slots })
@@ -45,9 +45,9 @@
 		end        time.Time
 	}
 	var runs []run
-	const perSecond, seconds, parts = 360, 8, 400 // runs of 2 s: 720 of 840 slots
+	const seconds, parts = 8, 400
 	for i := range perSecond * seconds {
-		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		now := start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
 		left := runs[:0]
 		for _, r := range runs {
 			if r.end.After(now) {
@@ -96,6 +96,20 @@
 	return nil
 }
 
+// A region has about as many VMs as targets, and nearly all slots are taken. A request
+// that asks three coordinators must still find a free one.
+func TestCoordinatorsOfManyVMs(t *testing.T) {
+	const vms, targets, slots, perSecond = 98, 102, 12, 590 // runs of 2 s: 1180 of 1224 slots
+	count := countOverloads(t, vms, targets, slots, perSecond, true)
+	t.Logf("%d of %d refused", count.refused, count.asked)
+	if count.overloaded > 0 {
+		t.Errorf("%d requests were sent to a target above its bound", count.overloaded)
+	}
+	if count.refused*100 > count.asked {
+		t.Errorf("%d of %d requests refused, though targets have free slots", count.refused, count.asked)
+	}
+}
+
 // All VMs of a region agree on a target's coordinator, and another VM takes
 // over when that one leaves.
 func TestVMsAgreeOnCoordinators(t *testing.T) {
