Avoid targets that fail more of their requests than others

Load pattern: a part of a service's targets fails a share of its requests at once while its health check passes. Error answers counted as nothing or, where the request could not be repeated, as a success, so that such a target looked fast and got as many requests as others. Change: each VM keeps the rate of error answers of each target that it coordinates and of its service, halved in 2 s without answers. A target above the average costs the part of the objective that is expected to be lost, and isn't preferred for the prompts that it has read. Error answers no longer count for the latency estimates.

--- a/core/place/assignment.go
+++ b/core/place/assignment.go
@@ -38,6 +38,7 @@
 	if a.begun.After(a.Target.newestAnswered) {
 		a.Target.newestAnswered = a.begun
 	}
+	a.placer.recordAnswer(a.Target, a.service, false, now)
 	took := now.Sub(a.begun)
 	a.Target.observe(a.workAhead, took, a.placer.model(a.service), now)
 	a.clearPending()
@@ -102,13 +103,14 @@
 	Success                    // it served the request
 	Failure                    // it failed
 	Displaced                  // another target answered at its address
+	Error                      // it answered with an error
 )
 
 // Done ends the assignment and takes its load off the target.
 func (a *Assignment) Done(result Result, now time.Time) {
 	t := a.Target
 	switch result {
-	case Success:
+	case Success, Error:
 		t.Circuit.Succeeded()
 	case Failure:
 		t.Circuit.Failed()
@@ -124,6 +126,8 @@
 	switch result {
 	case Success:
 		t.lastSuccess = now
+	case Failure, Error:
+		a.placer.recordAnswer(t, a.service, true, now)
 	case Displaced:
 		t.displacedUntil = now.Add(displacedFor)
 	}
--- a/core/place/latency.go
+++ b/core/place/latency.go
@@ -34,6 +34,7 @@
 type latencyModel struct {
 	n, x, y, xx, xy float64
 	base            time.Duration // base latency, moving average over all targets
+	errors          errorRate     // of all targets
 }
 
 func (m *latencyModel) observe(work int, took time.Duration) {
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -120,7 +120,7 @@
 	source := p.source(r, preferred)
 	if preferred != nil && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !(r.long() && preferred.streamsLate(r.Now)) {
 		_, predicted = p.cost(preferred, r, true, source)
-		if predicted <= r.PreferredBound {
+		if predicted <= r.PreferredBound && !p.failsMore(preferred, r.Service, r.Now) {
 			return p.admit(preferred, r, true, source), predicted, ""
 		}
 	}
@@ -206,7 +206,7 @@
 // time plus the penalties that apply.
 func (p *Placer) cost(t *Target, r Request, preferred bool, source *Target) (cost, predicted time.Duration) {
 	predicted = t.predict(t.work(r, preferred || t.fetches(r, source)), p.model(r.Service), r.Now)
-	cost = predicted
+	cost = predicted + p.errorPenalty(t, r)
 	if !preferred {
 		cost += nonPreferredPenalty
 	}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -65,6 +65,7 @@
 	cached         int                   // sum of the parts, tokens
 	nextCold       time.Time             // while the target is cold, this VM sends nothing before
 	lastSuccess    time.Time
+	errors         errorRate
 	// displacedUntil is set when another target has answered at the address.
 	displacedUntil time.Time
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -284,8 +284,12 @@
 		return notRun
 	}
 	x.runs++
-	if response.StatusCode >= http.StatusInternalServerError && x.couldRepeat() {
-		return x.keepFailure(response)
+	if response.StatusCode >= http.StatusInternalServerError {
+		observed = place.Error
+		if x.couldRepeat() {
+			return x.keepFailure(response)
+		}
+		return x.deliver(response, nil, timer)
 	}
 	result := x.deliver(response, reserved, timer)
 	switch {
