Hold most of the retry budget at the coordinators

Load pattern: all targets of a service fail a share of their requests for four seconds; lookups fail by themselves now and then. With 294 entry VMs each VM's share of the budget allows one or two retries at once, although most VMs need none. Change: coordinators hold three quarters of the budget of a service in proportion to their targets, and grant retries with the place. The rest stays split among the VMs, for requests that are placed without a coordinator. Services without coordinators are as before. A retry is counted when it is placed.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"kingcuprill/core/instance"
+	"kingcuprill/core/retry"
 )
 
 const (
@@ -30,6 +31,9 @@
 type Placer struct {
 	Self   string // this VM's id
 	Region string
+	// Retries bounds the retries of the services that this VM coordinates. It must be
+	// set before the first use.
+	Retries Retries
 
 	mu           sync.Mutex
 	targets      map[string]*Target       // by id
@@ -37,14 +41,15 @@
 	remote       []Remote                 // of the other regions
 	models       map[string]*latencyModel // by service
 	refusals     refusals
-	readyVMs     []string // ready entry VMs of the region, this one included
-	allVMs       []string // all entry VMs of the region, ready or not
-	coordinators []string // ready entry VMs that coordinate the targets of the region
+	budgets      map[string]*retry.Budget // by service that this VM coordinates
+	readyVMs     []string                 // ready entry VMs of the region, this one included
+	allVMs       []string                 // all entry VMs of the region, ready or not
+	coordinators []string                 // ready entry VMs that coordinate the targets of the region
 }
 
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
-	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, refusals: refusals{rows: map[string]refusal{}}, readyVMs: []string{self}, allVMs: []string{self}}
+	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, readyVMs: []string{self}, allVMs: []string{self}}
 }
 
 // SetVMs sets the entry VMs that share the targets of this region: those that are
@@ -105,11 +110,18 @@
 func (p *Placer) Pick(r Request) (assignment *Assignment, predicted time.Duration, reason Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.mayRetry(r) {
+		return nil, 0, NoRetries
+	}
 	r = p.refusals.withReturn(r)
 	assignment, predicted, reason = p.pick(r)
-	if assignment == nil {
+	switch {
+	case assignment == nil:
 		p.refusals.add(r)
-	} else {
+	case r.Retry && r.Coordinated:
+		p.budget(r.Service).Retry()
+		fallthrough
+	default:
 		p.refusals.forget(r)
 	}
 	return assignment, predicted, reason
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -35,6 +35,8 @@
 	Fetch bool
 	// Home is the id of the target at which the shared parts are read first.
 	Home string
+	// Retry says that the request was sent to a target before.
+	Retry bool
 }
 
 // affinity returns the rendezvous key of a request: its last shared part. For a
@@ -55,4 +57,5 @@
 	NoTargets Reason = "no_targets" // no usable target is known
 	Full      Reason = "full"       // all are at their bounds on requests or memory, or their circuits are open
 	Slow      Reason = "slow"       // none would begin to answer in time
+	NoRetries Reason = "no_retries" // the retry budget of the service is used up
 )
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -105,6 +105,7 @@
 		Options: o, Metrics: metrics.New(), state: watch.NewValue(&front.State{}), placer: place.NewPlacer(c.ID, c.Region),
 		started: time.Now(), lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewLimiter(), lastSeen: map[string]time.Time{},
 	}
+	v.placer.Retries = place.Retries{Ratio: c.RetryRatio * retryBudgetShare, Slack: c.RetrySlack * retryBudgetShare}
 	v.entries.Store(&[]entry.VM{})
 	peers := peer.NewUnsigned(c.ID, c.DialThrough...)
 	v.client = &follow.Client{
@@ -115,7 +116,7 @@
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
-		RetryAllowance: v.retryAllowance, RetryRatio: c.RetryRatio * retryBudgetShare, Metrics: v.Metrics, Log: o.Log,
+		VMCount: v.vmCount.Load, Metrics: v.Metrics, Log: o.Log,
 	}
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
 	return v
@@ -134,12 +135,6 @@
 	return client
 }
 
-// retryAllowance returns this VM's equal share of the retries that all entry VMs
-// together may save up for one service.
-func (v *VM) retryAllowance() float64 {
-	return v.Config.RetrySlack * retryBudgetShare / float64(max(1, v.vmCount.Load()))
-}
-
 func (v *VM) self() entry.VM {
 	c := v.Config
 	return entry.VM{
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -74,8 +74,7 @@
 // dispatch tries targets until one has answered the caller or no further try is
 // allowed.
 func (x *exchange) dispatch(ctx context.Context) {
-	s := x.server
-	s.budget(x.service).Request()
+	x.server.budget(x.placement(time.Now())).Request()
 	result := notRun
 	for x.tries < x.maxTries() {
 		if x.tries > 0 && !x.mayTryAgain(ctx, result) {
@@ -117,8 +116,8 @@
 	return min(max(1, left), allowed)
 }
 
-// mayTryAgain reports whether the request may be sent once more, and takes the
-// retry from the budget.
+// mayTryAgain reports whether the request may be sent once more, as far as its route
+// allows.
 func (x *exchange) mayTryAgain(ctx context.Context, result outcome) bool {
 	if ctx.Err() != nil {
 		return false
@@ -126,15 +125,12 @@
 	if x.runs > 0 && (!x.route.MayRepeat() || x.runs >= x.attempts()) {
 		return false
 	}
-	if result == broken && !x.hasLast {
-		return false
-	}
-	if !x.server.budget(x.service).Retry() {
-		x.server.Log.Warn("retry budget of the service is used up; the request is not retried", "request", x.id, "service", x.service)
-		return false
-	}
-	x.server.Metrics.Retries.Inc(1)
-	return true
+	return result != broken || x.hasLast
+}
+
+// takeRetry takes a retry from this VM's own budget if the request was sent before.
+func (x *exchange) takeRetry(r place.Request) (allowed bool) {
+	return x.tries == 0 || x.server.budget(r).Retry()
 }
 
 // giveUp ends the request without an answer of a further target: it refuses it,
@@ -166,7 +162,7 @@
 	return place.Request{
 		EventTokens: eventTokens,
 		Service:     x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
-		Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
+		Retry: x.tries > 0, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
 		PreferredBound: x.preferredBound(now), Bound: x.bound(now), Objective: x.route.Objective, Deadline: x.deadline, Now: now,
 	}
 }
@@ -232,7 +228,7 @@
 	bounded, end := context.WithCancelCause(ctx)
 	timer = time.AfterFunc(timeout, func() {
 		// If no retry is left in the budget, a slow answer is better than none.
-		if x.server.budget(x.service).Available() {
+		if x.server.budget(x.placement(time.Now())).Available() {
 			end(errSlow)
 		}
 	})
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -138,6 +138,7 @@
 		rows[id] = instance.Registration{ID: id, Service: "s", Address: s.address, State: instance.Ready, Slots: 8, Heard: time.Now()}
 	}
 	placer := place.NewPlacer("vm", "region")
+	placer.Retries = place.Retries{Ratio: 0.2, Slack: 10}
 	placer.SetTargets(rows, func(string) string { return "region" })
 	limiter := quota.NewLimiter()
 	limiter.SetVMs(1)
@@ -150,7 +151,7 @@
 		Self: "vm", Region: "region", Headers: testHeaders, State: watch.NewValue(&State{Plan: plan.NewIndex(p)}), Lease: configurationLease,
 		Placer: placer, Quota: limiter, Drawer: &draw.Client{Limiter: limiter, Controls: func() []string { return nil }, Log: log},
 		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: entries,
-		RetryAllowance: func() float64 { return 10 }, RetryRatio: 0.2, Metrics: metrics.New(), Log: log,
+		VMCount: func() int64 { return 1 }, Metrics: metrics.New(), Log: log,
 	}
 	w.front = httptest.NewServer(w.server)
 	t.Cleanup(w.front.Close)
@@ -403,16 +404,17 @@
 // all VMs start at once and discover each other.
 func TestRetriesFollowTheVMs(t *testing.T) {
 	w := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 2}, startTarget(t, reset))
-	allowance := 40.0
-	w.server.RetryAllowance = func() float64 { return allowance }
-	w.server.budget("s")
-	allowance = 4
+	vms := int64(1)
+	w.server.VMCount = func() int64 { return vms }
+	r := place.Request{Service: "s"}
+	w.server.budget(r)
+	vms = 5
 	taken := 0
-	for w.server.budget("s").Retry() {
+	for w.server.budget(r).Retry() {
 		taken++
 	}
-	if taken != 4 {
-		t.Errorf("%d retries allowed after more VMs became known, want 4", taken)
+	if taken != 2 {
+		t.Errorf("%d retries of 10 for 5 VMs are allowed after the others became known, want 2", taken)
 	}
 }
 
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -59,7 +59,7 @@
 // It returns false if none has answered the caller.
 func (x *exchange) forward(ctx context.Context, result *outcome) bool {
 	for _, v := range x.forwardCandidates() {
-		if x.runs > 0 && !x.mayTryAgain(ctx, *result) {
+		if x.runs > 0 && !x.mayTryAgain(ctx, *result) || !x.takeRetry(x.placement(time.Now())) {
 			break
 		}
 		if *result = x.forwardTo(ctx, v); *result == delivered {
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -35,9 +35,26 @@
 	}
 	r := x.placement(time.Now())
 	if x.server.Coordinators == nil || !x.server.Placer.NeedsCoordination(r) {
-		return x.pick(r)
+		chosen, predicted, reason = x.pickAlone(r)
+	} else {
+		chosen, predicted, reason = x.coordinate(ctx, r)
 	}
-	return x.coordinate(ctx, r)
+	if x.tries > 0 && chosen != nil {
+		x.server.Metrics.Retries.Inc(1)
+	}
+	if reason == place.NoRetries {
+		x.server.Log.Warn("retry budget of the service is used up; the request is not retried", "request", x.id, "service", x.service)
+	}
+	return chosen, predicted, reason
+}
+
+// pickAlone chooses a target without a coordinator. A retry is taken from this VM's own
+// budget.
+func (x *exchange) pickAlone(r place.Request) (chosen reservation, predicted time.Duration, reason place.Reason) {
+	if !x.takeRetry(r) {
+		return nil, 0, place.NoRetries
+	}
+	return x.pick(r)
 }
 
 // pick chooses a target from this VM's own data.
@@ -73,7 +90,7 @@
 	}
 	if coordinatorFailed || reason == place.NoTargets {
 		r.Preferred, r.Home, r.Now = "", "", time.Now()
-		return x.pick(r)
+		return x.pickAlone(r)
 	}
 	return nil, predicted, reason
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -50,15 +50,13 @@
 	Targets      *upstream.Client // sends requests to targets
 	Peers        *upstream.Client // forwards requests to entry VMs of other regions
 	Entries      *atomic.Pointer[[]entry.VM]
-	// RetryAllowance returns the most retries that this VM may save up for one
-	// service. Each request adds RetryRatio to the saved retries.
-	RetryAllowance func() float64
-	RetryRatio     float64
-	Metrics        *metrics.Metrics
-	Log            *slog.Logger
+	// VMCount returns the number of entry VMs that share the retry budgets.
+	VMCount func() int64
+	Metrics *metrics.Metrics
+	Log     *slog.Logger
 
 	stop     atomic.Pointer[plannedStop]
-	budgets  sync.Map                       // service to *retry.Budget
+	budgets  sync.Map                       // budgetKey to *retry.Budget
 	regions  backoff.Tracker[regionService] // backoff after a region refused a request
 	partners backoff.Tracker[string]        // backoff after an entry VM of another region has not answered
 	running  atomic.Int64
@@ -297,15 +295,25 @@
 	s.Log.Info(message, append(fields, args...)...)
 }
 
-// budget returns the retry budget of a service. Its bound is updated at each
-// call, as it depends on the number of VMs that share the service.
-func (s *Server) budget(service string) *retry.Budget {
+// budgetKey is a service and the part of its retries for each request that the VMs
+// hold.
+type budgetKey struct {
+	service string
+	ratio   float64
+}
+
+// budget returns this VM's own retry budget for the service of a request, from which
+// retries without a coordinator are taken. Its bound is updated at each call, as it
+// depends on the number of VMs that share the service.
+func (s *Server) budget(r place.Request) *retry.Budget {
 	const thousandths = 1000
-	found, known := s.budgets.Load(service)
+	part := s.Placer.OwnRetries(r)
+	key := budgetKey{service: r.Service, ratio: part.Ratio}
+	found, known := s.budgets.Load(key)
 	if !known {
-		found, _ = s.budgets.LoadOrStore(service, &retry.Budget{Ratio: int64(s.RetryRatio * thousandths)})
+		found, _ = s.budgets.LoadOrStore(key, &retry.Budget{Ratio: int64(part.Ratio * thousandths)})
 	}
 	budget := found.(*retry.Budget)
-	budget.SetLargest(int64(s.RetryAllowance() * thousandths))
+	budget.SetLargest(int64(part.Slack * thousandths / float64(max(1, s.VMCount()))))
 	return budget
 }
