Report the progress of streams early; keep no callers' connections at first

Cause of streams that reach their deadline: coordinators learned how slow a target's streams are only from their ends, after seconds in which many more were placed there. Change: an entry VM reports the progress of a stream after 4 events and at each doubling; a long answer that would end after its deadline at the speed of a target's streams isn't sent there. Cause of a slow recovery: after all VMs of a region have stopped, the first one that is ready gets all callers of the region and keeps their connections. Change: until a VM is likely to know all others, it closes callers' connections after the answer.

--- a/core/place/assignment.go
+++ b/core/place/assignment.go
@@ -67,7 +67,7 @@
 }
 
 // Begun records that the answer of a request that another VM forwards has begun.
-// That VM reports the events only at the end; they are recorded by RecordGap.
+// That VM reports the events now and then; they are recorded by RecordGap.
 func (a *Assignment) Begun(now time.Time) {
 	a.Answered(now)
 	a.placer.mu.Lock()
@@ -76,10 +76,12 @@
 	a.Target.streams[a] = true
 }
 
-// RecordGap records the average time between the events of an ended answer.
-func (a *Assignment) RecordGap(events int, gap time.Duration) {
+// RecordGap records the average time between some events of an answer, of which the
+// first one was the last of the events recorded before.
+func (a *Assignment) RecordGap(events int, gap time.Duration, now time.Time) {
 	a.placer.mu.Lock()
 	defer a.placer.mu.Unlock()
+	a.events, a.last = max(1, a.events)+events-1, now
 	weight := 1 - math.Pow(1-gapWeight, float64(events))
 	a.Target.gap += time.Duration(weight * float64(gap-a.Target.gap))
 }
@@ -88,7 +90,7 @@
 // another VM forwards it is estimated from the target's average gap.
 func (a *Assignment) progress(now time.Time) int {
 	if a.reported && a.Target.gap > 0 {
-		return int(now.Sub(a.last) / a.Target.gap)
+		return a.events + int(now.Sub(a.last)/a.Target.gap)
 	}
 	return a.events
 }
--- a/core/place/lateness.go
+++ b/core/place/lateness.go
@@ -20,6 +20,19 @@
 	return r.EventTokens > 0 && r.Demand.Expected >= longEvents*r.EventTokens
 }
 
+// endsLate reports whether a long answer is predicted to end after its deadline at
+// the speed of the streams in progress.
+func (t *Target) endsLate(r Request) bool {
+	events := r.Demand.Expected / max(1, r.EventTokens)
+	return time.Duration(events)*t.gap > r.Deadline.Sub(r.Now)
+}
+
+// refusesLong reports whether a request is long and the target's streams are too slow
+// for it, or for the long ones in progress.
+func (t *Target) refusesLong(r Request) bool {
+	return r.long() && (t.endsLate(r) || t.streamsLate(r.Now))
+}
+
 // streamsLate reports whether the streams in progress at a target are so slow
 // that many of them will miss their deadlines.
 //
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -130,7 +130,7 @@
 func (p *Placer) pick(r Request) (assignment *Assignment, predicted time.Duration, reason Reason) {
 	preferred := p.preferred(r)
 	source := p.source(r, preferred)
-	if preferred != nil && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !(r.long() && preferred.streamsLate(r.Now)) {
+	if preferred != nil && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
 		_, predicted = p.cost(preferred, r, true, source)
 		if predicted <= r.PreferredBound && !p.failsMore(preferred, r.Service, r.Now) {
 			return p.admit(preferred, r, true, source), predicted, ""
@@ -161,7 +161,7 @@
 			reason = Full
 			continue
 		}
-		if r.long() && t.streamsLate(r.Now) {
+		if t.refusesLong(r) {
 			reason = Slow
 			continue
 		}
--- a/io/coordinator/reservation.go
+++ b/io/coordinator/reservation.go
@@ -17,11 +17,17 @@
 	address     string
 	source      string
 
-	begun       bool
-	events      int
-	first, last time.Time
+	begun    bool
+	events   int       // so far
+	reported int       // of these, events whose gaps were reported
+	since    time.Time // last event whose gap was reported
+	last     time.Time // last event
 }
 
+// firstReport is the number of events of a stream after which its progress is first
+// reported. It is reported again each time the number has doubled.
+const firstReport = 4
+
 // Where returns the target's id and address.
 func (r *Reservation) Where() (id, address string) {
 	return r.target, r.address
@@ -42,21 +48,35 @@
 	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Begun: true})
 }
 
-// Event counts an event of a stream.
+// Event counts an event of a stream, and reports the progress of the stream now and
+// then. The coordinator learns from it early how slow the target's streams are; a
+// stream takes seconds, in which many more requests are placed.
 func (r *Reservation) Event(now time.Time) {
 	if r.events == 0 {
-		r.first = now
+		r.since, r.reported = now, 1
 	}
 	r.events++
 	r.last = now
+	if r.events >= max(firstReport, 2*r.reported) {
+		r.client.report(r.coordinator, r.progress())
+	}
+}
+
+// progress returns a report of the events since the last one, and their mean gap.
+func (r *Reservation) progress() *entry.Progress {
+	p := &entry.Progress{Reservation: r.id}
+	if gaps := r.events - r.reported; gaps > 0 {
+		p.Events = int64(gaps + 1)
+		p.GapNanoseconds = int64(r.last.Sub(r.since)) / int64(gaps)
+		r.reported, r.since = r.events, r.last
+	}
+	return p
 }
 
-// Done ends the reservation and reports the result and the mean time between
+// Done ends the reservation and reports the result and the mean time between the last
 // events to the coordinator.
 func (r *Reservation) Done(result place.Result, _ time.Time) {
-	ended := &entry.Progress{Reservation: r.id, Ended: true, Result: uint32(result), Events: int64(r.events)}
-	if r.events > 1 {
-		ended.GapNanoseconds = int64(r.last.Sub(r.first)) / int64(r.events-1)
-	}
+	ended := r.progress()
+	ended.Ended, ended.Result = true, uint32(result)
 	r.client.report(r.coordinator, ended)
 }
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -107,12 +107,12 @@
 	if p.GetBegun() {
 		r.assignment.Begun(now)
 	}
+	if p.GetEvents() > 1 {
+		r.assignment.RecordGap(int(p.GetEvents()), time.Duration(p.GetGapNanoseconds()), now)
+	}
 	if !p.GetEnded() {
 		return
 	}
-	if p.GetEvents() > 1 {
-		r.assignment.RecordGap(int(p.GetEvents()), time.Duration(p.GetGapNanoseconds()))
-	}
 	r.assignment.Done(place.Result(p.GetResult()), now)
 }
 
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -286,12 +286,27 @@
 			return err
 		}
 	}
-	if err := v.serve(v.Config.CallerAddress, v.front); err != nil {
+	if err := v.serve(v.Config.CallerAddress, v.callerHandler()); err != nil {
 		return err
 	}
 	return nil
 }
 
+// callerHandler serves callers. Until this VM is likely to know all others, it keeps no
+// connection open after an answer.
+//
+// After a region has lost all its VMs, the first one that is ready gets all callers of
+// the region. If it kept their connections, they would go on to use it when the others
+// are ready too.
+func (v *VM) callerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if time.Since(v.started) < discoveryTime {
+			w.Header().Set("Connection", "close")
+		}
+		v.front.ServeHTTP(w, r)
+	})
+}
+
 // peerHandler serves other entry VMs: the callers' requests that they hand over,
 // and their calls to the coordinator.
 func (v *VM) peerHandler() http.Handler {
