Read a long shared part in one region while it is seldom used in others

Load pattern: requests that share long prompt parts (13,300 tokens, 0.35 s of reading) come from three regions. Change: all VMs agree on a home region of each part, in proportion to the targets. The coordinator of a part's target sends a request there if reading the part here takes longer than the way, until the time lost on the way reaches the time to read it; then the part is read here too. If the home region refuses, the request is placed here. Nothing changes for parts that are read faster than the way takes.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -41,6 +41,7 @@
 	remote       []Remote                 // of the other regions
 	models       map[string]*latencyModel // by service
 	refusals     refusals
+	away         awayCounts
 	budgets      map[string]*retry.Budget // by service that this VM coordinates
 	readyVMs     []string                 // ready entry VMs of the region, this one included
 	allVMs       []string                 // all entry VMs of the region, ready or not
@@ -49,7 +50,7 @@
 
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
-	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, readyVMs: []string{self}, allVMs: []string{self}}
+	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, away: awayCounts{}, readyVMs: []string{self}, allVMs: []string{self}}
 }
 
 // SetVMs sets the entry VMs that share the targets of this region: those that are
@@ -116,6 +117,7 @@
 	r = p.refusals.withReturn(r)
 	assignment, predicted, reason = p.pick(r)
 	switch {
+	case reason == Elsewhere:
 	case assignment == nil:
 		p.refusals.add(r)
 	case r.Retry && r.Coordinated:
@@ -129,6 +131,9 @@
 
 func (p *Placer) pick(r Request) (assignment *Assignment, predicted time.Duration, reason Reason) {
 	preferred := p.preferred(r)
+	if p.belongsElsewhere(r, preferred) {
+		return nil, 0, Elsewhere
+	}
 	source := p.source(r, preferred)
 	if preferred != nil && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
 		_, predicted = p.cost(preferred, r, true, source)
--- a/core/place/placer_test.go
+++ b/core/place/placer_test.go
@@ -307,3 +307,15 @@
 		t.Errorf("%d of %d requests are refused", refused, perSecond*seconds)
 	}
 }
+
+// placersOf returns the placer of the only VM of a region with some targets.
+func placersOf(region string, targets int) *Placer {
+	p := NewPlacer("vm-"+region, region)
+	rows := map[string]instance.Registration{}
+	for i := range targets {
+		id := fmt.Sprint(region, "-t", i)
+		rows[id] = instance.Registration{ID: id, Service: "llm", Slots: 64, State: instance.Ready, DataCentre: region, Heard: start}
+	}
+	p.SetTargets(rows, func(dataCentre string) string { return dataCentre })
+	return p
+}
--- a/core/place/remote.go
+++ b/core/place/remote.go
@@ -34,14 +34,8 @@
 	if len(r.Demand.Parts) > 0 {
 		shared = r.Demand.shared()
 	}
-	targets := map[string]int{}
-	for _, remote := range p.remote {
-		if remote.Service == r.Service && remote.Targets > 0 && !r.Evacuated[remote.DataCentre] {
-			targets[remote.Region] += remote.Targets
-		}
-	}
 	weights := map[string]float64{}
-	for region, count := range targets {
+	for region, count := range p.remoteTargets(r) {
 		weights[region] = weight(shared, region, count)
 		regions = append(regions, region)
 	}
@@ -51,6 +45,18 @@
 	return regions
 }
 
+// remoteTargets returns the usable targets of the request's service in the other
+// regions.
+func (p *Placer) remoteTargets(r Request) (targets map[string]int) {
+	targets = map[string]int{}
+	for _, remote := range p.remote {
+		if remote.Service == r.Service && remote.Targets > 0 && !r.Evacuated[remote.DataCentre] {
+			targets[remote.Region] += remote.Targets
+		}
+	}
+	return targets
+}
+
 // weight returns the rendezvous weight of a region for a part. The region with the
 // highest weight is each one with a probability in proportion to its count.
 func weight(part, region string, count int) float64 {
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -35,6 +35,10 @@
 	Fetch bool
 	// Home is the id of the target at which the shared parts are read first.
 	Home string
+	// MayForward says that the request may be sent to the home region of its shared part,
+	// which is another one, and AwayTime how much later its answer then begins.
+	MayForward bool
+	AwayTime   time.Duration
 	// Retry says that the request was sent to a target before.
 	Retry bool
 }
@@ -57,5 +61,6 @@
 	NoTargets Reason = "no_targets" // no usable target is known
 	Full      Reason = "full"       // all are at their bounds on requests or memory, or their circuits are open
 	Slow      Reason = "slow"       // none would begin to answer in time
+	Elsewhere Reason = "elsewhere"  // it should run in the home region of its shared part
 	NoRetries Reason = "no_retries" // the retry budget of the service is used up
 )
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -52,6 +52,7 @@
 	begun    bool   // part of an answer has been sent to the caller
 	last     int64  // id of the last event delivered
 	hasLast  bool
+	stay     bool          // the home region of the shared part has refused the request
 	failure  *failedAnswer // of a target, sent if no later try succeeds
 }
 
@@ -86,6 +87,10 @@
 			if x.forward(ctx, &result) {
 				return
 			}
+			if reason == place.Elsewhere && result == notRun {
+				x.stay = true
+				continue
+			}
 			x.giveUp(ctx, result, string(reason))
 			return
 		}
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kingcuprill/core/entry"
+	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 )
 
@@ -55,6 +56,16 @@
 	return vms
 }
 
+// mayForward reports whether the home region of the request's shared part is another
+// one that can take the request now.
+func (x *exchange) mayForward(r place.Request) bool {
+	if x.from != "" || x.stay || x.tries > 0 || time.Until(x.deadline) < minForwardTime {
+		return false
+	}
+	region, other := x.server.Placer.HomeRegion(r, x.atHome)
+	return other && !x.server.regions.InBackoff(regionService{region, x.service}, r.Now)
+}
+
 // forward sends the request to entry VMs of other regions, one after the other.
 // It returns false if none has answered the caller.
 func (x *exchange) forward(ctx context.Context, result *outcome) bool {
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -34,6 +34,7 @@
 		return nil, 0, "not_at_home"
 	}
 	r := x.placement(time.Now())
+	r.MayForward, r.AwayTime = x.mayForward(r), 2*interRegionLatency
 	if x.server.Coordinators == nil || !x.server.Placer.NeedsCoordination(r) {
 		chosen, predicted, reason = x.pickAlone(r)
 	} else {
@@ -79,11 +80,14 @@
 		}
 		r.Preferred, r.Now = candidate.Target, time.Now()
 		answer, err := x.ask(ctx, candidate.VM, r)
+		r.MayForward = false // only the first coordinator decides
 		switch {
 		case err != nil:
 			coordinatorFailed = true
 		case answer.chosen != nil:
 			return answer.chosen, answer.predicted, ""
+		case answer.reason == place.Elsewhere:
+			return nil, answer.predicted, answer.reason
 		default:
 			predicted, reason = shorter(predicted, answer.predicted), answer.reason
 		}
