Predict reading at a coordinated target from what it has read

Cause: the preferred target was assumed to have read a request's shared parts, which its coordinator knows better: the first read of a part was predicted as if it took no time, and its long answer time went into the estimates of the others.

--- a/core/place/elsewhere_test.go
+++ b/core/place/elsewhere_test.go
@@ -31,10 +31,10 @@
 		}
 		reads := map[string]bool{}
 		for i := range parts * uses {
-			now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+			now := start.Add(time.Duration(i) * 200 * time.Millisecond)
 			part := fmt.Sprint("p", i%parts)
 			r := Request{
-				Service: "llm", Sticky: true, Now: now, Deadline: now.Add(time.Minute), Memory: 10_000_000, AwayTime: away, PreferredBound: time.Minute,
+				Service: "llm", Sticky: true, Now: now, Deadline: now.Add(time.Minute), Memory: 10_000_000, Coordinated: true, AwayTime: away, PreferredBound: time.Minute,
 				Demand: Demand{Prompt: test.tokens + 10, Output: 10, Parts: []Part{{part, test.tokens}, {fmt.Sprint("own", i), 10}}},
 			}
 			region := regions[i/parts%3]
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -222,7 +222,7 @@
 // cost returns the predicted time until the target begins to answer, and that
 // time plus the penalties that apply.
 func (p *Placer) cost(t *Target, r Request, preferred bool, source *Target) (cost, predicted time.Duration) {
-	predicted = t.predict(t.work(r, preferred || t.fetches(r, source)), p.model(r.Service), r.Now)
+	predicted = t.predict(t.work(r, t.holdsShared(r, preferred, source)), p.model(r.Service), r.Now)
 	cost = predicted + p.errorPenalty(t, r)
 	if !preferred {
 		cost += nonPreferredPenalty
@@ -242,9 +242,16 @@
 	return model
 }
 
-// work returns the prompt tokens that a target has to read. With shared, the
-// shared parts don't count: the preferred target, to which all VMs of the region
-// send them, is assumed to have read them, and other targets may fetch them.
+// holdsShared reports whether the target needn't read the shared parts of a request,
+// although this VM doesn't know that it has read them: it fetches them, or it is the
+// preferred one, to which all VMs of the region send them. The coordinator of a target
+// has seen all requests there and assumes nothing.
+func (t *Target) holdsShared(r Request, preferred bool, source *Target) bool {
+	return (preferred && !r.Coordinated) || t.fetches(r, source)
+}
+
+// work returns the prompt tokens that a target has to read. With shared, the shared
+// parts don't count.
 func (t *Target) work(r Request, shared bool) int {
 	work := t.uncached(r.Demand)
 	if shared && len(r.Demand.Parts) > 1 {
@@ -262,7 +269,7 @@
 
 func (p *Placer) admit(t *Target, r Request, preferred bool, source *Target) *Assignment {
 	fetches := t.fetches(r, source)
-	work := t.work(r, preferred || fetches)
+	work := t.work(r, t.holdsShared(r, preferred, source))
 	a := &Assignment{
 		Target: t, id: t.ID, address: t.Address, placer: p, service: r.Service, demand: r.Demand, work: work, workAhead: t.pending + work, begun: r.Now,
 		predicted: t.predict(work, p.model(r.Service), r.Now),
