Let a new replica find the leader through any control VM

Cause: a control VM that has lost its disk knows only the control VMs of its settings. It asked these to add its replica and to confirm the catalogue; when none of them led, it never became a member again and could confirm nothing. Change: while it knows no leader, it asks the control VMs that it knows for the addresses of all.

--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -37,6 +37,7 @@
 	"kingcuprill/io/vm"
 	"kingcuprill/io/vmconfig"
 	"kingcuprill/rpc/operator"
+	rpc "kingcuprill/rpc/vm"
 )
 
 const (
@@ -321,6 +322,22 @@
 	}
 }
 
+// askForControlVMs learns the addresses of the control VMs from those that are known. A
+// new replica knows only those of the settings, none of which may lead.
+func (v *VM) askForControlVMs(ctx context.Context) {
+	for _, m := range v.VMState.Members.View.Read().Usable() {
+		if !m.Control || m.PeerAddress == v.Config.PeerAddress {
+			continue
+		}
+		bounded, cancel := v.peers.Bounded(ctx)
+		answer, err := v.peers.At(m.PeerAddress).Follow(bounded, &rpc.FollowRequest{Announce: true, OnlyRegion: true, NoEntries: true})
+		cancel()
+		if err == nil {
+			v.addControlVMs(answer.GetControlAddresses())
+		}
+	}
+}
+
 // maintainMembership adds this VM's replica to the set of replicas and, while it
 // leads, makes the changes that the set needs.
 func (v *VM) maintainMembership() error {
@@ -339,6 +356,9 @@
 			lastLeader = time.Now()
 		}
 		v.addControlVMs(append(slices.Clone(status.Membership.Voters), status.Membership.Learners...))
+		if status.Leader == "" {
+			v.askForControlVMs(ctx)
+		}
 		change, wanted := nextChange(status.Status, v.id, v.Config.Replicas, time.Since(lastLeader))
 		if !wanted {
 			continue
