--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"kingcuprill/core/instance"
+	"kingcuprill/core/retry"
 )
 
 const (
@@ -30,6 +31,9 @@
 type Placer struct {
 	Self   string // this VM's id
 	Region string
+	// Retries bounds the retries of the services that this VM coordinates. It must be
+	// set before the first use.
+	Retries Retries
 
 	mu           sync.Mutex
 	targets      map[string]*Target       // by id
@@ -37,14 +41,16 @@
 	remote       []Remote                 // of the other regions
 	models       map[string]*latencyModel // by service
 	refusals     refusals
-	readyVMs     []string // ready entry VMs of the region, this one included
-	allVMs       []string // all entry VMs of the region, ready or not
-	coordinators []string // ready entry VMs that coordinate the targets of the region
+	away         awayCounts
+	budgets      map[string]*retry.Budget // by service that this VM coordinates
+	readyVMs     []string                 // ready entry VMs of the region, this one included
+	allVMs       []string                 // all entry VMs of the region, ready or not
+	coordinators []string                 // ready entry VMs that coordinate the targets of the region
 }
 
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
-	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, refusals: refusals{rows: map[string]refusal{}}, readyVMs: []string{self}, allVMs: []string{self}}
+	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, away: awayCounts{}, readyVMs: []string{self}, allVMs: []string{self}}
 }
 
 // SetVMs sets the entry VMs that share the targets of this region: those that are
@@ -105,11 +111,19 @@
 func (p *Placer) Pick(r Request) (assignment *Assignment, predicted time.Duration, reason Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.mayRetry(r) {
+		return nil, 0, NoRetries
+	}
 	r = p.refusals.withReturn(r)
 	assignment, predicted, reason = p.pick(r)
-	if assignment == nil {
+	switch {
+	case reason == Elsewhere:
+	case assignment == nil:
 		p.refusals.add(r)
-	} else {
+	case r.Retry && r.Coordinated:
+		p.budget(r.Service).Retry()
+		fallthrough
+	default:
 		p.refusals.forget(r)
 	}
 	return assignment, predicted, reason
@@ -117,10 +131,13 @@
 
 func (p *Placer) pick(r Request) (assignment *Assignment, predicted time.Duration, reason Reason) {
 	preferred := p.preferred(r)
+	if p.belongsElsewhere(r, preferred) {
+		return nil, 0, Elsewhere
+	}
 	source := p.source(r, preferred)
-	if preferred != nil && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !(r.long() && preferred.streamsLate(r.Now)) {
+	if preferred != nil && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
 		_, predicted = p.cost(preferred, r, true, source)
-		if predicted <= r.PreferredBound {
+		if predicted <= r.PreferredBound && !p.failsMore(preferred, r.Service, r.Now) {
 			return p.admit(preferred, r, true, source), predicted, ""
 		}
 	}
@@ -149,7 +166,7 @@
 			reason = Full
 			continue
 		}
-		if r.long() && t.streamsLate(r.Now) {
+		if t.refusesLong(r) {
 			reason = Slow
 			continue
 		}
@@ -205,8 +222,8 @@
 // cost returns the predicted time until the target begins to answer, and that
 // time plus the penalties that apply.
 func (p *Placer) cost(t *Target, r Request, preferred bool, source *Target) (cost, predicted time.Duration) {
-	predicted = t.predict(t.work(r, preferred || t.fetches(r, source)), p.model(r.Service), r.Now)
-	cost = predicted
+	predicted = t.predict(t.work(r, t.holdsShared(r, preferred, source)), p.model(r.Service), r.Now)
+	cost = predicted + p.errorPenalty(t, r)
 	if !preferred {
 		cost += nonPreferredPenalty
 	}
@@ -225,9 +242,16 @@
 	return model
 }
 
-// work returns the prompt tokens that a target has to read. With shared, the
-// shared parts don't count: the preferred target, to which all VMs of the region
-// send them, is assumed to have read them, and other targets may fetch them.
+// holdsShared reports whether the target needn't read the shared parts of a request,
+// although this VM doesn't know that it has read them: it fetches them, or it is the
+// preferred one, to which all VMs of the region send them. The coordinator of a target
+// has seen all requests there and assumes nothing.
+func (t *Target) holdsShared(r Request, preferred bool, source *Target) bool {
+	return (preferred && !r.Coordinated) || t.fetches(r, source)
+}
+
+// work returns the prompt tokens that a target has to read. With shared, the shared
+// parts don't count.
 func (t *Target) work(r Request, shared bool) int {
 	work := t.uncached(r.Demand)
 	if shared && len(r.Demand.Parts) > 1 {
@@ -245,7 +269,7 @@
 
 func (p *Placer) admit(t *Target, r Request, preferred bool, source *Target) *Assignment {
 	fetches := t.fetches(r, source)
-	work := t.work(r, preferred || fetches)
+	work := t.work(r, t.holdsShared(r, preferred, source))
 	a := &Assignment{
 		Target: t, id: t.ID, address: t.Address, placer: p, service: r.Service, demand: r.Demand, work: work, workAhead: t.pending + work, begun: r.Now,
 		predicted: t.predict(work, p.model(r.Service), r.Now),
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -105,6 +105,7 @@
 		Options: o, Metrics: metrics.New(), state: watch.NewValue(&front.State{}), placer: place.NewPlacer(c.ID, c.Region),
 		started: time.Now(), lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewLimiter(), lastSeen: map[string]time.Time{},
 	}
+	v.placer.Retries = place.Retries{Ratio: c.RetryRatio * retryBudgetShare, Slack: c.RetrySlack * retryBudgetShare}
 	v.entries.Store(&[]entry.VM{})
 	peers := peer.NewUnsigned(c.ID, c.DialThrough...)
 	v.client = &follow.Client{
@@ -115,7 +116,7 @@
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
-		RetryAllowance: v.retryAllowance, RetryRatio: c.RetryRatio * retryBudgetShare, Metrics: v.Metrics, Log: o.Log,
+		VMCount: v.vmCount.Load, Metrics: v.Metrics, Log: o.Log,
 	}
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
 	return v
@@ -134,12 +135,6 @@
 	return client
 }
 
-// retryAllowance returns this VM's equal share of the retries that all entry VMs
-// together may save up for one service.
-func (v *VM) retryAllowance() float64 {
-	return v.Config.RetrySlack * retryBudgetShare / float64(max(1, v.vmCount.Load()))
-}
-
 func (v *VM) self() entry.VM {
 	c := v.Config
 	return entry.VM{
@@ -291,12 +286,27 @@
 			return err
 		}
 	}
-	if err := v.serve(v.Config.CallerAddress, v.front); err != nil {
+	if err := v.serve(v.Config.CallerAddress, v.callerHandler()); err != nil {
 		return err
 	}
 	return nil
 }
 
+// callerHandler serves callers. Until this VM is likely to know all others, it keeps no
+// connection open after an answer.
+//
+// After a region has lost all its VMs, the first one that is ready gets all callers of
+// the region. If it kept their connections, they would go on to use it when the others
+// are ready too.
+func (v *VM) callerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if time.Since(v.started) < discoveryTime {
+			w.Header().Set("Connection", "close")
+		}
+		v.front.ServeHTTP(w, r)
+	})
+}
+
 // peerHandler serves other entry VMs: the callers' requests that they hand over,
 // and their calls to the coordinator.
 func (v *VM) peerHandler() http.Handler {
