Count a shared part once in a target's memory; region backoff by route

Load pattern: long requests that share parts of 13,300 tokens fill a target's memory of 296,683 tokens. Each was counted with the whole prompt, so that a target that runs several on one part was taken for full while it had room. Change: the memory that one more request needs is without the shared parts that run there already.

Load pattern: a data centre that is the only one of its region is evacuated, so that all its requests go to other regions. Change: the backoff of a region holds for the refused route, and not where this region has no targets.

--- a/core/place/assignment.go
+++ b/core/place/assignment.go
@@ -124,7 +124,7 @@
 	a.clearPending()
 	delete(t.streams, a)
 	t.inFlight--
-	t.memory -= a.demand.Prompt + a.demand.Output
+	t.memory.remove(a.demand)
 	switch result {
 	case Success:
 		t.lastSuccess = now
--- a/core/place/capacity.go
+++ b/core/place/capacity.go
@@ -36,8 +36,7 @@
 	if t.inFlight-t.lost(r.Now) >= max(1, int(slack*float64(t.slots()))/vms) {
 		return false
 	}
-	need := r.Demand.Prompt + r.Demand.Output
-	if r.Memory > 0 && t.inFlight > 0 && (t.memory+need)*vms > int(memoryShare*float64(r.Memory)) {
+	if r.Memory > 0 && t.inFlight > 0 && (t.memory.tokens+t.memory.need(r.Demand))*vms > int(memoryShare*float64(r.Memory)) {
 		return false
 	}
 	return !r.Now.Before(t.ColdUntil) || p.hasColdCapacity(t, r)
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -8,7 +8,7 @@
 // on that the target has not read as far as this VM knows.
 func (t *Target) missingShared(d Demand) int {
 	total, found := 0, true
-	for _, p := range d.Parts[:max(0, len(d.Parts)-1)] {
+	for _, p := range d.sharedParts() {
 		if _, has := t.parts[p.ID]; !has {
 			found = false
 		}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -284,7 +284,7 @@
 	t.inFlight++
 	t.pending += work
 	t.waiting[a] = true
-	t.memory += r.Demand.Prompt + r.Demand.Output
+	t.memory.add(r.Demand)
 	if r.Sticky {
 		t.recordParts(r.Demand, r.Memory, r.Now)
 	}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -46,6 +46,11 @@
 	return d.Parts[max(0, len(d.Parts)-2)].ID
 }
 
+// sharedParts returns the parts that the prompt shares with others.
+func (d Demand) sharedParts() []Part {
+	return d.Parts[:max(0, len(d.Parts)-1)]
+}
+
 // Target is a target's registration and this VM's view of its load.
 type Target struct {
 	instance.Registration
@@ -60,7 +65,7 @@
 	waiting        map[*Assignment]bool  // assignments whose answer has not begun
 	streams        map[*Assignment]bool  // assignments whose answer is in progress
 	gap            time.Duration         // average time between two events of a stream
-	memory         int                   // prompt and output tokens of the requests in flight
+	memory         runningMemory         // of the requests in flight
 	parts          map[string]cachedPart // by ID, those that the target has presumably read
 	cached         int                   // sum of the parts, tokens
 	nextCold       time.Time             // while the target is cold, this VM sends nothing before
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -84,7 +84,7 @@
 		reserved, predicted, reason := x.place(ctx)
 		x.predicted = predicted
 		if reserved == nil {
-			if x.forward(ctx, &result) {
+			if x.forward(ctx, reason, &result) {
 				return
 			}
 			if reason == place.Elsewhere && result == notRun {
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -35,8 +35,8 @@
 
 // forwardCandidates returns entry VMs of other regions where the request may run,
 // this VM's partner in each region, the best region first. Regions in backoff are
-// left out if the request may run in this region.
-func (x *exchange) forwardCandidates() (vms []entry.VM) {
+// left out if the request may run in this region, which has targets.
+func (x *exchange) forwardCandidates(reason place.Reason) (vms []entry.VM) {
 	if x.from != "" || time.Until(x.deadline) < minForwardTime {
 		return nil
 	}
@@ -45,7 +45,7 @@
 		if !x.atHome(region) {
 			continue
 		}
-		if x.atHome(x.server.Region) && x.server.regions.InBackoff(regionService{region, x.service}, now) {
+		if x.atHome(x.server.Region) && reason != place.NoTargets && x.server.regions.InBackoff(regionRoute{region, x.route.Name}, now) {
 			continue
 		}
 		partner, found := entry.Partner(x.server.Self, known, region, func(id string) bool { return x.server.partners.InBackoff(id, now) })
@@ -63,13 +63,14 @@
 		return false
 	}
 	region, other := x.server.Placer.HomeRegion(r, x.atHome)
-	return other && !x.server.regions.InBackoff(regionService{region, x.service}, r.Now)
+	return other && !x.server.regions.InBackoff(regionRoute{region, x.route.Name}, r.Now)
 }
 
-// forward sends the request to entry VMs of other regions, one after the other.
-// It returns false if none has answered the caller.
-func (x *exchange) forward(ctx context.Context, result *outcome) bool {
-	for _, v := range x.forwardCandidates() {
+// forward sends the request to entry VMs of other regions, one after the other. reason
+// says why no target of this region was selected. forward returns false if none has
+// answered the caller.
+func (x *exchange) forward(ctx context.Context, reason place.Reason, result *outcome) bool {
+	for _, v := range x.forwardCandidates(reason) {
 		if x.runs > 0 && !x.mayTryAgain(ctx, *result) || !x.takeRetry(x.placement(time.Now())) {
 			break
 		}
@@ -109,11 +110,11 @@
 	if reason := response.Header.Get(hopNotRun); reason != "" {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		x.server.regions.Refused(regionService{v.Region, x.service}, time.Now())
+		x.server.regions.Refused(regionRoute{v.Region, x.route.Name}, time.Now())
 		x.server.Log.Info("entry VM has refused the forwarded request without running it", "request", x.id, "vm", v.ID, "reason", reason)
 		return notRun
 	}
-	x.server.regions.Succeeded(regionService{v.Region, x.service})
+	x.server.regions.Succeeded(regionRoute{v.Region, x.route.Name})
 	x.runs += x.forwardedRuns()
 	if response.StatusCode >= http.StatusInternalServerError && x.couldRepeat() {
 		return x.keepFailure(response)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -56,9 +56,9 @@
 	Log     *slog.Logger
 
 	stop     atomic.Pointer[plannedStop]
-	budgets  sync.Map                       // budgetKey to *retry.Budget
-	regions  backoff.Tracker[regionService] // backoff after a region refused a request
-	partners backoff.Tracker[string]        // backoff after an entry VM of another region has not answered
+	budgets  sync.Map                     // budgetKey to *retry.Budget
+	regions  backoff.Tracker[regionRoute] // backoff after a region refused a request
+	partners backoff.Tracker[string]      // backoff after an entry VM of another region has not answered
 	running  atomic.Int64
 }
 
@@ -255,7 +255,9 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after, notRun: true}
 }
 
-type regionService struct{ region, service string }
+// regionRoute is a region and a route whose requests it may refuse. A refusal of long
+// prompts says nothing about short ones of the same service.
+type regionRoute struct{ region, route string }
 
 // refuse sends an error answer of this VM. If the request has not run, its
 // tokens are refunded.
