Pass the priority of a request on to engines

Cause: routes and organisations have priorities, which nothing used: a short, urgent prompt waited at an engine behind long ones. Change: an engine gets the priority of the organisation, if it has one, or else of the route; callers can't set it.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -190,7 +190,7 @@
 	}
 	// Targets don't get the caller's key, and callers can't set the headers that
 	// this system sets for targets.
-	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, hopFrom, hopRuns} {
+	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, h.Rank, hopFrom, hopRuns} {
 		header.Del(name)
 	}
 	left := max(1, time.Until(x.deadline).Milliseconds())
@@ -243,6 +243,19 @@
 	}
 }
 
+// lowestRank is the least urgent priority at an engine.
+const lowestRank = 9
+
+// rank returns the priority of the request at an engine: that of its organisation, if
+// it has one, or else of its route.
+func (x *exchange) rank() int {
+	priority := x.route.Priority
+	if x.organisation.HasPriority {
+		priority = x.organisation.Priority
+	}
+	return min(max(0, priority), lowestRank)
+}
+
 // try sends the request to the target of a reservation.
 func (x *exchange) try(ctx context.Context, reserved reservation) outcome {
 	s := x.server
@@ -265,6 +278,9 @@
 		header[s.Headers.FetchFrom] = []string{source}
 		s.Metrics.Count("fetches")
 	}
+	if service, _ := x.state.Plan.Service(x.service); service.MemoryTokens > 0 && s.Headers.Rank != "" {
+		header[s.Headers.Rank] = []string{strconv.Itoa(x.rank())}
+	}
 	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout())
 	defer cancel()
 	response, err := s.Targets.Do(bounded, target, address, x.request(header))
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -32,6 +32,7 @@
 	LastEvent    string   // id of the last event that the caller has received
 	FetchFrom    string   // address of a target that has read the shared parts of the prompt
 	OutputHint   string   // expected output tokens
+	Rank         string   // priority of the request at an engine, 0 is the most urgent
 	Own          []string // further headers that only this system may set; removed from requests of callers
 }
 
