Let VMs coordinate that callers don't use, and half as many targets

Change: a coordinator for each four targets; progress of streams after 4, 16 and 64 events; where a region has more ready VMs than a directory answer names, the first coordinators are not named, and aren't partners of other regions. The answer no longer names the first 64 by address. Test: TestCoordinatorsAreNotNamed.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"kingcuprill/core/rendezvous"
 )
 
 // VM is an entry VM as it reports itself to the control VMs.
@@ -44,24 +46,40 @@
 // and other regions are allowed, they belong to the region with a ready VM that
 // is a home region of the most routes and organisations.
 func (d Directory) Resolve(region string) (addresses []string) {
-	addresses = d.ready(func(v VM) bool { return v.Region == region })
+	addresses = d.ready(region)
 	if len(addresses) == 0 && d.AllowOtherRegions {
-		best := d.bestRegion()
-		addresses = d.ready(func(v VM) bool { return v.Region == best })
+		addresses = d.ready(d.bestRegion())
 	}
 	slices.Sort(addresses)
-	return addresses[:min(len(addresses), MaxAddresses)]
+	return addresses
 }
 
-func (d Directory) ready(match func(VM) bool) (addresses []string) {
-	for _, v := range d.VMs {
-		if v.Ready && v.CallerAddress != "" && match(v) {
+func (d Directory) ready(region string) (addresses []string) {
+	for _, v := range Serving(d.VMs, region) {
+		if v.CallerAddress != "" {
 			addresses = append(addresses, v.CallerAddress)
 		}
 	}
 	return addresses
 }
 
+// Serving returns the ready VMs of a region that take requests of callers, at most
+// MaxAddresses. If there are more, those that are the first to coordinate targets are
+// left out: reservations alone take a large part of a VM's link at a peak.
+func Serving(vms []VM, region string) (serving []VM) {
+	byID := map[string]VM{}
+	for _, v := range vms {
+		if v.Ready && v.Region == region {
+			byID[v.ID] = v
+		}
+	}
+	coordinators := rendezvous.Order(region, slices.Sorted(maps.Keys(byID)))
+	for _, id := range coordinators[max(0, len(coordinators)-MaxAddresses):] {
+		serving = append(serving, byID[id])
+	}
+	return serving
+}
+
 // bestRegion returns the region with the highest count of homes among those with a
 // ready VM.
 func (d Directory) bestRegion() (best string) {
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"testing"
+
+	"kingcuprill/core/rendezvous"
 )
 
 func TestDirectory(t *testing.T) {
@@ -31,6 +34,33 @@
 	}
 }
 
+// A region has more VMs than an answer may name. Those that are named stay the same
+// when others leave, and the first coordinators aren't among them.
+func TestCoordinatorsAreNotNamed(t *testing.T) {
+	const count = MaxAddresses + 34
+	d := Directory{}
+	var ids []string
+	for i := range count {
+		id := fmt.Sprint("vm-", i)
+		ids = append(ids, id)
+		d.VMs = append(d.VMs, VM{ID: id, Region: "r", CallerAddress: id, Ready: true})
+	}
+	named := d.Resolve("r")
+	if len(named) != MaxAddresses {
+		t.Fatalf("%d addresses", len(named))
+	}
+	first := rendezvous.Order("r", ids)
+	for _, id := range first[:count-MaxAddresses] {
+		if slices.Contains(named, id) {
+			t.Errorf("%s is named, though it is among the first to coordinate", id)
+		}
+	}
+	d.VMs = slices.DeleteFunc(d.VMs, func(v VM) bool { return v.ID == first[0] })
+	if !slices.Equal(d.Resolve("r"), named) {
+		t.Error("the answer changes when a VM leaves that isn't named")
+	}
+}
+
 func TestUnion(t *testing.T) {
 	all := Union(map[string]map[string]VM{"x": {"a": {ID: "a", Ready: true}}, "y": {"a": {ID: "a"}, "b": {ID: "b"}}})
 	if len(all) != 2 || !all[0].Ready || all[1].Ready {
--- a/core/entry/partner.go
+++ b/core/entry/partner.go
@@ -11,8 +11,8 @@
 // a connection, which takes a second round trip between regions.
 func Partner(self string, vms []VM, region string, excluded func(id string) bool) (partner VM, found bool) {
 	highest := uint64(0)
-	for _, v := range vms {
-		if v.Region != region || !v.Ready || excluded(v.ID) {
+	for _, v := range Serving(vms, region) {
+		if excluded(v.ID) {
 			continue
 		}
 		if w := xxhash.Sum64String(self + "\x00" + v.ID); !found || w > highest {
--- a/core/place/coordinate.go
+++ b/core/place/coordinate.go
@@ -76,7 +76,7 @@
 const (
 	// targetsPerCoordinator is the number of targets that a coordinator has on
 	// average.
-	targetsPerCoordinator = 8
+	targetsPerCoordinator = 4
 	// minCoordinators is the least number of coordinators of a region with as many
 	// ready VMs, so that the loss of one concerns a part of the targets only.
 	minCoordinators = 3
--- a/io/coordinator/reservation.go
+++ b/io/coordinator/reservation.go
@@ -25,8 +25,11 @@
 }
 
 // firstReport is the number of events of a stream after which its progress is first
-// reported. It is reported again each time the number has doubled.
-const firstReport = 4
+// reported. It is reported again each time the number has grown to reportGrowth times.
+const (
+	firstReport  = 4
+	reportGrowth = 4
+)
 
 // Where returns the target's id and address.
 func (r *Reservation) Where() (id, address string) {
@@ -57,7 +60,7 @@
 	}
 	r.events++
 	r.last = now
-	if r.events >= max(firstReport, 2*r.reported) {
+	if r.events >= max(firstReport, reportGrowth*r.reported) {
 		r.client.report(r.coordinator, r.progress())
 	}
 }
