Ask coordinators of plain services less while they are full

Load pattern: twice the requests that the plain services of a region can take. They have two targets in a region, so two coordinators, whose links the questions of a hundred VMs filled: 1,261 of 1,500 timed-out reservations were to these two. Change: a coordinator that has no place for a plain service isn't asked again for 20 to 160 ms, growing. Test: TestFullCoordinatorIsAskedLess.

--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"kingcuprill/core/backoff"
 	"kingcuprill/core/place"
 	"kingcuprill/io/peer"
 	"kingcuprill/rpc/entry"
@@ -23,12 +24,28 @@
 	reportTimeout = 300 * time.Millisecond
 )
 
+// placeOf is a service whose targets a VM coordinates.
+type placeOf struct{ address, service string }
+
+// shortestFull and longestFull bound how long a coordinator isn't asked for places of a
+// plain service after it has answered that all are taken.
+//
+// Plain services have few targets, and so few coordinators. At twice their capacity the
+// questions of a hundred VMs fill a coordinator's link, so that it can't answer those
+// that it has places for.
+const (
+	shortestFull = 20 * time.Millisecond
+	longestFull  = 160 * time.Millisecond
+)
+
 // Client reserves places at the targets that other VMs coordinate, and reports
 // the progress of the requests that hold them. It is safe for concurrent use.
 type Client struct {
 	Peers *peer.Peers
 	Log   *slog.Logger
 
+	full backoff.Tracker[placeOf]
+
 	mu           sync.Mutex
 	backoffUntil map[string]time.Time         // when a VM that has not answered may be asked again, by address
 	reports      map[string][]*entry.Progress // not sent yet, by address
@@ -36,7 +53,7 @@
 
 // NewClient returns a client that has called no VM yet.
 func NewClient(peers *peer.Peers, log *slog.Logger) *Client {
-	return &Client{Peers: peers, Log: log, backoffUntil: map[string]time.Time{}, reports: map[string][]*entry.Progress{}}
+	return &Client{Peers: peers, Log: log, full: backoff.Tracker[placeOf]{Shortest: shortestFull, Longest: longestFull}, backoffUntil: map[string]time.Time{}, reports: map[string][]*entry.Progress{}}
 }
 
 // Available reports whether a VM may be asked: no Reserve call to it has failed
@@ -52,6 +69,10 @@
 // means that the call to the coordinator failed. Unless ctx has ended, Available then
 // returns false for backoffTime.
 func (c *Client) Reserve(ctx context.Context, address string, r place.Request) (reservation *Reservation, predicted time.Duration, reason place.Reason, err error) {
+	of := placeOf{address: address, service: r.Service}
+	if r.Memory == 0 && c.full.InBackoff(of, r.Now) {
+		return nil, 0, place.Full, nil
+	}
 	bounded, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	answer, err := c.Peers.Entry(address).Reserve(bounded, fromRequest(r))
@@ -61,8 +82,12 @@
 	}
 	predicted = time.Duration(answer.GetPredictedNanoseconds())
 	if answer.GetReservation() == 0 {
+		if place.Reason(answer.GetReason()) == place.Full {
+			c.full.Refused(of, time.Now())
+		}
 		return nil, predicted, place.Reason(answer.GetReason()), nil
 	}
+	c.full.Succeeded(of)
 	return &Reservation{
 		client: c, coordinator: address, id: answer.GetReservation(), target: answer.GetTarget(), address: answer.GetAddress(), source: answer.GetSource(),
 	}, predicted, "", nil
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -66,6 +66,37 @@
 	mustReserve(t, client, address)
 }
 
+// A coordinator whose places of a plain service are all taken is asked again after a
+// while, and not by each request.
+func TestFullCoordinatorIsAskedLess(t *testing.T) {
+	server, client, address := startCoordinator(t, 1)
+	plain := func() place.Request {
+		r := request()
+		r.Memory, r.EventTokens = 0, 0
+		return r
+	}
+	var held []*Reservation
+	begun := time.Now()
+	for time.Since(begun) < 400*time.Millisecond {
+		reservation, _, reason, err := client.Reserve(context.Background(), address, plain())
+		if err != nil || (reservation == nil && reason != place.Full) {
+			t.Fatalf("%v, %s", err, reason)
+		}
+		if reservation != nil {
+			held = append(held, reservation)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if asked := server.asked.Load(); asked > int64(len(held))+10 {
+		t.Errorf("%d questions in 400ms, %d places", asked, len(held))
+	}
+	held[0].Done(place.Success, time.Now())
+	eventually.Until(t, "the free place is found", func() bool {
+		reservation, _, _, _ := client.Reserve(context.Background(), address, plain())
+		return reservation != nil
+	})
+}
+
 // A reservation whose VM has gone expires after its request's deadline.
 func TestReservationRunsOut(t *testing.T) {
 	server, client, address := startCoordinator(t, 1)
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kingcuprill/core/place"
@@ -36,6 +37,7 @@
 	mu       sync.Mutex
 	last     uint64 // id of the newest reservation
 	given    int64
+	asked    atomic.Int64 // Reserve calls
 	reserved map[uint64]*reservedPlace
 }
 
@@ -59,6 +61,7 @@
 // Reserve reserves a place for a request of another VM. The answer has no
 // reservation, but a reason, if there is no place.
 func (s *Server) Reserve(_ context.Context, request *entry.ReserveRequest) (*entry.ReserveResponse, error) {
+	s.asked.Add(1)
 	now := time.Now()
 	wanted := toRequest(request, now)
 	wanted.Evacuated = s.Evacuated()
