--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -84,6 +84,9 @@
 		reserved, predicted, reason := x.place(ctx)
 		x.predicted = predicted
 		if reserved == nil {
+			if reason == place.Elsewhere {
+				x.server.Log.Info("request is sent to the home region of its shared part", "request", x.id, "service", x.service, "prompt", x.demand.Prompt)
+			}
 			if x.forward(ctx, reason, &result) {
 				return
 			}
