Give each VM a retry of its own where the budget allows it

Cause, found by reading: with most of a retry budget at the coordinators, the part of each of 294 VMs was 0.43 of a retry, which allows none: neither a request without a coordinator was retried, nor was a target that doesn't answer left in time. And a VM that coordinates no target of a service had a budget of 20 retries, as a bound of 0 stands for the default. Change: the part of the slack that is split among the VMs is one retry for each, up to 0.6 of it; a bound is never 0.

--- a/core/place/retries.go
+++ b/core/place/retries.go
@@ -12,21 +12,39 @@
 type Retries struct {
 	Ratio float64 // retries for each request
 	Slack float64 // retries beyond Ratio, of all VMs together
+	VMs   int     // entry VMs of all regions
 }
 
 const (
-	// coordinatorRetries is the part of the budget that coordinators hold. The rest is
-	// split evenly among the VMs, for requests that are placed without a coordinator.
-	coordinatorRetries = 0.75
+	// ownRetries is the part of the budget that is split evenly among the VMs, for
+	// requests that are placed without a coordinator. The coordinators hold the rest.
+	ownRetries = 0.25
+	// maxOwnSlack is the largest part of the slack that is split among the VMs, where
+	// they are so many that ownRetries of it is less than one retry for each.
+	maxOwnSlack = 0.6
 	// thousandths is the unit of retry.Budget.
 	thousandths = 1000
 )
 
+// ownSlack returns the part of the slack that is split evenly among the VMs: one retry
+// for each VM at least, as far as possible.
+func (r Retries) ownSlack() float64 {
+	one := float64(r.VMs) / max(1, r.Slack)
+	return min(maxOwnSlack, max(ownRetries, one))
+}
+
+// SetRetryVMs sets how many entry VMs share the retry budgets.
+func (p *Placer) SetRetryVMs(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Retries.VMs = count
+}
+
 // budget returns this VM's budget for retries of a service that it coordinates.
 func (p *Placer) budget(service string) *retry.Budget {
 	b, found := p.budgets[service]
 	if !found {
-		b = &retry.Budget{Ratio: int64(coordinatorRetries * p.Retries.Ratio * thousandths)}
+		b = &retry.Budget{Ratio: int64((1 - ownRetries) * p.Retries.Ratio * thousandths)}
 		p.budgets[service] = b
 	}
 	own, all := 0, 0
@@ -41,7 +59,9 @@
 			all += remote.Targets
 		}
 	}
-	b.SetLargest(int64(coordinatorRetries * p.Retries.Slack * thousandths * float64(own) / float64(max(1, all))))
+	slack := (1 - p.Retries.ownSlack()) * p.Retries.Slack
+	// The smallest bound is one thousandth of a retry, as 0 stands for the default.
+	b.SetLargest(max(1, int64(slack*thousandths*float64(own)/float64(max(1, all)))))
 	return b
 }
 
@@ -60,11 +80,15 @@
 	return p.budget(r.Service).Available()
 }
 
-// OwnRetries returns the part of the retry budget of a service that is split evenly
-// among the VMs.
-func (p *Placer) OwnRetries(r Request) (part Retries) {
-	if !p.NeedsCoordination(r) {
-		return p.Retries
+// OwnRetries returns the retry budget of a service that this VM has without
+// coordinators.
+func (p *Placer) OwnRetries(r Request) (own Retries) {
+	coordinated := p.NeedsCoordination(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vms := float64(max(1, p.Retries.VMs))
+	if !coordinated {
+		return Retries{Ratio: p.Retries.Ratio, Slack: p.Retries.Slack / vms}
 	}
-	return Retries{Ratio: (1 - coordinatorRetries) * p.Retries.Ratio, Slack: (1 - coordinatorRetries) * p.Retries.Slack}
+	return Retries{Ratio: ownRetries * p.Retries.Ratio, Slack: p.Retries.ownSlack() * p.Retries.Slack / vms}
 }
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -116,7 +116,7 @@
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
-		VMCount: v.vmCount.Load, Metrics: v.Metrics, Log: o.Log,
+		Metrics: v.Metrics, Log: o.Log,
 	}
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
 	return v
@@ -208,6 +208,7 @@
 	count = max(count, len(v.lastSeen))
 	v.vmCount.Store(int64(count))
 	v.quota.SetVMs(count)
+	v.placer.SetRetryVMs(count)
 	v.entries.Store(&vms)
 }
 
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -151,7 +151,7 @@
 		Self: "vm", Region: "region", Headers: testHeaders, State: watch.NewValue(&State{Plan: plan.NewIndex(p)}), Lease: configurationLease,
 		Placer: placer, Quota: limiter, Drawer: &draw.Client{Limiter: limiter, Controls: func() []string { return nil }, Log: log},
 		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: entries,
-		VMCount: func() int64 { return 1 }, Metrics: metrics.New(), Log: log,
+		Metrics: metrics.New(), Log: log,
 	}
 	w.front = httptest.NewServer(w.server)
 	t.Cleanup(w.front.Close)
@@ -404,11 +404,9 @@
 // all VMs start at once and discover each other.
 func TestRetriesFollowTheVMs(t *testing.T) {
 	w := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 2}, startTarget(t, reset))
-	vms := int64(1)
-	w.server.VMCount = func() int64 { return vms }
 	r := place.Request{Service: "s"}
 	w.server.budget(r)
-	vms = 5
+	w.server.Placer.SetRetryVMs(5)
 	taken := 0
 	for w.server.budget(r).Retry() {
 		taken++
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -50,10 +50,8 @@
 	Targets      *upstream.Client // sends requests to targets
 	Peers        *upstream.Client // forwards requests to entry VMs of other regions
 	Entries      *atomic.Pointer[[]entry.VM]
-	// VMCount returns the number of entry VMs that share the retry budgets.
-	VMCount func() int64
-	Metrics *metrics.Metrics
-	Log     *slog.Logger
+	Metrics      *metrics.Metrics
+	Log          *slog.Logger
 
 	stop     atomic.Pointer[plannedStop]
 	budgets  sync.Map                     // budgetKey to *retry.Budget
@@ -309,13 +307,13 @@
 // depends on the number of VMs that share the service.
 func (s *Server) budget(r place.Request) *retry.Budget {
 	const thousandths = 1000
-	part := s.Placer.OwnRetries(r)
-	key := budgetKey{service: r.Service, ratio: part.Ratio}
+	own := s.Placer.OwnRetries(r)
+	key := budgetKey{service: r.Service, ratio: own.Ratio}
 	found, known := s.budgets.Load(key)
 	if !known {
-		found, _ = s.budgets.LoadOrStore(key, &retry.Budget{Ratio: int64(part.Ratio * thousandths)})
+		found, _ = s.budgets.LoadOrStore(key, &retry.Budget{Ratio: int64(own.Ratio * thousandths)})
 	}
 	budget := found.(*retry.Budget)
-	budget.SetLargest(int64(part.Slack * thousandths / float64(max(1, s.VMCount()))))
+	budget.SetLargest(int64(own.Slack * thousandths))
 	return budget
 }
