--- a/core/limit/directed_test.go
+++ b/core/limit/directed_test.go
@@ -136,3 +136,26 @@
 		}
 	})
 }
+
+// TestNewOrganisationAfterJoin adds an organisation right after a VM has joined. There
+// are no loans from before, so that its first request is admitted at once.
+func TestNewOrganisationAfterJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(newRandom(1), 2)
+		time.Sleep(20 * time.Second)
+		f.change(withVM(f.current, 2))
+		next, err := f.current.With(catalogue.Change{PutOrganisation: &catalogue.Organisation{Name: "new", RatePerSecond: rate, Burst: burst, Weight: 1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.apply(next)
+		time.Sleep(500 * time.Millisecond)
+		account, err := f.limiter(2).Account("new")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := account.Reserve(t.Context(), 10, 0, func() {}); err != nil {
+			t.Errorf("the first request is refused: %v", err)
+		}
+	})
+}
--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -19,7 +19,8 @@
 	accounts   sync.Map // organisation name to *Account
 	mu         sync.Mutex
 	accrueFrom time.Time            // when new accounts begin to accrue
-	growFrom   time.Time            // when shares that a settled change of the VM set has raised are used
+	settled    time.Time            // when the last change of the VM set was settled
+	growFrom   time.Time            // when shares that it has raised are used
 	vmRevision uint64               // VM revision of the applied catalogue
 	unsettled  bool                 // a change of the VM set is not settled
 	firstSeen  map[string]time.Time // when organisations appeared in the catalogue
@@ -52,11 +53,22 @@
 		return nil, fault.New(fault.NotFound, "organisation %q does not exist", organisation)
 	}
 	now := time.Now()
-	a = newAccount(l.base(l.applied, row), later(l.accrueFrom, l.firstSeen[organisation]), now)
+	a = newAccount(l.base(l.applied, row), l.accrueStart(organisation), now)
 	l.accounts.Store(organisation, a)
 	return a, nil
 }
 
+// accrueStart returns when a new account of an organisation begins to accrue. There
+// are no loans from before a change of the VM set if the organisation appeared after it.
+func (l *Limiter) accrueStart(organisation string) time.Time {
+	firstSeen := l.firstSeen[organisation]
+	start := later(l.accrueFrom, firstSeen)
+	if firstSeen.After(l.settled) {
+		return start
+	}
+	return later(start, l.growFrom)
+}
+
 func (l *Limiter) base(c *catalogue.Catalogue, row catalogue.Organisation) Amount {
 	fraction := share.Of(c, l.VM, row.Name)
 	return Amount{RatePerSecond: fraction * row.RatePerSecond, Burst: fraction * row.Burst}
@@ -92,12 +104,10 @@
 func (l *Limiter) trackVMSet(next *catalogue.Catalogue, now time.Time) {
 	unsettled := next.Unsettled()
 	if (l.unsettled && !unsettled) || next.VMRevision != l.vmRevision {
-		from := now
 		if !unsettled {
-			from = now.Add(LoanDuration + LoanDrift)
-			l.growFrom = from
+			l.settled, l.growFrom = now, now.Add(LoanDuration+LoanDrift)
 		}
-		l.accrueFrom = later(l.accrueFrom, from)
+		l.accrueFrom = later(l.accrueFrom, now)
 	}
 	l.unsettled = unsettled
 	l.vmRevision = next.VMRevision
--- a/io/rig/demo/demo.go
+++ b/io/rig/demo/demo.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"kingcuprill/core/fault"
+	"kingcuprill/core/limit"
 	"kingcuprill/io/cli/factory"
 	"kingcuprill/io/cli/root"
 	"kingcuprill/io/rig/client"
@@ -178,13 +179,15 @@
 	return d.waitSettled(ctx)
 }
 
-// waitSettled waits until all VMs have an active limit share.
+// waitSettled waits until all VMs have an active limit share and use it: loans from
+// before the last VM joined must have expired.
 func (d *demo) waitSettled(ctx context.Context) error {
 	for ctx.Err() == nil {
 		var out bytes.Buffer
 		code := root.Main(ctx, []string{"vm", "list", "--vms", d.cluster.VMs[0].Operator, "--token-file", d.cluster.Options.Folder + "/token"},
 			factory.Streams{Out: &out, Err: io.Discard})
 		if code == 0 && strings.Count(out.String(), "\tactive\n") == len(d.cluster.VMs) {
+			time.Sleep(limit.LoanDuration + limit.LoanDrift)
 			return nil
 		}
 		time.Sleep(100 * time.Millisecond)
