Ask for control VMs at once and only without a leader for a second; clearer names

Reading the diff: asking one control VM after the other could hold up the changes of the set of replicas for seconds, also at a VM that has just been elected. The number of Reserve calls is a metric now.

--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -49,6 +49,9 @@
 	expireInterval = 250 * time.Millisecond
 	// membershipInterval is how often the set of replicas is checked.
 	membershipInterval = 500 * time.Millisecond
+	// askAfter is how long a replica hears no leader before it asks for the addresses of
+	// the control VMs. It is longer than an election.
+	askAfter = time.Second
 	// stopTimeout bounds a planned stop: the transfer of leadership and the end of
 	// running calls.
 	stopTimeout = time.Second
@@ -325,17 +328,21 @@
 // askForControlVMs learns the addresses of the control VMs from those that are known. A
 // new replica knows only those of the settings, none of which may lead.
 func (v *VM) askForControlVMs(ctx context.Context) {
+	bounded, cancel := v.peers.Bounded(ctx)
+	defer cancel()
+	var group sync.WaitGroup
 	for _, m := range v.VMState.Members.View.Read().Usable() {
 		if !m.Control || m.PeerAddress == v.Config.PeerAddress {
 			continue
 		}
-		bounded, cancel := v.peers.Bounded(ctx)
-		answer, err := v.peers.At(m.PeerAddress).Follow(bounded, &rpc.FollowRequest{Announce: true, OnlyRegion: true, NoEntries: true})
-		cancel()
-		if err == nil {
-			v.addControlVMs(answer.GetControlAddresses())
-		}
+		group.Go(func() {
+			answer, err := v.peers.At(m.PeerAddress).Follow(bounded, &rpc.FollowRequest{Announce: true, OnlyRegion: true, NoEntries: true})
+			if err == nil {
+				v.addControlVMs(answer.GetControlAddresses())
+			}
+		})
 	}
+	group.Wait()
 }
 
 // maintainMembership adds this VM's replica to the set of replicas and, while it
@@ -356,7 +363,7 @@
 			lastLeader = time.Now()
 		}
 		v.addControlVMs(append(slices.Clone(status.Membership.Voters), status.Membership.Learners...))
-		if status.Leader == "" {
+		if time.Since(lastLeader) > askAfter {
 			v.askForControlVMs(ctx)
 		}
 		change, wanted := nextChange(status.Status, v.id, v.Config.Replicas, time.Since(lastLeader))
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -24,8 +24,8 @@
 	reportTimeout = 300 * time.Millisecond
 )
 
-// placeOf is a service whose targets a VM coordinates.
-type placeOf struct{ address, service string }
+// serviceAt is a service whose targets the VM at an address coordinates.
+type serviceAt struct{ address, service string }
 
 // shortestFull and longestFull bound how long a coordinator isn't asked for places of a
 // plain service after it has answered that all are taken.
@@ -44,7 +44,7 @@
 	Peers *peer.Peers
 	Log   *slog.Logger
 
-	full backoff.Tracker[placeOf]
+	full backoff.Tracker[serviceAt] // coordinators without a place
 
 	mu           sync.Mutex
 	backoffUntil map[string]time.Time         // when a VM that has not answered may be asked again, by address
@@ -53,7 +53,10 @@
 
 // NewClient returns a client that has called no VM yet.
 func NewClient(peers *peer.Peers, log *slog.Logger) *Client {
-	return &Client{Peers: peers, Log: log, full: backoff.Tracker[placeOf]{Shortest: shortestFull, Longest: longestFull}, backoffUntil: map[string]time.Time{}, reports: map[string][]*entry.Progress{}}
+	return &Client{
+		Peers: peers, Log: log, full: backoff.Tracker[serviceAt]{Shortest: shortestFull, Longest: longestFull},
+		backoffUntil: map[string]time.Time{}, reports: map[string][]*entry.Progress{},
+	}
 }
 
 // Available reports whether a VM may be asked: no Reserve call to it has failed
@@ -69,8 +72,9 @@
 // means that the call to the coordinator failed. Unless ctx has ended, Available then
 // returns false for backoffTime.
 func (c *Client) Reserve(ctx context.Context, address string, r place.Request) (reservation *Reservation, predicted time.Duration, reason place.Reason, err error) {
-	of := placeOf{address: address, service: r.Service}
-	if r.Memory == 0 && c.full.InBackoff(of, r.Now) {
+	plain := r.Memory == 0
+	coordinated := serviceAt{address: address, service: r.Service}
+	if plain && c.full.InBackoff(coordinated, r.Now) {
 		return nil, 0, place.Full, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, reserveTimeout)
@@ -82,12 +86,12 @@
 	}
 	predicted = time.Duration(answer.GetPredictedNanoseconds())
 	if answer.GetReservation() == 0 {
-		if place.Reason(answer.GetReason()) == place.Full {
-			c.full.Refused(of, time.Now())
+		if plain && place.Reason(answer.GetReason()) == place.Full {
+			c.full.Refused(coordinated, time.Now())
 		}
 		return nil, predicted, place.Reason(answer.GetReason()), nil
 	}
-	c.full.Succeeded(of)
+	c.full.Succeeded(coordinated)
 	return &Reservation{
 		client: c, coordinator: address, id: answer.GetReservation(), target: answer.GetTarget(), address: answer.GetAddress(), source: answer.GetSource(),
 	}, predicted, "", nil
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -87,7 +87,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	if asked := server.asked.Load(); asked > int64(len(held))+10 {
+	if asked := server.Asked(); asked > int64(len(held))+10 {
 		t.Errorf("%d questions in 400ms, %d places", asked, len(held))
 	}
 	held[0].Done(place.Success, time.Now())
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -139,6 +139,11 @@
 	}
 }
 
+// Asked returns the number of Reserve calls that this process has answered.
+func (s *Server) Asked() int64 {
+	return s.asked.Load()
+}
+
 // Given returns the number of reservations that this process has made for other
 // VMs.
 func (s *Server) Given() int64 {
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -260,6 +260,7 @@
 	v.Metrics.Gauge("entry_vms", v.vmCount.Load)
 	v.Metrics.Gauge("coordinated_targets", v.placer.Coordinated)
 	v.Metrics.Gauge("reserved_places", v.coordinator.Reserved)
+	v.Metrics.Gauge("asked_places", v.coordinator.Asked)
 	v.Metrics.Gauge("given_places", v.coordinator.Given)
 }
 
