--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -141,7 +141,7 @@
 	defer deadline.Stop()
 	confirmed := s.awaitConfirmation(ctx, confirmation)
 	for !s.hasNewer(request) {
-		targets, targetsOfAll := s.targetChanges(request)
+		targets, unknown := s.targetChanges(request)
 		entries := s.entryChanges(request)
 		changed := s.VMState.Catalogue.Changed()
 		if s.hasNewer(request) {
@@ -153,7 +153,7 @@
 		case <-deadline.C:
 			return s.newAnswer(request, confirmed)
 		case <-targets:
-		case <-targetsOfAll:
+		case <-unknown:
 		case <-entries:
 		case <-changed:
 		}
