Split the data folder's and the replica's files by job

io/disk: the folder and its identity, reading, and writing; io/replica: applying committed entries. Whole functions are moved, nothing else is changed.

--- /dev/null
+++ b/io/replica/apply.go
@@ -0,0 +1,115 @@
+package replica
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"kingcuprill/core/control"
+	"kingcuprill/core/fault"
+	"kingcuprill/core/raft"
+	"kingcuprill/io/codec"
+	"kingcuprill/rpc/state"
+)
+
+func (r *Replica) applyReady(ready raft.Ready) error {
+	if ready.Snapshot != nil {
+		if err := r.restore(*ready.Snapshot); err != nil {
+			return err
+		}
+	}
+	for _, entry := range ready.Committed {
+		if err := r.apply(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replica) restore(snapshot raft.Snapshot) error {
+	s, err := codec.DecodeState(snapshot.Data)
+	if err != nil {
+		return err
+	}
+	r.state = s
+	r.captured = nil
+	for index, w := range r.pendingProposals {
+		if index <= snapshot.Index {
+			w.answer <- proposalAnswer{err: fault.New(fault.OutcomeUnknown, "the control log was replaced by a snapshot before the result of the command was known")}
+			delete(r.pendingProposals, index)
+		}
+	}
+	r.options.Published(r.state.Catalogue, nil)
+	return nil
+}
+
+func (r *Replica) apply(entry raft.Entry) (err error) {
+	defer fault.Annotate(&err, "apply entry %d of the control log", entry.Index)
+	result := control.Result{Revision: r.state.Catalogue.Revision}
+	if entry.Kind == raft.EntryCommand {
+		if result, err = r.applyCommand(entry.Data); err != nil {
+			return err
+		}
+	}
+	r.answer(entry, result)
+	r.captureSnapshot(entry.Index)
+	return nil
+}
+
+func (r *Replica) applyCommand(data []byte) (result control.Result, err error) {
+	message := &state.Command{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		return result, err
+	}
+	command, err := codec.ToCommand(message)
+	if err != nil {
+		return result, err
+	}
+	before := r.state.Catalogue
+	result = r.state.Apply(command)
+	if r.state.Catalogue != before {
+		r.options.Published(r.state.Catalogue, command.Change)
+	}
+	return result, nil
+}
+
+func (r *Replica) answer(entry raft.Entry, result control.Result) {
+	w, found := r.pendingProposals[entry.Index]
+	if !found {
+		return
+	}
+	delete(r.pendingProposals, entry.Index)
+	if w.term != entry.Term {
+		w.answer <- proposalAnswer{err: fault.New(fault.NoQuorum, "another leader was elected before the change was committed; the change was not made")}
+		return
+	}
+	w.answer <- proposalAnswer{result: result}
+}
+
+// captureSnapshot encodes the state every snapshotInterval entries. compact replaces
+// the entries by it once trailingEntries more have been applied.
+func (r *Replica) captureSnapshot(index uint64) {
+	if r.captured == nil && index%snapshotInterval == 0 {
+		data, err := codec.EncodeState(r.state)
+		if err != nil {
+			r.options.Log.Error("the state of the control log could not be encoded; no snapshot is taken until the next attempt", "error", err)
+			return
+		}
+		r.captured = &capturedSnapshot{index: index, data: data}
+	}
+}
+
+func (r *Replica) compact(hard raft.HardState) {
+	status := r.node.Status()
+	if r.captured == nil || status.Applied < r.captured.index+trailingEntries {
+		return
+	}
+	snapshotAt := *r.captured
+	r.captured = nil
+	snapshot, err := r.node.Compact(snapshotAt.index, snapshotAt.data)
+	if err == nil {
+		err = r.options.Store.SaveSnapshot(snapshot, hard, r.node.Persisted())
+	}
+	if err != nil {
+		// The log on disk stays longer than needed until the next snapshot.
+		r.options.Log.Error("the control log was not compacted; the next snapshot tries again", "index", snapshotAt.index, "error", err)
+	}
+}
