Shorten long functions and lines; comments without history

Reading the whole diff again: the headers for a target have a function of their own; comments of returns and batches say what holds, not what was tried; Organisation is described without the platform's word. Behaviour is unchanged.

--- a/core/catalogue/rows.go
+++ b/core/catalogue/rows.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Organisation is a tenant with its rate limit over all VMs.
+// Organisation owns keys and has a rate limit over all VMs.
 type Organisation struct {
 	Name          string
 	RatePerSecond float64 // tokens per second
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -50,7 +50,11 @@
 
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
-	return &Placer{Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{}, refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, away: awayCounts{}, readyVMs: []string{self}, allVMs: []string{self}}
+	return &Placer{
+		Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{},
+		refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, away: awayCounts{},
+		readyVMs: []string{self}, allVMs: []string{self},
+	}
 }
 
 // SetVMs sets the entry VMs that share the targets of this region: those that are
--- a/core/place/returns.go
+++ b/core/place/returns.go
@@ -20,9 +20,7 @@
 // coordinators as before, so that they recognise it.
 //
 // The time that a caller has left doesn't tell a returned request from the first one
-// of a caller that waits less long than others: taken for a sign, it gave most new
-// requests the precedence of returned ones and kept them from the targets that hold
-// their shared parts.
+// of a caller that waits less long than others.
 type refusals struct {
 	rows  map[string]refusal
 	swept time.Time
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -75,7 +75,7 @@
 	EventTokens int // output tokens in one event of a stream, 0 if not configured
 }
 
-// Organisation is a tenant with its keys and its rate limit over all VMs.
+// Organisation owns keys and has a rate limit over all VMs.
 type Organisation struct {
 	Name          string
 	Keys          []string
--- a/io/draw/batch.go
+++ b/io/draw/batch.go
@@ -20,10 +20,10 @@
 )
 
 // batcher sends the draws of many organisations together, so that the calls to the
-// leader's region don't grow with the number of entry VMs and organisations. Without
-// it, when all entry VMs send their first draws at once, each draw opened a
-// connection of its own and timed out before the answer. Its zero value with send
-// set is ready for use, by several goroutines at once.
+// leader's region don't grow with the number of entry VMs and organisations. A call
+// for each draw needs a connection for each draw that waits, and opening one takes
+// another round trip. Its zero value with send set is ready for use, by several
+// goroutines at once.
 type batcher struct {
 	send func(ctx context.Context, draws []*vm.DrawRequest) ([]*vm.DrawResponse, error)
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -259,6 +259,25 @@
 	return min(max(0, priority), lowestRank)
 }
 
+// targetHeader returns the headers for a target. source is the address of the target
+// from which it fetches shared prompt parts, empty for none.
+func (x *exchange) targetHeader(target, source string) http.Header {
+	s := x.server
+	header := x.outgoing()
+	header[s.Headers.Target] = []string{target}
+	if x.keyed {
+		header[s.Headers.Organisation] = []string{x.organisation.Name}
+	}
+	if source != "" && s.Headers.FetchFrom != "" {
+		header[s.Headers.FetchFrom] = []string{source}
+		s.Metrics.Count("fetches")
+	}
+	if service, _ := x.state.Plan.Service(x.service); service.MemoryTokens > 0 && s.Headers.Rank != "" {
+		header[s.Headers.Rank] = []string{strconv.Itoa(x.rank())}
+	}
+	return header
+}
+
 // try sends the request to the target of a reservation.
 func (x *exchange) try(ctx context.Context, reserved reservation) outcome {
 	s := x.server
@@ -272,18 +291,7 @@
 	if x.keyed && !s.Lease.Valid() {
 		return notRun
 	}
-	header := x.outgoing()
-	header[s.Headers.Target] = []string{target}
-	if x.keyed {
-		header[s.Headers.Organisation] = []string{x.organisation.Name}
-	}
-	if source := reserved.Source(); source != "" && s.Headers.FetchFrom != "" {
-		header[s.Headers.FetchFrom] = []string{source}
-		s.Metrics.Count("fetches")
-	}
-	if service, _ := x.state.Plan.Service(x.service); service.MemoryTokens > 0 && s.Headers.Rank != "" {
-		header[s.Headers.Rank] = []string{strconv.Itoa(x.rank())}
-	}
+	header := x.targetHeader(target, reserved.Source())
 	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout())
 	defer cancel()
 	response, err := s.Targets.Do(bounded, target, address, x.request(header))
