Log the shared prompt parts of requests whose answers break off

The log could not tell whether requests with a common prompt part, retries of one request, or load ended the targets. The two lines for a broken answer now name the shared parts.

--- a/core/place/target.go
+++ b/core/place/target.go
@@ -51,6 +51,14 @@
 	return d.Parts[:max(0, len(d.Parts)-1)]
 }
 
+// SharedIDs returns the ids of the parts that the prompt shares with others.
+func (d Demand) SharedIDs() (ids []string) {
+	for _, p := range d.sharedParts() {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // Target is a target's registration and this VM's view of its load.
 type Target struct {
 	instance.Registration
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -162,7 +162,7 @@
 		x.log("caller has left", "last_event", x.last)
 		return delivered
 	}
-	x.server.Log.Warn("stream of the target has broken off; the request is retried if possible", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "error", err)
+	x.server.Log.Warn("stream of the target has broken off; the request is retried if possible", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "parts", x.demand.SharedIDs(), "error", err)
 	if x.begun {
 		return broken
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -210,7 +210,7 @@
 	var failure *upstream.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
 	x.server.Metrics.Count("tries.failed")
-	x.server.Log.Warn("try has failed without an answer; the request is retried if possible", "request", x.id, "target", x.target, "try", x.tries, "sent", sent, "error", err)
+	x.server.Log.Warn("try has failed without an answer; the request is retried if possible", "request", x.id, "target", x.target, "try", x.tries, "sent", sent, "parts", x.demand.SharedIDs(), "error", err)
 	if !sent {
 		return notRun
 	}
