Keep prompt parts that crash targets away from them

Cause: evidence of a crash was kept for whole requests only, and only behind the daemons' own interface. The reverse proxy kept none, and no VM added up what the others had seen. The class: a fault that follows the content of a request is treated as a fault of the target, and the content is moved on.

Change: core/quarantine holds crashes, each with the parts of a request that its target was about to answer. An answer that begins after a VM has heard of a crash and goes on well clears its parts of it; no clocks are compared. Suspect requests run one at a time at one VM of a region. VMs report to all control VMs, which pass it on in the polls they answer anyway. Both doors use the package; the daemons compare the paragraphs of prompts, and the whole request as before.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -20,7 +20,6 @@
 	Deadline     time.Time
 	Generation   *Generation // exactly one of Generation and Call is set
 	Call         *Call
-	Fingerprint  string // hash of the content, organisation and route; if empty, the dispatcher sets it
 }
 
 // Generation is a request for tokens from a model engine.
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -308,6 +309,17 @@
 	}
 }
 
+// Boot identifies the current start of a target.
+func (p *Placer) Boot(id string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	born := int64(0)
+	if t, found := p.targets[id]; found {
+		born = t.Born
+	}
+	return id + "/" + strconv.FormatInt(born, 10)
+}
+
 // Knows reports whether a target is still known.
 func (p *Placer) Knows(id string) bool {
 	p.mu.Lock()
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,129 +1,298 @@
-// Package quarantine detects requests that crash the targets that run them. A
-// request is identified by the fingerprint of its content. A fingerprint that was
-// in flight at two different crashes is refused for an hour. A VM reports each
-// crash and refusal once to all others that it knows, so a VM that misses a report
-// may still accept the request. The list is kept in memory.
+// Package quarantine finds the part of a prompt, or the whole request, that crashes
+// the targets that begin to answer it, and keeps requests with it away from targets.
+//
+// Evidence are crashes: the requests that a target had just begun to answer, or not
+// yet, when it crashed, each with its parts. Answers clear parts: one that went on
+// well, and began after a VM had heard of a crash, shows that none of its parts has
+// caused that crash. So no clocks of different VMs are compared. VMs send both to each
+// other, and merge them in any order.
+//
+// The parts of a crash that aren't cleared are suspect. Requests with a suspect part
+// run one at a time in a region, as trials. A part that is left from two crashes, one
+// of them in a trial, is refused, for a time that grows with each further crash;
+// after it, there are trials again. Everything is in memory.
 package quarantine
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"kingcuprill/core/versioned"
 )
 
 const (
-	crashesToQuarantine = 2
-	suspectFor          = 10 * time.Minute // after the last crash
-	// Duration is how long a fingerprint is refused.
-	Duration = time.Hour
+	// suspectFor is how long parts stay suspect without a further crash.
+	suspectFor = 10 * time.Minute
+	// refusedKept is how long the crashes of parts that were refused are kept, so that
+	// the next refusal is longer.
+	refusedKept = 24 * time.Hour
+	// maxCrashes bounds the crashes kept. The oldest ones of which no part is refused
+	// are dropped first.
+	maxCrashes = 512
 )
 
-// Fingerprint returns a hash that identifies the content of a request.
-func Fingerprint(organisation, route, content string) string {
-	sum := sha256.Sum256([]byte(organisation + "\x00" + route + "\x00" + content))
-	return hex.EncodeToString(sum[:16])
+// Verdict says whether a request may run.
+type Verdict struct {
+	Refused bool
+	Suspect bool     // it may run as a trial
+	Parts   []string // that are refused or suspect
+	Until   time.Time
 }
 
-type suspect struct {
-	crashes map[string]bool // target and boot id of each crash
-	until   time.Time
+// List holds crashes. It is safe for concurrent use.
+type List struct {
+	// Table holds the crashes with versions, for the VMs that follow this one.
+	Table *versioned.Table[Crash]
+	// Changed is called, if it is set, with crashes that this VM has reported or
+	// cleared parts of. It must not block and must be set before the first use.
+	Changed func(rows []Crash)
+
+	index   atomic.Pointer[index]
+	learned atomic.Uint64 // number of the last crash that this VM has heard of
+
+	mu      sync.Mutex
+	records map[string]*record // by id of the crash
+	known   knownParts
+	trials  map[string]bool // parts of the trials that run on this VM
 }
 
-// List holds the fingerprints that were in flight at crashes.
-type List struct {
-	entries  atomic.Int64 // of both maps; requests take no lock while there are none
-	mu       sync.Mutex
-	suspects map[string]suspect
-	refused  map[string]time.Time // until when
+// record is a crash as this VM knows it.
+type record struct {
+	Crash
+	number uint64 // order in which this VM has heard of the crashes
+	at     time.Time
 }
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{suspects: map[string]suspect{}, refused: map[string]time.Time{}}
+	l := &List{Table: versioned.NewTable[Crash](), records: map[string]*record{}, trials: map[string]bool{}}
+	l.index.Store(&index{})
+	return l
 }
 
-// RecordCrash records that a fingerprint was in flight when a boot of a target
-// crashed; boot holds the ids of both. Further reports of the same boot don't count.
-// It returns whether the fingerprint is now refused.
-func (l *List) RecordCrash(fingerprint, boot string) (refused bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	defer l.countEntries()
-	now := time.Now()
-	s := l.suspects[fingerprint]
-	if s.crashes == nil || !now.Before(s.until) {
-		s.crashes = map[string]bool{}
-	}
-	s.crashes[boot] = true
-	s.until = now.Add(suspectFor)
-	l.suspects[fingerprint] = s
-	if len(s.crashes) >= crashesToQuarantine {
-		l.refused[fingerprint] = now.Add(Duration)
-		return true
+// Empty reports whether no request is suspect or refused.
+func (l *List) Empty() bool {
+	return len(*l.index.Load()) == 0
+}
+
+// Judge returns whether a request may run now. It takes no lock.
+func (l *List) Judge(r Request) Verdict {
+	s, found := (*l.index.Load())[r.Service]
+	if !found {
+		return Verdict{}
 	}
-	return false
+	return s.judge(r, time.Now())
 }
 
-// Clear must be called when a request with the fingerprint has run to its end. Its
-// earlier crashes no longer count.
-func (l *List) Clear(fingerprint string) {
-	if l.entries.Load() == 0 {
-		return
+// Counts returns the number of suspect parts, and of refused causes.
+func (l *List) Counts() (suspects, refused int) {
+	now := time.Now()
+	for _, s := range *l.index.Load() {
+		suspects += len(s.suspects)
+		for _, c := range s.causes {
+			if now.Before(c.until()) {
+				refused++
+			}
+		}
 	}
+	return suspects, refused
+}
+
+// Report records that a target has crashed while it had begun to answer a request, or
+// before. id identifies the request, boot the target and its start.
+func (l *List) Report(id, boot string, r Request, begun, trial bool) Crash {
+	c := Crash{ID: id, Boot: boot, Service: r.Service, Organisation: r.Organisation, Begun: begun, Trial: trial}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	defer l.countEntries()
-	delete(l.suspects, fingerprint)
+	for _, part := range r.Parts {
+		if l.known.has(partKey(r.Service, part)) {
+			c.Known = append(c.Known, part)
+		} else {
+			c.Parts = append(c.Parts, part)
+		}
+	}
+	c.Parts = append(c.Parts, r.Fingerprint)
+	l.add(c)
+	l.mu.Unlock()
+	l.publish([]Crash{c})
+	return c
 }
 
-// Refuse adds fingerprints that another VM refuses, for Duration from now.
-func (l *List) Refuse(fingerprints []string) {
+// Merge adds what another VM knows.
+func (l *List) Merge(rows []Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	defer l.countEntries()
-	until := time.Now().Add(Duration)
-	for _, fingerprint := range fingerprints {
-		if _, known := l.refused[fingerprint]; !known {
-			l.refused[fingerprint] = until
+	changed := false
+	for _, row := range rows {
+		known, found := l.records[row.ID]
+		switch {
+		case !found:
+			l.insert(row)
+		case !known.merge(row):
+			continue
+		default:
+			l.Table.Put(row.ID, known.Crash, true)
 		}
+		changed = true
+	}
+	if changed {
+		l.rebuild()
 	}
 }
 
-// Refused reports whether a fingerprint is refused.
-func (l *List) Refused(fingerprint string) bool {
-	if l.entries.Load() == 0 {
+func (l *List) add(c Crash) {
+	l.insert(c)
+	l.rebuild()
+}
+
+func (l *List) insert(c Crash) {
+	if len(l.records) >= maxCrashes {
+		l.dropOldest()
+	}
+	l.records[c.ID] = &record{Crash: c, number: l.learned.Add(1), at: time.Now()}
+	l.Table.Put(c.ID, c, true)
+}
+
+// dropOldest drops the oldest crash of which no part is refused, or else the oldest.
+func (l *List) dropOldest() {
+	oldest, spare := "", ""
+	for id, r := range l.records {
+		if oldest == "" || r.number < l.records[oldest].number {
+			oldest = id
+		}
+		if !l.refused(r) && (spare == "" || r.number < l.records[spare].number) {
+			spare = id
+		}
+	}
+	if spare == "" {
+		spare = oldest
+	}
+	l.drop(spare)
+}
+
+func (l *List) drop(id string) {
+	delete(l.records, id)
+	l.Table.Delete(id)
+}
+
+// refused reports whether a cause explains the crash.
+func (l *List) refused(r *record) bool {
+	s, found := (*l.index.Load())[r.Service]
+	if !found {
 		return false
 	}
+	left := append(r.open(r.Parts), r.open(r.Known)...)
+	return slices.ContainsFunc(s.causes, func(c cause) bool { return containsAll(left, c.parts) })
+}
+
+func (l *List) rebuild() {
+	built := newIndex(l.records)
+	l.index.Store(&built)
+}
+
+// Mark returns a number for Sound. It is taken when an answer begins.
+func (l *List) Mark() uint64 {
+	return l.learned.Load()
+}
+
+// Sound records that the answer to a request, which began when Mark returned mark, has
+// gone on well. It clears the request's parts of the crashes that were known then.
+func (l *List) Sound(mark uint64, r Request) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	until, found := l.refused[fingerprint]
-	return found && time.Now().Before(until)
+	for _, part := range r.Parts {
+		l.known.add(partKey(r.Service, part))
+	}
+	var rows []Crash
+	for _, known := range l.records {
+		if known.Service != r.Service || known.number > mark || !known.clearAll(r.all()) {
+			continue
+		}
+		l.Table.Put(known.ID, known.Crash, true)
+		rows = append(rows, known.Crash)
+	}
+	if len(rows) > 0 {
+		l.rebuild()
+	}
+	l.mu.Unlock()
+	l.publish(rows)
 }
 
-// IsSuspect reports whether a fingerprint was in flight at a recent crash.
-func (l *List) IsSuspect(fingerprint string) bool {
-	if l.entries.Load() == 0 {
-		return false
+func (r *record) clearAll(parts []string) (changed bool) {
+	for _, part := range parts {
+		changed = r.clear(part) || changed
 	}
+	return changed
+}
+
+// Lift clears a part of all crashes, and reports whether it was suspect or refused.
+func (l *List) Lift(part string) (found bool) {
+	l.mu.Lock()
+	var rows []Crash
+	for _, known := range l.records {
+		if known.clear(part) {
+			l.Table.Put(known.ID, known.Crash, true)
+			rows = append(rows, known.Crash)
+		}
+	}
+	l.rebuild()
+	l.mu.Unlock()
+	l.publish(rows)
+	return len(rows) > 0
+}
+
+func (l *List) publish(rows []Crash) {
+	if l.Changed != nil && len(rows) > 0 {
+		l.Changed(rows)
+	}
+}
+
+// Rows returns all crashes.
+func (l *List) Rows() (rows []Crash) {
+	rows, _ = l.Table.Since(0)
+	return rows
+}
+
+// BeginTrial reserves the parts of a trial on this VM. It returns false if one of them
+// is in another trial here. After true, EndTrial must be called with the same parts.
+func (l *List) BeginTrial(service string, parts []string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s, found := l.suspects[fingerprint]
-	return found && time.Now().Before(s.until)
+	for _, part := range parts {
+		if l.trials[partKey(service, part)] {
+			return false
+		}
+	}
+	for _, part := range parts {
+		l.trials[partKey(service, part)] = true
+	}
+	return true
 }
 
-// Expire deletes the entries whose time has passed.
-func (l *List) Expire() {
+// EndTrial ends a trial.
+func (l *List) EndTrial(service string, parts []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	defer l.countEntries()
-	now := time.Now()
-	maps.DeleteFunc(l.suspects, func(_ string, s suspect) bool { return !now.Before(s.until) })
-	maps.DeleteFunc(l.refused, func(_ string, until time.Time) bool { return !now.Before(until) })
+	for _, part := range parts {
+		delete(l.trials, partKey(service, part))
+	}
 }
 
-func (l *List) countEntries() {
-	l.entries.Store(int64(len(l.suspects) + len(l.refused)))
+// Expire drops the crashes that are no longer needed.
+func (l *List) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := len(l.records)
+	for id, r := range l.records {
+		kept := suspectFor
+		if l.refused(r) {
+			kept = refusedKept
+		}
+		if now.Sub(r.at) > kept {
+			l.drop(id)
+		}
+	}
+	if len(l.records) != before {
+		l.rebuild()
+	}
 }
--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -55,9 +55,8 @@
 	}
 	request := s.request(in)
 	request.Generation = &generation
-	request.Fingerprint = dispatch.Fingerprint(request)
-	if s.VMState.Quarantine.Refused(request.Fingerprint) {
-		return &exchange.Failure{NotRun: true, Err: fault.New(fault.Quarantined, "the request is quarantined and not run: targets have crashed repeatedly while they ran it")}
+	if s.VMState.Quarantine.Judge(dispatch.Identity(request)).Refused {
+		return &exchange.Failure{NotRun: true, Err: dispatch.ErrQuarantined}
 	}
 	ctx, leave := s.enter(in, request.Deadline)
 	defer leave()
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -320,6 +320,7 @@
 				v.Log.Warn("target sends no heartbeats; entry VMs prefer other targets until it reports again", "target", row.ID, "service", row.Service, "age", now.Sub(row.Heard))
 			}
 			v.Follow.Expire(now)
+			v.VMState.Quarantine.Expire(now)
 			v.drawer.Observe(now)
 		}
 	}
--- a/io/daemon/controllers.go
+++ b/io/daemon/controllers.go
@@ -12,7 +12,6 @@
 	"kingcuprill/core/raft"
 	"kingcuprill/io/codec"
 	"kingcuprill/rpc/state"
-	rpc "kingcuprill/rpc/vm"
 )
 
 const (
@@ -86,7 +85,7 @@
 			return nil
 		case now := <-ticker.C:
 			d.vmState.Targets.Expire(now)
-			d.vmState.Quarantine.Expire()
+			d.vmState.Quarantine.Expire(now)
 		}
 	}
 }
@@ -192,25 +191,12 @@
 	return true
 }
 
-// broadcastCrash tells all VMs that a request was in flight when a target crashed.
-// fingerprint identifies the request, boot the run of the target that crashed, and
-// refused tells whether this VM now refuses the request.
-func (d *Daemon) broadcastCrash(fingerprint, boot string, refused bool) {
-	request := &rpc.QuarantineRequest{Strikes: []*rpc.Strike{{Fingerprint: fingerprint, Boot: boot}}}
-	if refused {
-		request.Fingerprints = []string{fingerprint}
-	}
-	ctx := d.tomb.Context(context.Background())
+// otherVMs returns the addresses of the other VMs that are usable.
+func (d *Daemon) otherVMs() (addresses []string) {
 	for _, m := range d.vmState.Members.View.Read().Usable() {
-		if m.ID == d.vmState.Self {
-			continue
+		if m.ID != d.vmState.Self {
+			addresses = append(addresses, m.PeerAddress)
 		}
-		go func() {
-			bounded, cancel := d.peers.Bounded(ctx)
-			defer cancel()
-			if _, err := d.peers.At(m.PeerAddress).Quarantine(bounded, request); err != nil {
-				d.log.Warn("VM could not be told of a request that was in flight at a target's crash; it isn't told again", "vm", m.ID, "error", err)
-			}
-		}()
 	}
+	return addresses
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"kingcuprill/io/borrow"
 	"kingcuprill/io/caller"
 	"kingcuprill/io/cataloguesync"
+	"kingcuprill/io/crashreport"
 	"kingcuprill/io/disk"
 	"kingcuprill/io/dispatch"
 	"kingcuprill/io/engine"
@@ -90,8 +91,10 @@
 	d.reporter = &report.Reporter{VMState: d.vmState, Peers: d.peers}
 	d.dispatcher = &dispatch.Dispatcher{
 		VMState: d.vmState, Engine: engine.NewClient(s.Timeouts), Service: service.NewClient(s.Timeouts, s.Limits),
-		Forward: &forward.Client{VMState: d.vmState, Peers: d.peers}, Policy: s.Policy, Metrics: d.metrics, Log: log, OnCrash: d.broadcastCrash,
+		Forward: &forward.Client{VMState: d.vmState, Peers: d.peers}, Policy: s.Policy, Metrics: d.metrics, Log: log,
 	}
+	crashes := &crashreport.Sender{Peers: d.peers, Addresses: d.otherVMs, Log: log}
+	d.vmState.Quarantine.Changed = crashes.Send
 	d.addGauges()
 	if s.Control.DataDir != "" {
 		err = d.openReplica()
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -4,9 +4,9 @@
 // A failed attempt is retried within bounds: the number of attempts, the retry
 // budget of the route and the deadline. A request of a route that isn't repeatable
 // is retried only while it is certain that no target has run it. Generations that
-// break off are resumed after the last token that was delivered. A request that
-// was in flight at the crash of a target is a suspect: a VM runs at most one suspect
-// at a time at each target. After a second crash the request is quarantined.
+// break off are resumed after the last token that was delivered. A request that a
+// target was about to answer when it crashed is a suspect: a VM runs at most one
+// suspect at a time at each target (see core/quarantine).
 package dispatch
 
 import (
@@ -51,9 +51,6 @@
 	Policy  settings.Policy
 	Metrics *metrics.Metrics
 	Log     *slog.Logger
-	// OnCrash tells other VMs that a request was in flight when the given boot of a
-	// target crashed, and whether it is quarantined now.
-	OnCrash func(fingerprint, boot string, quarantined bool)
 
 	budgets    sync.Map // route name to *retry.Budget
 	roundRobin route.RoundRobin
@@ -72,22 +69,19 @@
 	d          *Dispatcher
 	request    exchange.Request
 	routing    route.Request
-	suspect    bool
 	attempt    int
 	mayHaveRun bool // a target may have run the request
-}
 
-// Fingerprint identifies a request by its content, organisation and route, so that
-// a copy that the caller sends again is recognised.
-func Fingerprint(request exchange.Request) string {
-	if g := request.Generation; g != nil {
-		return quarantine.Fingerprint(request.Organisation, request.Route.Name, g.Model+"\x00"+g.Prompt)
-	}
-	return quarantine.Fingerprint(request.Organisation, request.Route.Name, request.Call.Method+request.Call.URL+"\x00"+string(request.Call.Body))
+	identity quarantine.Request
+	suspect  bool      // a target has crashed that was about to answer the request or one like it
+	suspects []string  // its suspect parts
+	begun    time.Time // first token of the attempt, zero before it
+	mark     uint64    // of the quarantine list, from then
+	sound    bool      // the attempt has cleared the prompt
 }
 
 func (d *Dispatcher) newRun(request exchange.Request, suspect bool) *run {
-	r := &run{d: d, request: request, suspect: suspect}
+	r := &run{d: d, request: request}
 	r.routing = route.Request{
 		Service:   request.Route.Service,
 		Permitted: residency.Of(d.VMState.Catalogue.Read(), request.Organisation, request.Route.Name),
@@ -97,10 +91,8 @@
 		r.routing.Prefixes = target.PrefixHashes(g.Model, g.Prompt)
 		r.routing.Bytes = len(g.Prompt)
 	}
-	if r.request.Fingerprint == "" {
-		r.request.Fingerprint = Fingerprint(request)
-	}
-	r.suspect = suspect || d.VMState.Quarantine.IsSuspect(r.request.Fingerprint)
+	r.identity, r.suspect = Identity(request), suspect
+	r.judge()
 	d.budget(request.Route.Name).Request()
 	return r
 }
@@ -127,7 +119,7 @@
 		}
 		usage, err = r.generateAt(ctx, place, deliver)
 		if err == nil {
-			d.VMState.Quarantine.Clear(r.request.Fingerprint)
+			r.recordSuccess()
 			return usage, nil
 		}
 		if !r.mayRetry(ctx, place, err) {
@@ -158,8 +150,8 @@
 // quarantined replaces err by one that names the quarantine if the request has
 // been quarantined.
 func (r *run) quarantined(err error) error {
-	if r.d.VMState.Quarantine.Refused(r.request.Fingerprint) {
-		return fault.New(fault.Quarantined, "the request is quarantined and not run again: targets have crashed repeatedly while they ran it")
+	if r.judge() {
+		return ErrQuarantined
 	}
 	return err
 }
@@ -189,14 +181,14 @@
 	live.InFlight.Add(1)
 	defer live.InFlight.Add(-1)
 	if r.isolated() {
-		defer live.ReleaseSuspect() // admitted by r.choose
+		defer r.endTrial(live) // begun by r.choose
 	}
 	live.Prefixes.Add(r.routing.Prefixes...)
 	job := engine.Job{ExchangeID: r.attemptID(), Priority: r.request.Route.Priority, Generation: *r.request.Generation}
 	if r.request.Route.SendOrganisation {
 		job.Organisation = r.request.Organisation
 	}
-	usage, err = r.d.Engine.Generate(ctx, p.target, job, sink)
+	usage, err = r.d.Engine.Generate(ctx, p.target, job, r.followTokens(sink))
 	r.recordLocal(ctx, p.target, err)
 	return usage, err
 }
@@ -242,31 +234,17 @@
 	r.mayHaveRun = r.mayHaveRun || (err != nil && !exchange.NotRun(err))
 }
 
-// checkCrash checks over a new connection whether the target has crashed while it
-// ran the request, and if so records the request as a suspect.
-func (r *run) checkCrash(ctx context.Context, t *target.Target) {
-	health := r.d.Engine.Health(ctx, t.Address)
-	if health.Reached && health.BootID == t.BootID {
-		return
-	}
-	boot := t.ID + "/" + t.BootID
-	quarantined := r.d.VMState.Quarantine.RecordCrash(r.request.Fingerprint, boot)
-	r.suspect = true
-	r.d.Log.Warn("target crashed while it ran a request; the request is now a suspect", "request_id", r.request.ID, "target", t.ID, "fingerprint", r.request.Fingerprint, "quarantined", quarantined)
-	r.d.OnCrash(r.request.Fingerprint, boot, quarantined)
-}
-
 // mayRetry reports whether another attempt is made after a failure. It takes the
 // retry from the budget.
 func (r *run) mayRetry(ctx context.Context, p place, err error) bool {
 	if ctx.Err() != nil || exchange.Final(err) || r.attempt >= r.attemptLimit() {
 		return false
 	}
-	r.suspect = r.suspect || r.d.VMState.Quarantine.IsSuspect(r.request.Fingerprint)
+	refused := r.judge()
 	if !r.request.Route.Repeatable && r.mayHaveRun {
 		return false
 	}
-	if r.d.VMState.Quarantine.Refused(r.request.Fingerprint) {
+	if refused {
 		return false
 	}
 	if !r.d.budget(r.request.Route.Name).Retry() {
@@ -290,8 +268,8 @@
 // place chooses where the request runs, and waits a bounded time for a target if
 // none is available.
 func (r *run) place(ctx context.Context) (p place, err error) {
-	if r.d.VMState.Quarantine.Refused(r.request.Fingerprint) {
-		return p, fault.New(fault.Quarantined, "the request is quarantined and not run: targets have crashed repeatedly while they ran it")
+	if r.judge() {
+		return p, ErrQuarantined
 	}
 	deadline := time.Now().Add(waitForTarget)
 	for {
--- a/io/dispatch/place.go
+++ b/io/dispatch/place.go
@@ -42,7 +42,7 @@
 	if err := r.shed(localCost); err != nil {
 		return place{}, true, err
 	}
-	if r.isolated() && !local.Live.AdmitSuspect() {
+	if r.isolated() && !r.beginTrial(local.Live) {
 		return place{}, false, nil // another suspect was admitted first
 	}
 	r.d.roundRobin.Chosen(local)
@@ -50,12 +50,6 @@
 	return place{target: local}, true, nil
 }
 
-// isolated reports whether the request must not run at the same time as another
-// suspect at one target.
-func (r *run) isolated() bool {
-	return r.suspect && r.request.Generation != nil
-}
-
 // shed refuses a request that is predicted to wait beyond its deadline.
 func (r *run) shed(cost time.Duration) error {
 	if r.attempt == 0 && cost > time.Until(r.request.Deadline) {
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -24,10 +24,12 @@
 	"kingcuprill/core/lease"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
+	"kingcuprill/core/quarantine"
 	"kingcuprill/core/quota"
 	"kingcuprill/core/watch"
 	"kingcuprill/io/boottime"
 	"kingcuprill/io/coordinator"
+	"kingcuprill/io/crashreport"
 	"kingcuprill/io/draw"
 	"kingcuprill/io/follow"
 	"kingcuprill/io/front"
@@ -92,6 +94,8 @@
 	entries     atomic.Pointer[[]entry.VM]
 	lastSeen    map[string]time.Time // by entry VM: when a control VM last reported it
 	vmCount     atomic.Int64
+	quarantine  *quarantine.List
+	crashes     *crashreport.Sender
 	client      *follow.Client
 	front       *front.Server
 	coordinator *coordinator.Server
@@ -104,17 +108,21 @@
 	v := &VM{
 		Options: o, Metrics: metrics.New(), state: watch.NewValue(&front.State{}), placer: place.NewPlacer(c.ID, c.Region),
 		started: time.Now(), lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewLimiter(), lastSeen: map[string]time.Time{},
+		quarantine: quarantine.NewList(),
 	}
 	v.placer.Retries = place.Retries{Ratio: c.RetryRatio * retryBudgetShare, Slack: c.RetrySlack * retryBudgetShare}
 	v.entries.Store(&[]entry.VM{})
 	peers := peer.NewUnsigned(c.ID, c.DialThrough...)
 	v.client = &follow.Client{
 		Peers: peers, Lease: v.lease, Log: o.Log, Self: v.self, OnCatalogue: v.applyCatalogue, OnTargets: v.applyTargets, OnEntries: v.applyEntries,
+		OnCrashes: v.applyCrashes,
 	}
+	v.crashes = &crashreport.Sender{Peers: peers, Addresses: v.client.Polled, Log: o.Log}
+	v.quarantine.Changed = v.crashes.Send
 	drawer := draw.NewClient(peers, v.quota, v.client.Controls, o.Log)
 	v.front = &front.Server{
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
-		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota,
+		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		Metrics: v.Metrics, Log: o.Log,
 	}
@@ -212,6 +220,15 @@
 	v.entries.Store(&vms)
 }
 
+// applyCrashes takes what a control VM has heard about crashes of targets. One that has
+// just started gets all that this VM knows.
+func (v *VM) applyCrashes(control string, rows []quarantine.Crash, lacksOthers bool) {
+	v.quarantine.Merge(rows)
+	if lacksOthers {
+		v.crashes.SendTo(control, v.quarantine.Rows())
+	}
+}
+
 // discoveryTime is how long after its start a VM may not know all entry VMs
 // yet. Until then its directory answers name no VMs of other regions, as it can't
 // know that a region has none.
@@ -262,6 +279,14 @@
 	v.Metrics.Gauge("reserved_places", v.coordinator.Reserved)
 	v.Metrics.Gauge("asked_places", v.coordinator.Asked)
 	v.Metrics.Gauge("given_places", v.coordinator.Given)
+	v.Metrics.Gauge("quarantine.suspects", func() int64 {
+		suspects, _ := v.quarantine.Counts()
+		return int64(suspects)
+	})
+	v.Metrics.Gauge("quarantine.refused", func() int64 {
+		_, refused := v.quarantine.Counts()
+		return int64(refused)
+	})
 }
 
 // Reload applies the settings that may change while the VM runs: the control
@@ -377,6 +402,7 @@
 			return nil
 		case now := <-ticker.C:
 			v.coordinator.Expire(now)
+			v.quarantine.Expire(now)
 			v.front.Targets.Prune(now, v.placer.Knows)
 			v.front.Peers.Prune(now, func(string) bool { return true })
 		}
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -14,6 +14,7 @@
 	"kingcuprill/core/entry"
 	"kingcuprill/core/instance"
 	"kingcuprill/core/lease"
+	"kingcuprill/core/quarantine"
 	"kingcuprill/io/codec"
 	"kingcuprill/io/peer"
 	"kingcuprill/rpc/vm"
@@ -40,8 +41,8 @@
 	dropAfter = 30 * time.Second
 )
 
-// Client polls the control VMs for an entry VM. It calls OnCatalogue, OnTargets
-// and OnEntries one at a time and holds its mutex meanwhile: they must not call the
+// Client polls the control VMs for an entry VM. It calls OnCatalogue, OnTargets,
+// OnEntries and OnCrashes one at a time and holds its mutex meanwhile: they must not call the
 // client's methods.
 type Client struct {
 	Peers *peer.Peers
@@ -57,6 +58,9 @@
 	// OnEntries is called with all known entry VMs, and with the number of those that
 	// have polled some control VM lately, which may be higher.
 	OnEntries func(vms []entry.VM, count int)
+	// OnCrashes is called with crashes of targets that a control VM has heard of. If
+	// lacksOthers is set, it has just started and knows no others. It may be nil.
+	OnCrashes func(address string, rows []quarantine.Crash, lacksOthers bool)
 
 	mu        sync.Mutex
 	tomb      *tomb.Tomb
@@ -134,6 +138,7 @@
 	epoch   string
 	targets uint64
 	entries uint64
+	crashes uint64
 	// needsCatalogue is set if this control VM has announced a catalogue that no
 	// other one has sent. The next poll then asks this one for it.
 	needsCatalogue bool
@@ -202,7 +207,7 @@
 	answer, err := c.Peers.At(address).Follow(ctx, &vm.FollowRequest{
 		Entry: codec.FromEntryVM(c.Self()), Revision: revision, Epoch: seen.epoch,
 		TargetsVersion: seen.targets, EntriesVersion: seen.entries, WaitNanoseconds: int64(wait),
-		Announce: revisionOnly, OnlyRegion: true, NoEntries: seen.noEntries,
+		Announce: revisionOnly, OnlyRegion: true, NoEntries: seen.noEntries, CrashesVersion: seen.crashes,
 	})
 	if err != nil {
 		return err
@@ -260,7 +265,11 @@
 	}
 	c.applyTargets(address, answer, now)
 	c.applyEntries(address, answer)
+	if c.OnCrashes != nil && (len(answer.GetCrashes()) > 0 || answer.GetWhole()) {
+		c.OnCrashes(address, codec.ToCrashes(answer.GetCrashes()), answer.GetWhole())
+	}
 	seen.epoch, seen.targets, seen.entries = answer.GetEpoch(), answer.GetTargetsVersion(), answer.GetEntriesVersion()
+	seen.crashes = answer.GetCrashesVersion()
 	c.startPolls(answer.GetControlAddresses())
 	return nil
 }
@@ -294,6 +303,14 @@
 	c.publishEntries(time.Now())
 }
 
+// Polled returns the addresses of the control VMs that are polled, whether they answer
+// or not.
+func (c *Client) Polled() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.polls))
+}
+
 // Controls returns the addresses of the control VMs that answer, those of this
 // region first.
 func (c *Client) Controls() []string {
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -143,6 +143,7 @@
 	for !s.hasNewer(request) {
 		targets, unknown := s.targetChanges(request)
 		entries := s.entryChanges(request)
+		_, crashes := s.VMState.Quarantine.Table.Version()
 		changed := s.VMState.Catalogue.Changed()
 		if s.hasNewer(request) {
 			break
@@ -155,6 +156,7 @@
 		case <-targets:
 		case <-unknown:
 		case <-entries:
+		case <-crashes:
 		case <-changed:
 		}
 	}
@@ -197,14 +199,18 @@
 		return true
 	}
 	entries, _ := s.entries.Version()
-	return !request.GetNoEntries() && entries > request.GetEntriesVersion()
+	if !request.GetNoEntries() && entries > request.GetEntriesVersion() {
+		return true
+	}
+	crashes, _ := s.VMState.Quarantine.Table.Version()
+	return crashes > request.GetCrashesVersion()
 }
 
 func (s *Server) newAnswer(request *vm.FollowRequest, confirmed bool) *vm.FollowResponse {
-	targetsSince, entriesSince := request.GetTargetsVersion(), request.GetEntriesVersion()
+	targetsSince, entriesSince, crashesSince := request.GetTargetsVersion(), request.GetEntriesVersion(), request.GetCrashesVersion()
 	whole := request.GetEpoch() != s.Epoch
 	if whole {
-		targetsSince, entriesSince = 0, 0
+		targetsSince, entriesSince, crashesSince = 0, 0, 0
 	}
 	c := s.VMState.Catalogue.Read()
 	answer := &vm.FollowResponse{
@@ -217,6 +223,8 @@
 	if !request.GetNoEntries() {
 		s.addEntries(answer, entriesSince)
 	}
+	crashes, version := s.VMState.Quarantine.Table.Since(crashesSince)
+	answer.Crashes, answer.CrashesVersion = codec.FromCrashes(crashes), version
 	answer.EntryCount = int32(s.entryCount())
 	return answer
 }
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -40,7 +40,11 @@
 	if reserved != nil {
 		reserved.Answered(time.Now())
 	}
+	if err == nil && reserved != nil {
+		x.recordSound()
+	}
 	if err != nil || x.begun {
+		x.progress.err = err
 		x.server.Log.Warn("answer of the target has broken off or does not continue the begun stream; the request is retried if possible", "request", x.id, "target", x.target, "error", err, "bytes", len(body))
 		if x.begun {
 			return broken
@@ -90,6 +94,9 @@
 	for {
 		event, err := reader.Next()
 		if err != nil {
+			if reserved != nil && errors.Is(err, io.EOF) && !x.progress.began.IsZero() {
+				x.recordSound()
+			}
 			return x.endStream(response, err)
 		}
 		x.setEventTimeout(timer)
@@ -97,6 +104,7 @@
 			now := time.Now()
 			reserved.Answered(now)
 			reserved.Event(now)
+			x.recordEvent(now)
 		}
 		if err := x.send(controller, response, event); err != nil {
 			response.Finish(false)
@@ -162,6 +170,7 @@
 		x.log("caller has left", "last_event", x.last)
 		return delivered
 	}
+	x.progress.err = err
 	x.server.Log.Warn("stream of the target has broken off; the request is retried if possible", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "parts", x.demand.SharedIDs(), "error", err)
 	if x.begun {
 		return broken
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -9,6 +9,7 @@
 
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
+	"kingcuprill/core/quarantine"
 	"kingcuprill/io/upstream"
 )
 
@@ -54,6 +55,10 @@
 	hasLast  bool
 	stay     bool          // the home region of the shared part has refused the request
 	failure  *failedAnswer // of a target, sent if no later try succeeds
+
+	crashIdentity quarantine.Request // see identity
+	trial         bool               // it runs apart from other requests with its suspect parts
+	progress      answerProgress     // of the answer of this VM's last try
 }
 
 // failedAnswer is a complete answer with an error status.
@@ -76,6 +81,9 @@
 // allowed.
 func (x *exchange) dispatch(ctx context.Context) {
 	x.server.budget(x.placement(time.Now())).Request()
+	if x.quarantined(ctx) {
+		return
+	}
 	result := notRun
 	for x.tries < x.maxTries() {
 		if x.tries > 0 && !x.mayTryAgain(ctx, result) {
@@ -106,6 +114,9 @@
 }
 
 func (x *exchange) maxTries() int {
+	if x.trial {
+		return 1
+	}
 	return x.attempts() + extraTries
 }
 
@@ -113,6 +124,9 @@
 // forwarded request, the sending entry VM sets how many of the route's attempts
 // are left.
 func (x *exchange) attempts() int {
+	if x.trial {
+		return 1
+	}
 	allowed := max(1, x.route.Attempts)
 	if x.from == "" {
 		return allowed
@@ -133,7 +147,11 @@
 	if x.runs > 0 && (!x.route.MayRepeat() || x.runs >= x.attempts()) {
 		return false
 	}
-	return result != broken || x.hasLast
+	if result == broken && !x.hasLast {
+		return false
+	}
+	verdict := x.judge()
+	return !verdict.Refused && !verdict.Suspect
 }
 
 // takeRetry takes a retry from this VM's own budget if the request was sent before.
@@ -193,7 +211,7 @@
 	}
 	// Targets don't get the caller's key, and callers can't set the headers that
 	// this system sets for targets.
-	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, h.Rank, hopFrom, hopRuns} {
+	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, h.Rank, hopFrom, hopRuns, hopTrial} {
 		header.Del(name)
 	}
 	left := max(1, time.Until(x.deadline).Milliseconds())
@@ -299,6 +317,7 @@
 		if x.caller.Context().Err() == nil {
 			observed = place.Failure
 		}
+		x.recordBreak(target, address, false, err)
 		return x.recordConnectionError(err, 1)
 	}
 	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
@@ -312,6 +331,7 @@
 		return notRun
 	}
 	x.runs++
+	x.progress = answerProgress{mark: s.Quarantine.Mark()}
 	if response.StatusCode >= http.StatusInternalServerError {
 		observed = place.Error
 		if x.couldRepeat() {
@@ -326,5 +346,8 @@
 	case x.caller.Context().Err() == nil:
 		observed = place.Failure
 	}
+	if x.progress.mayHaveCrashed() {
+		x.recordBreak(target, address, x.progress.began.IsZero(), x.progress.err)
+	}
 	return result
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -21,6 +21,7 @@
 	"kingcuprill/core/lease"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
+	"kingcuprill/core/quarantine"
 	"kingcuprill/core/quota"
 	"kingcuprill/core/watch"
 	"kingcuprill/io/coordinator"
@@ -149,7 +150,7 @@
 	configurationLease.Confirm(0)
 	w.server = &Server{
 		Self: "vm", Region: "region", Headers: testHeaders, State: watch.NewValue(&State{Plan: plan.NewIndex(p)}), Lease: configurationLease,
-		Placer: placer, Quota: limiter, Drawer: &draw.Client{Limiter: limiter, Controls: func() []string { return nil }, Log: log},
+		Placer: placer, Quota: limiter, Quarantine: quarantine.NewList(), Drawer: &draw.Client{Limiter: limiter, Controls: func() []string { return nil }, Log: log},
 		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: entries,
 		Metrics: metrics.New(), Log: log,
 	}
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -28,6 +28,7 @@
 	Target       string   // id of the target that is addressed
 	NotRun       string   // set by a target that has not run the request
 	Tokens       string   // prompt tokens and maximum output tokens, separated by a comma
+	Model        string   // model that the request is for
 	Parts        string   // parts of the prompt as id:tokens, separated by commas
 	LastEvent    string   // id of the last event that the caller has received
 	FetchFrom    string   // address of a target that has read the shared parts of the prompt
@@ -44,6 +45,7 @@
 	hopFrom   = "Kc-Hop-From"
 	hopRuns   = "Kc-Hop-Runs" // number of the route's attempts that the receiver may use
 	hopNotRun = "Kc-Hop-Not-Run"
+	hopTrial  = "Kc-Hop-Trial" // the receiver runs the request as a trial
 )
 
 var hopByHop = map[string]bool{
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -91,9 +91,13 @@
 func (x *exchange) forwardTo(ctx context.Context, v entry.VM) outcome {
 	x.server.Metrics.Away.Inc(1)
 	x.target = "vm:" + v.ID
+	x.progress = answerProgress{}
 	header := x.outgoing()
 	header.Set(hopFrom, x.server.Self)
 	header.Set(hopRuns, strconv.Itoa(x.forwardedRuns()))
+	if x.trial {
+		header.Set(hopTrial, "1")
+	}
 	if key := x.header.Get(keyHeader); key != "" {
 		header.Set(keyHeader, key)
 	}
--- /dev/null
+++ b/io/front/quarantine.go
@@ -0,0 +1,216 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"kingcuprill/core/entry"
+	"kingcuprill/core/quarantine"
+)
+
+const (
+	// soundAfter is how long after its begin an answer must go on for its prompt parts
+	// to count as harmless. Until then, it may have caused the crash of its target.
+	soundAfter = 300 * time.Millisecond
+	// crashRemembered is how long the result of a look at a target is used for the
+	// other requests that broke off there.
+	crashRemembered = 2 * time.Second
+	// trialWait is when callers should return whose request has a part that is being
+	// tried; there is jitter of as much again. A trial takes about as long as an answer
+	// takes to begin.
+	trialWait = 500 * time.Millisecond
+)
+
+// identity returns what identifies the request as a possible cause of crashes.
+func (x *exchange) identity() quarantine.Request {
+	if x.crashIdentity.Service == "" {
+		service := x.service
+		if model := x.header.Get(x.server.Headers.Model); model != "" {
+			service += "/" + model
+		}
+		x.crashIdentity = quarantine.Request{
+			Service: service, Organisation: x.organisation.Name, Parts: x.demand.SharedIDs(),
+			Fingerprint: quarantine.Fingerprint(x.organisation.Name, x.route.Name, x.caller.Method+x.caller.RequestURI+"\x00"+string(x.body)),
+		}
+	}
+	return x.crashIdentity
+}
+
+// judge returns whether the request may run now.
+func (x *exchange) judge() quarantine.Verdict {
+	if x.server.Quarantine.Empty() {
+		return quarantine.Verdict{}
+	}
+	return x.server.Quarantine.Judge(x.identity())
+}
+
+// quarantined ends a request that must not run like others, and reports whether it
+// has: it is refused, or run as a trial.
+func (x *exchange) quarantined(ctx context.Context) bool {
+	verdict := x.judge()
+	forwardedTrial := x.from != "" && x.header.Get(hopTrial) != ""
+	switch {
+	case verdict.Refused:
+		x.server.Log.Warn("request has a part that crashes targets; it is not run", "request", x.id, "service", x.service, "parts", verdict.Parts, "until", verdict.Until)
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: time.Until(verdict.Until), notRun: true})
+	case verdict.Suspect:
+		x.tryApart(ctx, verdict.Parts)
+	case forwardedTrial:
+		// The sender has heard of a crash that this VM has not heard of yet.
+		x.tryApart(ctx, x.identity().Parts)
+	default:
+		return false
+	}
+	return true
+}
+
+// tryApart runs a request with suspect parts as a trial. One VM of a region runs the
+// trials of a service, one at a time for each part, so that harmless parts are cleared
+// and harmful ones crash few targets.
+func (x *exchange) tryApart(ctx context.Context, parts []string) {
+	s := x.server
+	owner := x.trialVM()
+	forwarded := x.from != ""
+	switch {
+	case !forwarded && owner.ID != s.Self:
+		x.trial = true
+		if result := x.forwardTo(ctx, owner); result != delivered {
+			x.giveUp(ctx, result, "trial_failed")
+		}
+	case forwarded && owner.ID != s.Self && x.header.Get(hopTrial) == "":
+		x.refuseSuspect()
+	case !s.Quarantine.BeginTrial(x.identity().Service, parts):
+		x.refuseSuspect()
+	default:
+		defer s.Quarantine.EndTrial(x.identity().Service, parts)
+		x.runTrial(ctx, parts)
+	}
+}
+
+func (x *exchange) refuseSuspect() {
+	wait := trialWait + time.Duration(rand.Int64N(int64(trialWait)))
+	wait = min(wait, time.Until(x.deadline)/retryAfterDivisor)
+	x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "suspect_part", retryAfter: wait, notRun: true})
+}
+
+// runTrial sends the request to one target of this region, once.
+func (x *exchange) runTrial(ctx context.Context, parts []string) {
+	x.trial, x.stay = true, true
+	x.server.Metrics.Count("quarantine.trials")
+	x.server.Log.Info("request runs as a trial, since a target has crashed at one of its parts", "request", x.id, "service", x.service, "parts", parts)
+	reserved, predicted, reason := x.place(ctx)
+	x.predicted = predicted
+	if reserved == nil {
+		x.giveUp(ctx, notRun, string(reason))
+		return
+	}
+	if result := x.try(ctx, reserved); result != delivered {
+		x.giveUp(ctx, result, "trial_failed")
+	}
+}
+
+// trialVM returns the VM that runs the trials for the request: one of this region, if
+// the request may run here and there are targets.
+func (x *exchange) trialVM() entry.VM {
+	s, now := x.server, time.Now()
+	r := x.placement(now)
+	regions := s.Placer.Regions(r)
+	if x.atHome(s.Region) && len(s.Placer.Candidates(r, 1)) > 0 {
+		regions = []string{s.Region}
+	}
+	for _, region := range regions {
+		if !x.atHome(region) {
+			continue
+		}
+		// The name of the service takes the place of a VM's, so that all VMs agree.
+		vm, found := entry.Partner("trials of "+x.service, *s.Entries.Load(), region, func(id string) bool {
+			return id != s.Self && s.partners.InBackoff(id, now)
+		})
+		if found {
+			return vm
+		}
+	}
+	return entry.VM{ID: s.Self}
+}
+
+// recordBreak reports the request as a possible cause if its target has crashed. begun
+// tells whether the target had begun the answer, but sent no part of it.
+func (x *exchange) recordBreak(target, address string, begun bool, err error) {
+	if !brokenOff(err) || x.caller.Context().Err() != nil {
+		return
+	}
+	s := x.server
+	boot := s.Placer.Boot(target)
+	if !s.crashes.happened(boot, func() bool { return s.Targets.Refuses(target, address) }) {
+		return
+	}
+	row := s.Quarantine.Report(x.id+"@"+boot, boot, x.identity(), begun, x.trial)
+	s.Metrics.Count("quarantine.crashes")
+	s.Log.Warn("target has crashed before it answered a request; the request's parts are suspect until answers clear them", "request", x.id,
+		"target", target, "boot", boot, "service", row.Service, "begun", begun, "trial", x.trial, "parts", row.Parts, "known", row.Known)
+}
+
+// brokenOff reports whether the peer has closed or reset the connection.
+func brokenOff(err error) bool {
+	for _, known := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, known) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashChecks remembers for a while which targets have been found to have crashed, so
+// that each is looked at once. The zero value is ready for use.
+type crashChecks struct {
+	byBoot sync.Map // string to func() bool
+}
+
+func (c *crashChecks) happened(boot string, look func() bool) bool {
+	check, known := c.byBoot.LoadOrStore(boot, sync.OnceValue(look))
+	if !known {
+		time.AfterFunc(crashRemembered, func() { c.byBoot.Delete(boot) })
+	}
+	return check.(func() bool)()
+}
+
+// answerProgress follows the answer of a target, to find out whether the request is
+// harmless.
+type answerProgress struct {
+	mark  uint64    // of the quarantine list, from the begin of the answer
+	began time.Time // first event, zero before it
+	sound bool
+	err   error // with which the answer broke off
+}
+
+// mayHaveCrashed reports whether the answer broke off early enough to have crashed its
+// target.
+func (p *answerProgress) mayHaveCrashed() bool {
+	return p.err != nil && (p.began.IsZero() || time.Since(p.began) < soundAfter)
+}
+
+// recordEvent clears the request's parts once its answer has gone on for a while.
+func (x *exchange) recordEvent(now time.Time) {
+	p := &x.progress
+	if p.began.IsZero() {
+		p.began, p.mark = now, x.server.Quarantine.Mark()
+	}
+	if now.Sub(p.began) >= soundAfter {
+		x.recordSound()
+	}
+}
+
+// recordSound clears the request's parts, as its answer has gone on well.
+func (x *exchange) recordSound() {
+	if x.progress.sound {
+		return
+	}
+	x.progress.sound = true
+	x.server.Quarantine.Sound(x.progress.mark, x.identity())
+}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -18,6 +18,7 @@
 	"kingcuprill/core/lease"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
+	"kingcuprill/core/quarantine"
 	"kingcuprill/core/quota"
 	"kingcuprill/core/retry"
 	"kingcuprill/core/watch"
@@ -46,18 +47,21 @@
 	// this is the only VM.
 	Coordinators *coordinator.Client
 	Quota        *quota.Limiter
-	Drawer       *draw.Client     // draws tokens of rate limits from the control VMs
-	Targets      *upstream.Client // sends requests to targets
-	Peers        *upstream.Client // forwards requests to entry VMs of other regions
-	Entries      *atomic.Pointer[[]entry.VM]
-	Metrics      *metrics.Metrics
-	Log          *slog.Logger
+	// Quarantine holds what is known of requests that crash targets.
+	Quarantine *quarantine.List
+	Drawer     *draw.Client     // draws tokens of rate limits from the control VMs
+	Targets    *upstream.Client // sends requests to targets
+	Peers      *upstream.Client // forwards requests to entry VMs of other regions
+	Entries    *atomic.Pointer[[]entry.VM]
+	Metrics    *metrics.Metrics
+	Log        *slog.Logger
 
 	stop     atomic.Pointer[plannedStop]
 	budgets  sync.Map                     // budgetKey to *retry.Budget
 	regions  backoff.Tracker[regionRoute] // backoff after a region refused a request
 	partners backoff.Tracker[string]      // backoff after an entry VM of another region has not answered
 	running  atomic.Int64
+	crashes  crashChecks
 }
 
 const (
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -136,6 +137,20 @@
 	return parsed, nil
 }
 
+// Refuses reports whether a peer refuses a new connection, as nothing listens at its
+// address. A connection that it accepts is kept for the next request.
+func (c *Client) Refuses(peer, address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	dialed, err := c.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	dialed.idleUntil = time.Now().Add(c.idleTime(nil))
+	c.push(peer, dialed)
+	return false
+}
+
 // acquire returns an idle connection of the peer that still works, or dials a
 // new one.
 func (c *Client) acquire(ctx context.Context, peer, address string) (*conn, error) {
@@ -149,6 +164,17 @@
 		}
 		kept.discard()
 	}
+	dialed, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if !dialed.expect() {
+		return nil, errors.New("the peer closed the connection before the request was sent")
+	}
+	return dialed, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	if c.DialAddress != nil {
 		address = c.DialAddress(address)
 	}
@@ -161,11 +187,7 @@
 	if c.Dialed != nil {
 		c.Dialed()
 	}
-	dialed := newConn(raw)
-	if !dialed.expect() {
-		return nil, errors.New("the peer closed the connection before the request was sent")
-	}
-	return dialed, nil
+	return newConn(raw), nil
 }
 
 func (c *Client) pop(peer string) *conn {
--- a/io/vm/server.go
+++ b/io/vm/server.go
@@ -105,13 +105,9 @@
 	return s.Borrower.Lend(request), nil
 }
 
-// Quarantine records what another VM reports: crashes of targets, each with a request
-// that was in flight, and the requests that are refused because of repeated crashes.
+// Quarantine merges what another VM has found out about crashes of targets.
 func (s *Server) Quarantine(_ context.Context, request *vm.QuarantineRequest) (*vm.QuarantineResponse, error) {
-	s.VMState.Quarantine.Refuse(request.GetFingerprints())
-	for _, crash := range request.GetStrikes() {
-		s.VMState.Quarantine.RecordCrash(crash.GetFingerprint(), crash.GetBoot())
-	}
+	s.VMState.Quarantine.Merge(codec.ToCrashes(request.GetCrashes()))
 	return &vm.QuarantineResponse{}, nil
 }
 
