Treat a stream without framing that ends before an event as broken off

What callers would see: a target that crashes as it begins a stream without a length or chunks closes the connection in order, and the caller got an empty stream with status 200 that looked complete; no crash was noted either.

Cause: the end of such a connection was taken as the end of the stream at any event boundary, the one before the first event included. Change: before the first event it counts as broken off, and so as a possible crash. Targets are no longer asked to compress streams, and one that does is read whole: its events could not be told apart.

Test: 'unframed stream, ended before its first event' failed before with status 200; the other unframed cases passed before.

--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -25,7 +25,7 @@
 // each event of a stream.
 func (x *exchange) deliver(response *upstream.Response, reserved reservation, timer *time.Timer) outcome {
 	streamed := x.route.Kind == plan.Stream && response.StatusCode == http.StatusOK &&
-		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") && response.Header.Get("Content-Encoding") == ""
 	if streamed {
 		return x.deliverStream(response, reserved, timer)
 	}
@@ -91,8 +91,14 @@
 	}
 	reader := eventstream.NewReader(response.Body, last, begun)
 	controller := http.NewResponseController(x.writer)
+	passed := false // an event of this answer
 	for {
 		event, err := reader.Next()
+		if errors.Is(err, io.EOF) && !passed && unframed(response) {
+			// The end of the connection is all that ends such a stream, and it has
+			// ended before the answer.
+			err = eventstream.ErrTruncated
+		}
 		if err != nil {
 			if reserved != nil && errors.Is(err, io.EOF) && !x.progress.began.IsZero() {
 				x.recordSound()
@@ -106,6 +112,7 @@
 			reserved.Event(now)
 			x.recordEvent(now)
 		}
+		passed = true
 		if err := x.send(controller, response, event); err != nil {
 			response.Finish(false)
 			x.log("caller has left", "reason", err.Error(), "last_event", x.last)
@@ -114,6 +121,12 @@
 	}
 }
 
+// unframed reports whether an answer has neither a length nor chunks, so that it ends
+// with its connection.
+func unframed(response *upstream.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // setEventTimeout sets how long the next event may take. A stream that can't be
 // resumed has until the deadline.
 func (x *exchange) setEventTimeout(timer *time.Timer) {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -214,6 +214,9 @@
 	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, h.Rank, hopFrom, hopRuns, hopTrial} {
 		header.Del(name)
 	}
+	if x.route.Kind == plan.Stream {
+		header.Del("Accept-Encoding") // events are passed on one by one
+	}
 	left := max(1, time.Until(x.deadline).Milliseconds())
 	header[h.TimeLeft] = []string{strconv.FormatInt(left, 10)}
 	if x.begun && x.hasLast {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -114,6 +114,21 @@
 	}
 }
 
+// unframed sends an answer that has neither a length nor chunks and ends with its
+// connection, in order or with a reset.
+func unframed(header, body string, inOrder bool) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n%s", request.Header.Get("Id"), header, body)
+		if !inOrder {
+			time.Sleep(20 * time.Millisecond) // a reset discards what wasn't read
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
+const streamHeader = "Content-Type: text/event-stream\r\n"
+
 type fixture struct {
 	server *Server
 	front  *httptest.Server
@@ -217,6 +232,12 @@
 		{"stream that can't be resumed", plan.Route{Kind: plan.Stream, Attempts: 3}, script{reset, ok}, 502, "", 1},
 		{"stream, whole", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(true, 1, 2)}, 200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", 1},
 		{"stream, broken off", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(false, 1)}, 0, "id: 1\ndata: 1\n\n", 1},
+		{"unframed stream, whole", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframed(streamHeader, "id: 1\ndata: 1\n\n", true)}, 200, "id: 1\ndata: 1\n\n", 1},
+		{"unframed stream, ended inside an event", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframed(streamHeader, "id: 1\ndata: 1\n\nid: 2\n", true)}, 0, "id: 1\ndata: 1\n\n", 1},
+		{"unframed stream, reset", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframed(streamHeader, "id: 1\ndata: 1\n\n", false)}, 0, "id: 1\ndata: 1\n\n", 1},
+		{"unframed stream, ended before its first event", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframed(streamHeader, "", true)}, 502, "", 1},
+		{"unframed answer, whole", plan.Route{Kind: plan.Idempotent, Attempts: 1}, script{unframed("", "fine", true)}, 200, "fine", 1},
+		{"unframed answer, reset", plan.Route{Kind: plan.Idempotent, Attempts: 2}, script{unframed("", "fi", false), ok}, 200, "fine", 2},
 		{"stream, event missing", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(true, 1, 3)}, 0, "id: 1\ndata: 1\n\n", 1},
 		{"stream, resumed", plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2}, script{stream(false, 1), stream(true, 2, 3)}, 200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", 2},
 		{"stream, resumed with the wrong event", plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2}, script{stream(false, 1), stream(true, 1, 2)}, 0, "id: 1\ndata: 1\n\n", 2},
@@ -258,6 +279,20 @@
 	}
 }
 
+// Targets must not compress streams: events are passed on one by one. A stream that is
+// compressed all the same is delivered whole.
+func TestCompressedStreams(t *testing.T) {
+	s := startTarget(t, status(200, streamHeader+"Content-Encoding: gzip\r\n", "packed"))
+	w := newFixture(t, plan.Route{Kind: plan.Stream, Attempts: 1}, s)
+	code, body, _ := w.ask(t, "k", "Accept-Encoding", "gzip")
+	if code != http.StatusOK || body != "packed" {
+		t.Errorf("status %d, %q", code, body)
+	}
+	if got := s.seen[0].Header.Get("Accept-Encoding"); got != "" {
+		t.Errorf("the target is asked for %q", got)
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"kingcuprill/core/entry"
+	"kingcuprill/core/eventstream"
 	"kingcuprill/core/quarantine"
 )
 
@@ -158,7 +159,7 @@
 
 // brokenOff reports whether the peer has closed or reset the connection.
 func brokenOff(err error) bool {
-	for _, known := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, known := range []error{io.EOF, io.ErrUnexpectedEOF, eventstream.ErrTruncated, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, known) {
 			return true
 		}
