--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -114,9 +114,9 @@
 	}
 }
 
-// unframed sends an answer that has neither a length nor chunks and ends with its
+// unframedAnswer sends an answer that has neither a length nor chunks and ends with its
 // connection, in order or with a reset.
-func unframed(header, body string, inOrder bool) func(net.Conn, *http.Request) {
+func unframedAnswer(header, body string, inOrder bool) func(net.Conn, *http.Request) {
 	return func(conn net.Conn, request *http.Request) {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n%s", request.Header.Get("Id"), header, body)
 		if !inOrder {
@@ -232,12 +232,12 @@
 		{"stream that can't be resumed", plan.Route{Kind: plan.Stream, Attempts: 3}, script{reset, ok}, 502, "", 1},
 		{"stream, whole", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(true, 1, 2)}, 200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", 1},
 		{"stream, broken off", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(false, 1)}, 0, "id: 1\ndata: 1\n\n", 1},
-		{"unframed stream, whole", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframed(streamHeader, "id: 1\ndata: 1\n\n", true)}, 200, "id: 1\ndata: 1\n\n", 1},
-		{"unframed stream, ended inside an event", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframed(streamHeader, "id: 1\ndata: 1\n\nid: 2\n", true)}, 0, "id: 1\ndata: 1\n\n", 1},
-		{"unframed stream, reset", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframed(streamHeader, "id: 1\ndata: 1\n\n", false)}, 0, "id: 1\ndata: 1\n\n", 1},
-		{"unframed stream, ended before its first event", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframed(streamHeader, "", true)}, 502, "", 1},
-		{"unframed answer, whole", plan.Route{Kind: plan.Idempotent, Attempts: 1}, script{unframed("", "fine", true)}, 200, "fine", 1},
-		{"unframed answer, reset", plan.Route{Kind: plan.Idempotent, Attempts: 2}, script{unframed("", "fi", false), ok}, 200, "fine", 2},
+		{"unframed stream, whole", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframedAnswer(streamHeader, "id: 1\ndata: 1\n\n", true)}, 200, "id: 1\ndata: 1\n\n", 1},
+		{"unframed stream, ended inside an event", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframedAnswer(streamHeader, "id: 1\ndata: 1\n\nid: 2\n", true)}, 0, "id: 1\ndata: 1\n\n", 1},
+		{"unframed stream, reset", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframedAnswer(streamHeader, "id: 1\ndata: 1\n\n", false)}, 0, "id: 1\ndata: 1\n\n", 1},
+		{"unframed stream, ended before its first event", plan.Route{Kind: plan.Stream, Attempts: 1}, script{unframedAnswer(streamHeader, "", true)}, 502, "", 1},
+		{"unframed answer, whole", plan.Route{Kind: plan.Idempotent, Attempts: 1}, script{unframedAnswer("", "fine", true)}, 200, "fine", 1},
+		{"unframed answer, reset", plan.Route{Kind: plan.Idempotent, Attempts: 2}, script{unframedAnswer("", "fi", false), ok}, 200, "fine", 2},
 		{"stream, event missing", plan.Route{Kind: plan.Stream, Attempts: 1}, script{stream(true, 1, 3)}, 0, "id: 1\ndata: 1\n\n", 1},
 		{"stream, resumed", plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2}, script{stream(false, 1), stream(true, 2, 3)}, 200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n", 2},
 		{"stream, resumed with the wrong event", plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2}, script{stream(false, 1), stream(true, 1, 2)}, 0, "id: 1\ndata: 1\n\n", 2},
