Log the limits that targets name in their answers

Entry VMs now log each change of it and count the targets that name one (limited_targets). Nothing acts on it yet. Values that can't be read are logged and ignored.

--- a/core/place/target.go
+++ b/core/place/target.go
@@ -22,6 +22,7 @@
 
 	"kingcuprill/core/circuit"
 	"kingcuprill/core/instance"
+	"kingcuprill/core/targetlimit"
 )
 
 // Part is a segment of a prompt. A target that has read the leading segments of a
@@ -79,6 +80,7 @@
 	nextCold       time.Time             // while the target is cold, this VM sends nothing before
 	lastSuccess    time.Time
 	errors         errorRate
+	limit          targetlimit.Limit // that it names in its answers
 	// displacedUntil is set when another target has answered at the address.
 	displacedUntil time.Time
 }
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -277,6 +277,7 @@
 	v.Metrics.Gauge("revision", func() int64 { return int64(v.state.Read().Revision) })
 	v.Metrics.Gauge("entry_vms", v.vmCount.Load)
 	v.Metrics.Gauge("coordinated_targets", v.placer.Coordinated)
+	v.Metrics.Gauge("limited_targets", v.placer.Limited)
 	v.Metrics.Gauge("reserved_places", v.coordinator.Reserved)
 	v.Metrics.Gauge("asked_places", v.coordinator.Asked)
 	v.Metrics.Gauge("given_places", v.coordinator.Given)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -315,7 +315,11 @@
 	header := x.targetHeader(target, reserved.Source())
 	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout())
 	defer cancel()
+	sent := time.Now()
 	response, err := s.Targets.Do(bounded, target, address, x.request(header))
+	if err == nil {
+		x.noteLimit(target, response.Header, sent)
+	}
 	if err != nil {
 		if x.caller.Context().Err() == nil {
 			observed = place.Failure
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -27,6 +27,7 @@
 	Organisation string   // set for targets
 	Target       string   // id of the target that is addressed
 	NotRun       string   // set by a target that has not run the request
+	Limit        string   // requests per second that a target takes from all VMs, set by it
 	Tokens       string   // prompt tokens and maximum output tokens, separated by a comma
 	Model        string   // model that the request is for
 	Parts        string   // parts of the prompt as id:tokens, separated by commas
