Keep targets within the limits that they name

A target that names a limit of requests a second went on to get as many as the others, up to 113 in 4 s at a limit of 2 a second.

Cause: nothing acted on the header. The class: what a target says of its capacity in an answer, not in its registration, reaches no decision. Ruled out: VMs that obey the limit each for itself, and sends past a coordinator; the logged limits show that all VMs know them within 2.7 s.

Change: one VM, the target's coordinator, gives out the requests that the limit allows; others send none without it, also when they can't reach it. VMs report what the head of an answer says to the coordinator that gave the place, and tell coordinators what they know with each call, so that a new coordinator knows the limit at once. A new one uses half of it for 5 s, as the one before may not know that it was replaced. Services without coordination use it as soon as one of their targets names a limit. A limit ends with an answer without one to a request that was sent after it was named. The requests that a limit allows go to large requests first: such a target bounds their number, not their work. Refusals have the reason 'limited' and the time until the next request is allowed.

TestLimitHoldsForAllVMsTogether (2, 6, 60 VMs in virtual time, lost calls and reports, restarts) gives 68 requests for 17 allowed without the change.

--- a/core/place/coordinate.go
+++ b/core/place/coordinate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -58,7 +59,7 @@
 
 // NeedsCoordination reports whether requests of a service must go through the
 // coordinators of its targets. They must for engines, whose KV memory all VMs use,
-// and for targets with few slots per VM.
+// for targets with few slots per VM, and for targets that name a limit.
 func (p *Placer) NeedsCoordination(r Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -66,7 +67,7 @@
 		return true
 	}
 	for _, t := range p.byService[r.Service] {
-		if t.slots() < sharedSlots*len(p.readyVMs) {
+		if t.limit.Named || t.slots() < sharedSlots*len(p.readyVMs) {
 			return true
 		}
 	}
@@ -102,8 +103,13 @@
 		p.coordinators = rendezvous.Order(p.Region, p.readyVMs)[:count]
 	}
 	for _, t := range p.targets {
-		if changed || t.coordinator == "" {
-			p.assignCoordinator(t)
+		if !changed && t.coordinator != "" {
+			continue
+		}
+		before := t.coordinator
+		p.assignCoordinator(t)
+		if t.coordinator == p.Self && before != p.Self && before != "" {
+			t.takenOver = time.Now()
 		}
 	}
 }
--- a/core/place/latency.go
+++ b/core/place/latency.go
@@ -34,6 +34,7 @@
 type latencyModel struct {
 	n, x, y, xx, xy float64
 	base            time.Duration // base latency, moving average over all targets
+	size            float64       // of the requests, moving average
 	errors          errorRate     // of all targets
 }
 
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -135,18 +135,23 @@
 }
 
 func (p *Placer) pick(r Request) (assignment *Assignment, predicted time.Duration, reason Reason) {
+	model := p.model(r.Service)
+	model.size += sizeWeight * (float64(r.Demand.size()) - model.size)
 	preferred := p.preferred(r)
 	if p.belongsElsewhere(r, preferred) {
 		return nil, 0, Elsewhere
 	}
 	source := p.source(r, preferred)
-	if preferred != nil && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
+	if preferred != nil && p.limitWait(preferred, r.Now) == 0 && !p.keepsForLarger(preferred, r) && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
 		_, predicted = p.cost(preferred, r, true, source)
 		if predicted <= r.PreferredBound && !p.failsMore(preferred, r.Service, r.Now) {
 			return p.admit(preferred, r, true, source), predicted, ""
 		}
 	}
-	best, predicted, reason := p.fastest(r, preferred, source)
+	best, predicted, reason := p.fastest(r, preferred, source, false)
+	if best == nil || (r.Bound > 0 && predicted > r.Bound) {
+		best, predicted, reason = p.fastest(r, preferred, source, true)
+	}
 	switch {
 	case best == nil:
 		return nil, predicted, reason
@@ -159,14 +164,22 @@
 }
 
 // fastest returns the target with the lowest cost among those that may take the
-// request, or the reason why there is none.
-func (p *Placer) fastest(r Request, preferred, source *Target) (best *Target, predicted time.Duration, reason Reason) {
+// request, or the reason why there is none. useLimits includes the targets whose limits
+// should be kept for larger requests.
+func (p *Placer) fastest(r Request, preferred, source *Target, useLimits bool) (best *Target, predicted time.Duration, reason Reason) {
 	reason = NoTargets
-	lowest := time.Duration(0)
+	lowest, limited := time.Duration(0), time.Duration(0)
 	for _, t := range p.byService[r.Service] {
 		if !p.eligible(t, r, preferred) {
 			continue
 		}
+		if wait := p.limitWait(t, r.Now); wait > 0 {
+			limited = shorter(limited, wait)
+			continue
+		}
+		if !useLimits && p.keepsForLarger(t, r) {
+			continue
+		}
 		if !p.hasCapacity(t, r) || !t.Circuit.Ready() {
 			reason = Full
 			continue
@@ -180,6 +193,9 @@
 			best, lowest, predicted = t, cost, first
 		}
 	}
+	if best == nil && reason == NoTargets && limited > 0 {
+		return nil, limited, Limited
+	}
 	return best, predicted, reason
 }
 
@@ -287,6 +303,7 @@
 		a.expected = r.Demand.Expected/r.EventTokens + 1
 	}
 	t.inFlight++
+	t.limit.Take(r.Now)
 	t.pending += work
 	t.waiting[a] = true
 	t.memory.add(r.Demand)
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -39,6 +39,8 @@
 	// which is another one, and AwayTime how much later its answer then begins.
 	MayForward bool
 	AwayTime   time.Duration
+	// Limits are the limits of the coordinator's targets that the VM knows that asks.
+	Limits []TargetLimit
 	// Retry says that the request was sent to a target before.
 	Retry bool
 }
@@ -60,6 +62,7 @@
 const (
 	NoTargets Reason = "no_targets" // no usable target is known
 	Full      Reason = "full"       // all are at their bounds on requests or memory, or their circuits are open
+	Limited   Reason = "limited"    // all get as many requests as they have asked for
 	Slow      Reason = "slow"       // none would begin to answer in time
 	Elsewhere Reason = "elsewhere"  // it should run in the home region of its shared part
 	NoRetries Reason = "no_retries" // the retry budget of the service is used up
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -66,7 +66,8 @@
 	Region  string
 	Circuit circuit.Breaker
 
-	coordinator    string // VM of the region that knows the target's whole load
+	takenOver      time.Time // when this VM became its coordinator in place of another one
+	coordinator    string    // VM of the region that knows the target's whole load
 	inFlight       int
 	pending        int // work of the assignments whose answer has not begun, tokens
 	base           baseLatency
--- a/core/targetlimit/targetlimit.go
+++ b/core/targetlimit/targetlimit.go
@@ -21,7 +21,7 @@
 	// limit is still asked, to learn when that ends.
 	lowest = 0.1
 	// burst is how long a limit may be saved up, beside one request.
-	burst = 250 * time.Millisecond
+	burst = time.Second
 )
 
 // Notice is what an answer says about the limit of its target.
@@ -61,6 +61,9 @@
 // is not safe for concurrent use.
 type Limit struct {
 	Notice
+	// Share is the part of the limit that may be used, 0 for all of it.
+	Share float64
+
 	newest time.Time // when the newest answer that counts has come
 	named  time.Time // when the newest answer with a limit has come
 	saved  float64   // requests that may be sent at once
@@ -88,6 +91,9 @@
 }
 
 func (l *Limit) rate() float64 {
+	if l.Share > 0 {
+		return l.Share * max(lowest, l.Rate)
+	}
 	return max(lowest, l.Rate)
 }
 
@@ -97,7 +103,7 @@
 		return
 	}
 	if gained := now.Sub(l.filled).Seconds(); gained > 0 {
-		l.saved = min(l.saved+gained*l.rate(), 1+burst.Seconds()*l.rate())
+		l.saved = min(l.saved+gained*l.rate(), l.depth())
 		l.filled = now
 	}
 }
@@ -114,6 +120,16 @@
 	return time.Duration((1 - l.saved) / l.rate() * float64(time.Second))
 }
 
+// Full reports whether as many requests are saved up as can be.
+func (l *Limit) Full(now time.Time) bool {
+	l.fill(now)
+	return l.saved >= l.depth()
+}
+
+func (l *Limit) depth() float64 {
+	return 1 + burst.Seconds()*l.rate()
+}
+
 // Take records that a request is sent.
 func (l *Limit) Take(now time.Time) {
 	if !l.Named {
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -44,6 +44,10 @@
 	Peers *peer.Peers
 	Log   *slog.Logger
 
+	// OnLimits is called with the limits of targets that a coordinator has told. It may
+	// be nil.
+	OnLimits func(limits []place.TargetLimit)
+
 	full backoff.Tracker[serviceAt] // coordinators without a place
 
 	mu           sync.Mutex
@@ -85,8 +89,11 @@
 		return nil, 0, "", err
 	}
 	predicted = time.Duration(answer.GetPredictedNanoseconds())
+	if limits := toLimits(answer.GetLimits()); len(limits) > 0 && c.OnLimits != nil {
+		c.OnLimits(limits)
+	}
 	if answer.GetReservation() == 0 {
-		if plain && place.Reason(answer.GetReason()) == place.Full {
+		if refused := place.Reason(answer.GetReason()); plain && (refused == place.Full || refused == place.Limited) {
 			c.full.Refused(coordinated, time.Now())
 		}
 		return nil, predicted, place.Reason(answer.GetReason()), nil
--- a/io/coordinator/codec.go
+++ b/io/coordinator/codec.go
@@ -15,6 +15,7 @@
 		Now: now, Deadline: now.Add(time.Duration(m.GetLeftNanoseconds())),
 	}
 	r.Demand = place.Demand{Prompt: int(m.GetPromptTokens()), Output: int(m.GetOutputTokens()), Expected: int(m.GetExpectedTokens())}
+	r.Limits = toLimits(m.GetLimits())
 	for _, p := range m.GetParts() {
 		r.Demand.Parts = append(r.Demand.Parts, place.Part{ID: p.GetId(), Tokens: int(p.GetTokens())})
 	}
@@ -28,8 +29,27 @@
 		LeftNanoseconds: int64(r.Deadline.Sub(r.Now)), Fetch: r.Fetch, Home: r.Home, Retry: r.Retry, MayForward: r.MayForward, AwayNanoseconds: int64(r.AwayTime),
 		PromptTokens: int64(r.Demand.Prompt), OutputTokens: int64(r.Demand.Output), ExpectedTokens: int64(r.Demand.Expected),
 	}
+	m.Limits = fromLimits(r.Limits)
 	for _, p := range r.Demand.Parts {
 		m.Parts = append(m.Parts, &entry.Part{Id: p.ID, Tokens: int64(p.Tokens)})
 	}
 	return m
 }
+
+func fromLimits(limits []place.TargetLimit) (messages []*entry.TargetLimit) {
+	for _, l := range limits {
+		messages = append(messages, &entry.TargetLimit{Target: l.Target, RatePerSecond: l.Rate, AgeNanoseconds: int64(l.Age)})
+	}
+	return messages
+}
+
+// toLimits leaves out rates that no target can have named.
+func toLimits(messages []*entry.TargetLimit) (limits []place.TargetLimit) {
+	for _, m := range messages {
+		if !(m.GetRatePerSecond() >= 0) {
+			continue
+		}
+		limits = append(limits, place.TargetLimit{Target: m.GetTarget(), Rate: m.GetRatePerSecond(), Age: time.Duration(m.GetAgeNanoseconds())})
+	}
+	return limits
+}
--- a/io/coordinator/reservation.go
+++ b/io/coordinator/reservation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kingcuprill/core/place"
+	"kingcuprill/core/targetlimit"
 	"kingcuprill/rpc/entry"
 )
 
@@ -51,6 +52,12 @@
 	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Begun: true})
 }
 
+// ObserveLimit reports to the coordinator what the head of the answer says about the
+// target's limit.
+func (r *Reservation) ObserveLimit(n targetlimit.Notice, _ time.Time) {
+	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Limit: &entry.LimitNotice{Named: n.Named, RatePerSecond: n.Rate}})
+}
+
 // Event counts an event of a stream, and reports the progress of the stream now and
 // then. The coordinator learns from it early how slow the target's streams are; a
 // stream takes seconds, in which many more requests are placed.
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"kingcuprill/core/place"
+	"kingcuprill/core/targetlimit"
 	"kingcuprill/io/peer"
 	"kingcuprill/rpc/entry"
 )
@@ -65,14 +66,16 @@
 	now := time.Now()
 	wanted := toRequest(request, now)
 	wanted.Evacuated = s.Evacuated()
+	s.Placer.LearnLimits(wanted.Limits, now)
 	assignment, predicted, reason := s.Placer.Pick(wanted)
+	limits := fromLimits(s.Placer.KnownLimits(wanted.Service, s.Placer.Self, now))
 	if assignment == nil {
-		return &entry.ReserveResponse{PredictedNanoseconds: int64(predicted), Reason: string(reason)}, nil
+		return &entry.ReserveResponse{PredictedNanoseconds: int64(predicted), Reason: string(reason), Limits: limits}, nil
 	}
 	id, address := assignment.Where()
 	return &entry.ReserveResponse{
 		Reservation: s.addReservation(assignment, wanted.Deadline), Target: id, Address: address, Source: assignment.Source(),
-		PredictedNanoseconds: int64(predicted),
+		PredictedNanoseconds: int64(predicted), Limits: limits,
 	}, nil
 }
 
@@ -107,6 +110,9 @@
 	if !found {
 		return // made by an earlier process, or expired
 	}
+	if limit := p.GetLimit(); limit != nil {
+		r.assignment.ObserveLimit(targetlimit.Notice{Named: limit.GetNamed(), Rate: limit.GetRatePerSecond()}, now)
+	}
 	if p.GetBegun() {
 		r.assignment.Begun(now)
 	}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -127,6 +127,7 @@
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		Metrics: v.Metrics, Log: o.Log,
 	}
+	v.front.Coordinators.OnLimits = func(limits []place.TargetLimit) { v.placer.LearnLimits(limits, time.Now()) }
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
 	return v
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -318,7 +318,7 @@
 	sent := time.Now()
 	response, err := s.Targets.Do(bounded, target, address, x.request(header))
 	if err == nil {
-		x.noteLimit(target, response.Header, sent)
+		x.noteLimit(reserved, response, sent)
 	}
 	if err != nil {
 		if x.caller.Context().Err() == nil {
--- a/io/front/limit.go
+++ b/io/front/limit.go
@@ -5,17 +5,29 @@
 	"time"
 
 	"kingcuprill/core/targetlimit"
+	"kingcuprill/io/upstream"
 )
 
-// noteLimit records the limit that the head of an answer names, or that it names none.
-func (x *exchange) noteLimit(target string, header http.Header, sent time.Time) {
-	s := x.server
-	n, err := targetlimit.Parse(header.Values(s.Headers.Limit))
+// noteLimit records the limit that the head of an answer names, or that it names none,
+// here and at the target's coordinator.
+func (x *exchange) noteLimit(reserved reservation, response *upstream.Response, sent time.Time) {
+	s, now := x.server, time.Now()
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return // of another target
+	}
+	target, _ := reserved.Where()
+	n, err := targetlimit.Parse(response.Header.Values(s.Headers.Limit))
 	if err != nil {
 		s.Log.Warn("target names a limit that can't be read; it is ignored", "request", x.id, "target", target, "error", err)
 		return
 	}
-	if s.Placer.ObserveLimit(target, n, sent, time.Now()) {
+	ran := response.Header.Get(s.Headers.NotRun) == ""
+	if !n.Named && (!ran || !s.Placer.IsLimited(target)) {
+		return
+	}
+	changed := s.Placer.ObserveLimit(target, n, sent, now)
+	reserved.ObserveLimit(n, now)
+	if changed {
 		s.Log.Info("limit of a target has changed", "request", x.id, "target", target, "named", n.Named, "requests_per_second", n.Rate)
 	}
 }
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -6,6 +6,7 @@
 
 	"kingcuprill/core/entry"
 	"kingcuprill/core/place"
+	"kingcuprill/core/targetlimit"
 )
 
 // maxCoordinators is the most coordinators that are asked for a reservation. Each
@@ -19,6 +20,8 @@
 	// Source returns the address of the target from which the shared parts of the
 	// prompt are to be fetched, or "".
 	Source() string
+	// ObserveLimit records what the head of the answer says about the target's limit.
+	ObserveLimit(n targetlimit.Notice, now time.Time)
 	// Answered records that the answer has begun.
 	Answered(now time.Time)
 	// Event records that an event of a stream has come.
@@ -79,6 +82,7 @@
 			r.Home = candidate.Target
 		}
 		r.Preferred, r.Now = candidate.Target, time.Now()
+		r.Limits = s.Placer.KnownLimits(r.Service, candidate.VM, r.Now)
 		answer, err := x.ask(ctx, candidate.VM, r)
 		r.MayForward = false // only the first coordinator decides
 		switch {
