Keep the daemons' targets within the limits that they name

A target names it in the header Kingcuprill-Request-Limit. The daemons have no coordinators, so each VM of the data centre uses a part of it: as many VMs as the limit allows requests in a second, chosen by rendezvous hashing, so that one request of each is no more than the limit. The fake engine names limits.

--- a/acceptance/scenario_test.go
+++ b/acceptance/scenario_test.go
@@ -88,7 +88,7 @@
 		"complete": complete, "call": callService, "get": getStatus, "background": startBackground, "tokens": awaitTokens, "await": awaitRequest,
 		"signal": signalVM, "ended": waitExit, "restart": restartVM, "cut": cutRegion, "heal": healRegion, "silence-open": silenceOpen,
 		"leave": leaveTarget, "crash": crashEngine, "runs": checkRuns, "saw": checkPrompt, "leaked": checkLeak,
-		"fault": setFault, "vms": listVMs, "wipe": removeData,
+		"limit": setLimit, "flood": flood, "arrivals": checkArrivals, "fault": setFault, "vms": listVMs, "wipe": removeData,
 		"crashes": checkCrashes, "logged": checkLogged, "settled": checkSettled, "format": formatVM, "damage": corruptLog, "stored": checkStored,
 	}
 }
@@ -503,6 +503,68 @@
 	return "", nil
 }
 
+// setLimit sets the limit that an engine names in its answers: ENGINE RATE, or "none".
+func setLimit(s *scenario, args []string) (string, error) {
+	rate := args[1]
+	if rate == "none" {
+		rate = ""
+	}
+	s.engines[args[0]].SetLimit(rate)
+	return "", nil
+}
+
+// flood asks for completions, one after the other at each of some VMs: KEY COUNT VM...
+func flood(s *scenario, args []string) (string, error) {
+	count, err := strconv.Atoi(args[1])
+	if err != nil {
+		return "", err
+	}
+	errs := make(chan error, len(args[2:]))
+	for _, vm := range args[2:] {
+		go func() {
+			for i := range count {
+				if _, err := s.complete([]string{args[0], vm, fmt.Sprintf("question %d at %s tokens=2", i, vm)}, nil); err != nil {
+					errs <- err
+					return
+				}
+			}
+			errs <- nil
+		}()
+	}
+	for range args[2:] {
+		err = errors.Join(err, <-errs)
+	}
+	return "", err
+}
+
+// checkArrivals checks that an engine has received at most a number of requests in any
+// window: ENGINE WINDOW MOST.
+func checkArrivals(s *scenario, args []string) (string, error) {
+	window, err := time.ParseDuration(args[1])
+	if err != nil {
+		return "", err
+	}
+	allowed, err := strconv.Atoi(args[2])
+	if err != nil {
+		return "", err
+	}
+	received := s.engines[args[0]].Received()
+	most := 0
+	for i, first := range received {
+		count := 0
+		for _, r := range received[i:] {
+			if r.At.Sub(first.At) < window {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	if most > allowed {
+		return "", fmt.Errorf("%s has received %d requests in %v, %d are allowed", args[0], most, window, allowed)
+	}
+	return fmt.Sprintf("%d in %v, %d in all", most, window, len(received)), nil
+}
+
 // checkCrashes checks how often the engines have crashed in total: N.
 func checkCrashes(s *scenario, args []string) (string, error) {
 	total := 0
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -37,6 +37,9 @@
 	Permitted residency.Permitted
 	Suspect   bool     // was in flight at a target that crashed
 	Avoid     []string // ids of targets and VMs that have failed this request
+	// Allows reports whether this VM may send a request to a target now. If it is nil,
+	// it may to all.
+	Allows func(t *target.Target) bool
 }
 
 // Policy estimates the cost of sending a request to a candidate.
@@ -75,7 +78,7 @@
 		if !row.Serves(request.Model, now) || slices.Contains(request.Avoid, row.ID) {
 			continue
 		}
-		if !row.Live.Circuit.Ready() {
+		if !row.Live.Circuit.Ready() || (request.Allows != nil && !request.Allows(row)) {
 			continue
 		}
 		if request.Suspect && row.Live.Suspects.Load() > 0 {
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -59,6 +59,7 @@
 	OthersAtReport atomic.Int64 // requests of other VMs when the target last reported
 	Circuit        circuit.Breaker
 	Prefixes       PrefixSet
+	Limit          RequestLimit
 	Since          time.Time // first announcement of this boot
 }
 
--- a/core/targetlimit/targetlimit.go
+++ b/core/targetlimit/targetlimit.go
@@ -14,6 +14,10 @@
 	"time"
 )
 
+// Header is the name of the header in which the targets of the daemons name their
+// limit.
+const Header = "Kingcuprill-Request-Limit"
+
 const (
 	// highest is the highest limit that is taken as one, in requests per second.
 	highest = 1e6
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -184,7 +185,8 @@
 		defer r.endTrial(live) // begun by r.choose
 	}
 	live.Prefixes.Add(r.routing.Prefixes...)
-	job := engine.Job{ExchangeID: r.attemptID(), Priority: r.request.Route.Priority, Generation: *r.request.Generation}
+	sent := time.Now()
+	job := engine.Job{ExchangeID: r.attemptID(), Priority: r.request.Route.Priority, Generation: *r.request.Generation, OnHead: func(header http.Header) { r.noteLimit(p.target, header, sent) }}
 	if r.request.Route.SendOrganisation {
 		job.Organisation = r.request.Organisation
 	}
@@ -206,7 +208,8 @@
 	if r.request.Route.SendOrganisation {
 		organisation = r.request.Organisation
 	}
-	answer, err = r.d.Service.Do(ctx, p.target, r.attemptID(), organisation, *r.request.Call)
+	sent := time.Now()
+	answer, err = r.d.Service.Do(ctx, p.target, r.attemptID(), organisation, *r.request.Call, func(header http.Header) { r.noteLimit(p.target, header, sent) })
 	r.recordLocal(ctx, p.target, err)
 	return answer, err
 }
--- a/io/dispatch/place.go
+++ b/io/dispatch/place.go
@@ -45,6 +45,12 @@
 	if r.isolated() && !r.beginTrial(local.Live) {
 		return place{}, false, nil // another suspect was admitted first
 	}
+	if !local.Live.Limit.Take(local.ID, r.d.VMState.Self, r.localVMs, now) {
+		if r.isolated() {
+			r.endTrial(local.Live)
+		}
+		return place{}, false, nil // another request was sent first
+	}
 	r.d.roundRobin.Chosen(local)
 	local.Live.Circuit.Allow() // if the circuit breaker is open, this request is its probe
 	return place{target: local}, true, nil
@@ -74,6 +80,7 @@
 	}
 	routing := r.routing
 	routing.Suspect = r.suspect
+	routing.Allows = func(t *target.Target) bool { return t.Live.Limit.Allows(t.ID, r.d.VMState.Self, r.localVMs, now) }
 	eligible := route.Eligible(r.d.VMState.Targets.View.Read(), routing, now)
 	switch r.d.Policy.Name {
 	case "round_robin":
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -55,6 +55,7 @@
 	Organisation string // empty where the route doesn't send it
 	Priority     int
 	Generation   exchange.Generation
+	OnHead       func(header http.Header) // called with the head of the answer; may be nil
 }
 
 type jobJSON struct {
@@ -134,6 +135,9 @@
 		return usage, &exchange.Failure{NotRun: dialFailed(err), Err: err}
 	}
 	defer response.Body.Close()
+	if s.job.OnHead != nil {
+		s.job.OnHead(response.Header)
+	}
 	if response.StatusCode != http.StatusOK {
 		return usage, s.statusFailure(response)
 	}
--- a/io/rig/fakeengine/engine.go
+++ b/io/rig/fakeengine/engine.go
@@ -24,6 +24,7 @@
 
 	"kingcuprill/core/fault"
 	"kingcuprill/core/target"
+	"kingcuprill/core/targetlimit"
 	"kingcuprill/io/rig/announcer"
 	rpc "kingcuprill/rpc/target"
 )
@@ -75,6 +76,7 @@
 	sequence  uint64
 	received  []ReceivedRequest
 	crashes   int
+	limit     string // named in answers, empty for none
 	reports   []announcer.Load
 
 	announcer *announcer.Announcer
@@ -153,6 +155,19 @@
 	return e.crashes
 }
 
+// SetLimit sets the limit that answers name, in requests per second; empty for none.
+func (e *Engine) SetLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
+
+func (e *Engine) namedLimit() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limit
+}
+
 // Leave tells the VMs that the engine takes no new requests.
 func (e *Engine) Leave() {
 	e.announcer.Leave(e.ctx, e.Identity())
@@ -258,6 +273,9 @@
 		delete(e.exchanges, job.ExchangeID)
 		e.mu.Unlock()
 	}()
+	if limit := e.namedLimit(); limit != "" {
+		w.Header().Set(targetlimit.Header, limit)
+	}
 	if !e.acquireSlot(ctx, job.Priority) {
 		return
 	}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -49,9 +49,9 @@
 }
 
 // Do calls a service and reads the whole answer. organisation is empty if it isn't
-// sent. Errors are of type *exchange.Failure, which tells whether the call may have
+// sent. onHead is called with the head of the answer. Errors are of type *exchange.Failure, which tells whether the call may have
 // run.
-func (c *Client) Do(ctx context.Context, t *target.Target, exchangeID, organisation string, call exchange.Call) (answer exchange.Answer, err error) {
+func (c *Client) Do(ctx context.Context, t *target.Target, exchangeID, organisation string, call exchange.Call, onHead func(http.Header)) (answer exchange.Answer, err error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, "http://"+t.Address+call.URL, bytes.NewReader(call.Body))
@@ -73,6 +73,7 @@
 	if echoed := response.Header.Get(ExchangeHeader); echoed != "" && echoed != exchangeID {
 		return answer, &exchange.Failure{Err: fmt.Errorf("the answer belongs to exchange %q", echoed)}
 	}
+	onHead(response.Header)
 	return c.read(response)
 }
 
