--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -24,6 +24,7 @@
 	"kingcuprill/io/boottime"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/rig/eventually"
+	"kingcuprill/io/rig/link"
 	"kingcuprill/rpc/vm"
 )
 
@@ -254,3 +255,35 @@
 		}
 	}
 }
+
+// After a control VM has lost power, connections from before carry nothing any more and
+// aren't reset either. With several of them in the pool, polls must not try one after
+// the other.
+func TestSilentConnectionsAreDropped(t *testing.T) {
+	c := startControl(t, "c", "near")
+	between, err := link.New(c.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(between.Close)
+	c.address = between.Address
+	f := startFollower(t, c)
+	eventually.Until(t, "the lease holds", f.Lease.Valid)
+	const connections = 12
+	var calls sync.WaitGroup
+	for range connections {
+		calls.Go(func() {
+			_, _ = f.Peers.At(c.address).Follow(t.Context(), &vm.FollowRequest{Epoch: "c", WaitNanoseconds: int64(100 * time.Millisecond), Announce: true})
+		})
+	}
+	calls.Wait()
+	if err := between.SilenceOpen(); err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	c.change(1, "newer")
+	eventually.Until(t, "the catalogue is in force", f.has("newer"))
+	if took, most := time.Since(begun), pollWait+answerTimeout+time.Second; took > most {
+		t.Errorf("the catalogue came after %v, expected within %v", took, most)
+	}
+}
