Keep a region in use that refuses a request for its parts

A VM that forwarded a request with a suspect part to another region, and got it back as not run, gave the region up for all requests of the route for a while, as if it had no room. The refusal says nothing about the region's room; it is no longer counted. Found by reading. TestSuspectRequestsAreNoBackoff failed before for both reasons.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -473,6 +473,22 @@
 
 // coordinated adds another VM to a fixture and makes its service one of a model
 // engine, so that the two VMs share the coordination of the targets.
+// A region that refuses one request, as it has crashed targets, still gets others.
+func TestSuspectRequestsAreNoBackoff(t *testing.T) {
+	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, "slow": true} {
+		there := startTarget(t, status(503, hopNotRun+": "+reason+"\r\n", ""))
+		here := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1})
+		here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
+		here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: there.address, Ready: true}})
+		if code, _, _ := here.ask(t, "k"); code != http.StatusServiceUnavailable {
+			t.Errorf("%s: status %d", reason, code)
+		}
+		if got := here.server.regions.InBackoff(regionRoute{"abroad", "r"}, time.Now()); got != backoff {
+			t.Errorf("%s: the region is in backoff: %v", reason, got)
+		}
+	}
+}
+
 func (w *fixture) coordinated(t *testing.T, vm, address string) {
 	t.Helper()
 	state := *w.server.State.Read()
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -114,7 +114,9 @@
 	if reason := response.Header.Get(hopNotRun); reason != "" {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		x.server.regions.Refused(regionRoute{v.Region, x.route.Name}, time.Now())
+		if reason != quarantinedReason && reason != suspectReason {
+			x.server.regions.Refused(regionRoute{v.Region, x.route.Name}, time.Now())
+		}
 		x.server.Log.Info("entry VM has refused the forwarded request without running it", "request", x.id, "vm", v.ID, "reason", reason)
 		return notRun
 	}
--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -28,6 +28,12 @@
 	trialWait = 500 * time.Millisecond
 )
 
+// Reasons of refusals that concern the request and not this VM's region.
+const (
+	quarantinedReason = "quarantined"
+	suspectReason     = "suspect_part"
+)
+
 // identity returns what identifies the request as a possible cause of crashes.
 func (x *exchange) identity() quarantine.Request {
 	if x.crashIdentity.Service == "" {
@@ -59,7 +65,7 @@
 	switch {
 	case verdict.Refused:
 		x.server.Log.Warn("request has a part that crashes targets; it is not run", "request", x.id, "service", x.service, "parts", verdict.Parts, "until", verdict.Until)
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: time.Until(verdict.Until), notRun: true})
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: quarantinedReason, retryAfter: time.Until(verdict.Until), notRun: true})
 	case verdict.Suspect:
 		x.tryApart(ctx, verdict.Parts)
 	case forwardedTrial:
@@ -97,7 +103,7 @@
 func (x *exchange) refuseSuspect() {
 	wait := trialWait + time.Duration(rand.Int64N(int64(trialWait)))
 	wait = min(wait, time.Until(x.deadline)/retryAfterDivisor)
-	x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "suspect_part", retryAfter: wait, notRun: true})
+	x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: suspectReason, retryAfter: wait, notRun: true})
 }
 
 // runTrial sends the request to one target of this region, once.
