--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -71,6 +71,7 @@
 var causes = map[string]string{
 	"slow":                        "no target was predicted to begin its answer in time: the region had too little capacity, and no other region took the request",
 	"full":                        "all targets were at their bounds on requests or memory",
+	"limited":                     "all targets of the region already got as many requests as the limits allow that they name",
 	"no_targets":                  "no target of the service was known that may be used",
 	"not_at_home":                 "the request may not run in this region, and no region where it may took it",
 	"over_limit":                  "the organisation was over its limit",
