Run trials at the target with the fewest requests

A trial may crash its target and all that it answers. Trials went to the target that has read the prompt, as a rule a busy one.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -142,6 +142,9 @@
 		return nil, 0, Elsewhere
 	}
 	source := p.source(r, preferred)
+	if r.Apart {
+		return p.pickApart(r, preferred, source)
+	}
 	if preferred != nil && p.limitWait(preferred, r.Now) == 0 && !p.keepsForLarger(preferred, r) && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
 		_, predicted = p.cost(preferred, r, true, source)
 		if predicted <= r.PreferredBound && !p.failsMore(preferred, r.Service, r.Now) {
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -41,6 +41,9 @@
 	AwayTime   time.Duration
 	// Limits are the limits of the coordinator's targets that the VM knows that asks.
 	Limits []TargetLimit
+	// Apart says that the request may crash its target, so that it should run where it
+	// harms the fewest others.
+	Apart bool
 	// Retry says that the request was sent to a target before.
 	Retry bool
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -188,7 +188,7 @@
 	return place.Request{
 		EventTokens: eventTokens,
 		Service:     x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
-		Retry: x.tries > 0, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
+		Retry: x.tries > 0, Apart: x.trial, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
 		PreferredBound: x.preferredBound(now), Bound: x.bound(now), Objective: x.route.Objective, Deadline: x.deadline, Now: now,
 	}
 }
