Take back requests that wait at a target once their part crashes others

Now the wait for the head of an answer ends when a part of the request becomes the likely cause of a crash, that is when a target had begun to answer with it; parts of requests that only waited at a crash don't count. The caller gets 502, as it may have run.

Tests: TestWaitingRequestsAreTakenBack, TestSuspectRequestIsTakenBack.

--- a/core/quarantine/index.go
+++ b/core/quarantine/index.go
@@ -21,7 +21,7 @@
 type index map[string]*serviceIndex
 
 type serviceIndex struct {
-	suspects map[string]bool // parts that may have caused a crash
+	suspects map[string]bool // parts that may have caused a crash; true if an answer with it had begun
 	causes   []cause
 }
 
@@ -87,7 +87,7 @@
 			continue
 		}
 		for _, part := range c.parts {
-			s.suspects[part] = true
+			s.suspects[part] = s.suspects[part] || c.Begun
 		}
 	}
 	return s
@@ -193,20 +193,24 @@
 // judge returns what is known of a request with these parts.
 func (s *serviceIndex) judge(r Request, now time.Time) (v Verdict) {
 	suspects, parts := map[string]bool{}, r.all()
+	begun := false
 	for _, c := range s.causes {
 		if containsAll(parts, c.parts) && c.refuses(r.Organisation, now) {
 			return Verdict{Refused: true, Parts: c.parts, Until: c.until()}
 		}
 		// With only some of the parts, the request may be harmless.
 		for _, part := range common(c.parts, parts) {
-			suspects[part] = true
+			suspects[part], begun = true, true
 		}
 	}
 	for _, part := range parts {
-		if s.suspects[part] || suspects[part] {
+		answerBegan, suspect := s.suspects[part]
+		if suspect || suspects[part] {
 			v.Parts = append(v.Parts, part)
+			begun = begun || answerBegan
 		}
 	}
 	v.Suspect = len(v.Parts) > 0
+	v.Likely = begun
 	return v
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -39,6 +39,7 @@
 type Verdict struct {
 	Refused bool
 	Suspect bool     // it may run as a trial
+	Likely  bool     // it is suspect, and a target that crashed had begun an answer with its part
 	Parts   []string // that are refused or suspect
 	Until   time.Time
 }
@@ -58,6 +59,13 @@
 	records map[string]*record // by id of the crash
 	known   knownParts
 	trials  map[string]bool // parts of the trials that run on this VM
+	watches map[*watch]bool
+}
+
+// watch is a request that waits at a target.
+type watch struct {
+	request Request
+	suspect func()
 }
 
 // record is a crash as this VM knows it.
@@ -69,7 +77,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	l := &List{Table: versioned.NewTable[Crash](), records: map[string]*record{}, trials: map[string]bool{}}
+	l := &List{Table: versioned.NewTable[Crash](), records: map[string]*record{}, trials: map[string]bool{}, watches: map[*watch]bool{}}
 	l.index.Store(&index{})
 	return l
 }
@@ -217,6 +225,31 @@
 func (l *List) rebuild() {
 	built := newIndex(l.records)
 	l.index.Store(&built)
+	now := time.Now()
+	for w := range l.watches {
+		s, found := built[w.request.Service]
+		if !found {
+			continue
+		}
+		if v := s.judge(w.request, now); v.Refused || v.Likely {
+			delete(l.watches, w)
+			go w.suspect()
+		}
+	}
+}
+
+// Watch calls suspect once if a request that waits at a target turns out to be the
+// likely cause of crashes elsewhere. stop ends that.
+func (l *List) Watch(r Request, suspect func()) (stop func()) {
+	w := &watch{request: r, suspect: suspect}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watches[w] = true
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.watches, w)
+	}
 }
 
 // Mark returns a number for Sound. It is taken when an answer begins.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -183,6 +183,31 @@
 // crashesAllowed is how often one part may crash targets.
 const crashesAllowed = 5
 
+// Requests that wait at targets are taken back once their part is the likely cause of a
+// crash elsewhere, and not for sharing a part with requests that only waited there.
+func TestWaitingRequestsAreTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := quarantine.NewList()
+		taken := map[string]bool{}
+		for _, part := range []string{"deadly", "document", "ended"} {
+			stop := l.Watch(request("f-"+part, part), func() { taken[part] = true })
+			if part == "ended" {
+				stop()
+			}
+		}
+		l.Report("1", "t1/1", request("waiting", "document"), false, false)
+		synctest.Wait()
+		if len(taken) > 0 {
+			t.Errorf("taken back though nothing had begun: %v", taken)
+		}
+		l.Report("2", "t1/1", request("begun", "deadly", "ended"), true, false)
+		synctest.Wait()
+		if !taken["deadly"] || len(taken) != 1 {
+			t.Errorf("taken back: %v", taken)
+		}
+	})
+}
+
 // fleet is a number of VMs that send each other what they find out, late, and at times
 // never.
 type fleet struct {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -110,7 +110,11 @@
 			return
 		}
 	}
-	x.giveUp(ctx, result, "tries_used_up")
+	reason := "tries_used_up"
+	if verdict := x.judge(); verdict.Suspect || verdict.Refused {
+		reason = suspectReason
+	}
+	x.giveUp(ctx, result, reason)
 }
 
 func (x *exchange) maxTries() int {
@@ -316,12 +320,12 @@
 	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout())
 	defer cancel()
 	sent := time.Now()
-	response, err := s.Targets.Do(bounded, target, address, x.request(header))
+	response, err := x.sendWatched(bounded, target, address, header)
 	if err == nil {
 		x.noteLimit(reserved, response, sent)
 	}
 	if err != nil {
-		if x.caller.Context().Err() == nil {
+		if x.caller.Context().Err() == nil && !errors.Is(err, errSuspect) {
 			observed = place.Failure
 		}
 		x.recordBreak(target, address, false, err)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -473,6 +473,31 @@
 
 // coordinated adds another VM to a fixture and makes its service one of a model
 // engine, so that the two VMs share the coordination of the targets.
+// A request that waits at a target is taken back when another target crashes that has
+// begun to answer one with the same part. The caller isn't told that it has not run.
+func TestSuspectRequestIsTakenBack(t *testing.T) {
+	left := make(chan struct{})
+	silent := startTarget(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = conn.Read(make([]byte, 1))
+		close(left)
+	})
+	w := newFixture(t, plan.Route{Kind: plan.Stream, Attempts: 1}, silent)
+	list := w.server.Quarantine
+	time.AfterFunc(100*time.Millisecond, func() {
+		list.Report("1", "other/1", quarantine.Request{Service: "s", Parts: []string{"p"}, Fingerprint: "f"}, true, false)
+	})
+	begun := time.Now()
+	code, _, _ := w.ask(t, "k", "Parts", "p:10,own:10", "Tokens", "20,5")
+	if code != http.StatusBadGateway || time.Since(begun) > time.Second {
+		t.Errorf("status %d after %v", code, time.Since(begun))
+	}
+	select {
+	case <-left:
+	case <-time.After(time.Second):
+		t.Error("the target still works on the request")
+	}
+}
+
 // A region that refuses one request, as it has crashed targets, still gets others.
 func TestSuspectRequestsAreNoBackoff(t *testing.T) {
 	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, "slow": true} {
--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"kingcuprill/core/entry"
 	"kingcuprill/core/eventstream"
 	"kingcuprill/core/quarantine"
+	"kingcuprill/io/upstream"
 )
 
 const (
@@ -146,6 +148,30 @@
 	return entry.VM{ID: s.Self}
 }
 
+// errSuspect is the error of a try that was given up, as other targets have crashed that
+// had begun to answer such a request.
+var errSuspect = errors.New("other targets have crashed at a part of the request")
+
+// sendWatched sends the request to a target and waits for the head of the answer. It
+// takes the request back if it turns out to crash targets, before it crashes this one.
+func (x *exchange) sendWatched(ctx context.Context, target, address string, header http.Header) (*upstream.Response, error) {
+	if x.trial {
+		return x.server.Targets.Do(ctx, target, address, x.request(header))
+	}
+	var headCame atomic.Bool
+	watched, end := context.WithCancelCause(ctx)
+	stop := x.server.Quarantine.Watch(x.identity(), func() {
+		if !headCame.Load() {
+			x.server.Log.Warn("request is taken back from its target, since other targets have crashed at a part of it", "request", x.id, "target", target)
+			end(errSuspect)
+		}
+	})
+	defer stop()
+	response, err := x.server.Targets.Do(watched, target, address, x.request(header))
+	headCame.Store(true)
+	return response, err
+}
+
 // recordBreak reports the request as a possible cause if its target has crashed. begun
 // tells whether the target had begun the answer, but sent no part of it.
 func (x *exchange) recordBreak(target, address string, begun bool, err error) {
