--- a/core/place/limits.go
+++ b/core/place/limits.go
@@ -11,6 +11,10 @@
 	// takeOverTime, in which the one before may not know yet that it has been replaced.
 	takeOverShare = 0.5
 	takeOverTime  = 5 * time.Second
+	// savedForLarge is the part of a limit that must be saved up before requests below
+	// the average size use it, savedForLast the part if there is no other target.
+	savedForLarge = 1
+	savedForLast  = 0.5
 	// sizeWeight is the weight of a new request in the average size of requests.
 	sizeWeight = 0.02
 	// elsewhereWait is the wait that a VM assumes for the targets that it doesn't
@@ -54,8 +58,10 @@
 //
 // Such a target bounds the number of its requests and not their work. While it takes
 // the large ones, the targets without a limit have room for many small ones.
-func (p *Placer) keepsForLarger(t *Target, r Request) bool {
-	return t.limit.Named && float64(r.Demand.size()) < p.model(r.Service).size && !t.limit.Full(r.Now)
+//
+// saved is the part of the limit that must be saved up for smaller ones.
+func (p *Placer) keepsForLarger(t *Target, r Request, saved float64) bool {
+	return t.limit.Named && float64(r.Demand.size()) < p.model(r.Service).size && t.limit.Saved(r.Now) < saved
 }
 
 // size is a measure of the work that a request causes at any target, in tokens.
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -145,15 +145,15 @@
 	if r.Apart {
 		return p.pickApart(r, preferred, source)
 	}
-	if preferred != nil && p.limitWait(preferred, r.Now) == 0 && !p.keepsForLarger(preferred, r) && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
+	if preferred != nil && p.limitWait(preferred, r.Now) == 0 && !p.keepsForLarger(preferred, r, savedForLarge) && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
 		_, predicted = p.cost(preferred, r, true, source)
 		if predicted <= r.PreferredBound && !p.failsMore(preferred, r.Service, r.Now) {
 			return p.admit(preferred, r, true, source), predicted, ""
 		}
 	}
-	best, predicted, reason := p.fastest(r, preferred, source, false)
+	best, predicted, reason := p.fastest(r, preferred, source, savedForLarge)
 	if best == nil || (r.Bound > 0 && predicted > r.Bound) {
-		best, predicted, reason = p.fastest(r, preferred, source, true)
+		best, predicted, reason = p.fastest(r, preferred, source, savedForLast)
 	}
 	switch {
 	case best == nil:
@@ -167,9 +167,9 @@
 }
 
 // fastest returns the target with the lowest cost among those that may take the
-// request, or the reason why there is none. useLimits includes the targets whose limits
-// should be kept for larger requests.
-func (p *Placer) fastest(r Request, preferred, source *Target, useLimits bool) (best *Target, predicted time.Duration, reason Reason) {
+// request, or the reason why there is none. saved is the
+// part of a target's limit that must be saved up for a request below the average size.
+func (p *Placer) fastest(r Request, preferred, source *Target, saved float64) (best *Target, predicted time.Duration, reason Reason) {
 	reason = NoTargets
 	lowest, limited := time.Duration(0), time.Duration(0)
 	for _, t := range p.byService[r.Service] {
@@ -180,7 +180,8 @@
 			limited = shorter(limited, wait)
 			continue
 		}
-		if !useLimits && p.keepsForLarger(t, r) {
+		if p.keepsForLarger(t, r, saved) {
+			limited = shorter(limited, elsewhereWait)
 			continue
 		}
 		if !p.hasCapacity(t, r) || !t.Circuit.Ready() {
--- a/core/targetlimit/targetlimit.go
+++ b/core/targetlimit/targetlimit.go
@@ -124,10 +124,10 @@
 	return time.Duration((1 - l.saved) / l.rate() * float64(time.Second))
 }
 
-// Full reports whether as many requests are saved up as can be.
-func (l *Limit) Full(now time.Time) bool {
+// Saved returns the part of the requests that can be saved up that is, from 0 to 1.
+func (l *Limit) Saved(now time.Time) float64 {
 	l.fill(now)
-	return l.saved >= l.depth()
+	return l.saved / l.depth()
 }
 
 func (l *Limit) depth() float64 {
