Release what a trial has reserved when it ends

What was learnt while it ran, its own crash included, left other parts reserved for good, so that no request with them was tried on that VM again. And a request stayed a suspect after answers had cleared its parts.

--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -76,6 +76,8 @@
 	identity quarantine.Request
 	suspect  bool      // a target has crashed that was about to answer the request or one like it
 	suspects []string  // its suspect parts
+	reported bool      // the VM that forwarded the request takes it for suspect
+	onTrial  []string  // parts that its trial has reserved, nil without a trial
 	begun    time.Time // first token of the attempt, zero before it
 	mark     uint64    // of the quarantine list, from then
 	sound    bool      // the attempt has cleared the prompt
@@ -92,7 +94,7 @@
 		r.routing.Prefixes = target.PrefixHashes(g.Model, g.Prompt)
 		r.routing.Bytes = len(g.Prompt)
 	}
-	r.identity, r.suspect = Identity(request), suspect
+	r.identity, r.reported = Identity(request), suspect
 	r.judge()
 	d.budget(request.Route.Name).Request()
 	return r
@@ -181,9 +183,7 @@
 	live := p.target.Live
 	live.InFlight.Add(1)
 	defer live.InFlight.Add(-1)
-	if r.isolated() {
-		defer r.endTrial(live) // begun by r.choose
-	}
+	defer r.endTrial(live) // begun by r.choose, if the request is suspect
 	live.Prefixes.Add(r.routing.Prefixes...)
 	sent := time.Now()
 	job := engine.Job{ExchangeID: r.attemptID(), Priority: r.request.Route.Priority, Generation: *r.request.Generation, OnHead: func(header http.Header) { r.noteLimit(p.target, header, sent) }}
--- a/io/dispatch/place.go
+++ b/io/dispatch/place.go
@@ -46,9 +46,7 @@
 		return place{}, false, nil // another suspect was admitted first
 	}
 	if !local.Live.Limit.Take(local.ID, r.d.VMState.Self, r.localVMs, now) {
-		if r.isolated() {
-			r.endTrial(local.Live)
-		}
+		r.endTrial(local.Live)
 		return place{}, false, nil // another request was sent first
 	}
 	r.d.roundRobin.Chosen(local)
--- a/io/dispatch/quarantine.go
+++ b/io/dispatch/quarantine.go
@@ -58,9 +58,7 @@
 // judge notes whether the request is suspect now, and reports whether it is refused.
 func (r *run) judge() (refused bool) {
 	verdict := r.d.VMState.Quarantine.Judge(r.identity)
-	if verdict.Suspect {
-		r.suspect, r.suspects = true, verdict.Parts
-	}
+	r.suspect, r.suspects = r.reported || verdict.Suspect, verdict.Parts
 	return verdict.Refused
 }
 
@@ -79,12 +77,18 @@
 		live.ReleaseSuspect()
 		return false
 	}
+	r.onTrial = append([]string{}, r.suspects...)
 	return true
 }
 
+// endTrial ends the trial of the request, if it has one.
 func (r *run) endTrial(live *target.Live) {
+	if r.onTrial == nil {
+		return
+	}
 	live.ReleaseSuspect()
-	r.d.VMState.Quarantine.EndTrial(r.identity.Service, r.suspects)
+	r.d.VMState.Quarantine.EndTrial(r.identity.Service, r.onTrial)
+	r.onTrial = nil
 }
 
 // followTokens returns a sink that clears the request's prompt once the generation has
@@ -123,7 +127,7 @@
 		return
 	}
 	boot := t.ID + "/" + t.BootID
-	row := r.d.VMState.Quarantine.Report(r.attemptID()+"@"+boot, boot, r.identity, false, r.isolated())
+	row := r.d.VMState.Quarantine.Report(r.attemptID()+"@"+boot, boot, r.identity, false, r.onTrial != nil)
 	r.judge()
 	r.d.Log.Warn("target has crashed before it answered a request; the request's parts are suspect until answers clear them", "request_id", r.request.ID,
 		"target", t.ID, "boot", boot, "trial", row.Trial, "parts", row.Parts, "known", row.Known)
