--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -19,6 +19,7 @@
 	"kingcuprill/core/instance"
 	"kingcuprill/core/lease"
 	"kingcuprill/core/membership"
+	"kingcuprill/core/quarantine"
 	"kingcuprill/core/versioned"
 	"kingcuprill/core/vmstate"
 	"kingcuprill/io/boottime"
@@ -107,11 +108,13 @@
 	count    int // of entry VMs
 	targets  map[string]instance.Registration
 	remote   []RemoteTargets
+	crashes  map[string]quarantine.Crash
+	asked    int // how often all crashes were wanted
 }
 
 func startFollower(t *testing.T, controls ...*control) *follower {
 	t.Helper()
-	f := &follower{}
+	f := &follower{crashes: map[string]quarantine.Crash{}}
 	f.Client = &Client{
 		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: slog.New(slog.DiscardHandler),
 		Self: func() entry.VM { return entry.VM{ID: "e", Region: "near", Ready: true} },
@@ -130,6 +133,16 @@
 			defer f.mu.Unlock()
 			f.entries, f.count = vms, count
 		},
+		OnCrashes: func(_ string, rows []quarantine.Crash, lacksOthers bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, row := range rows {
+				f.crashes[row.ID] = row
+			}
+			if lacksOthers {
+				f.asked++
+			}
+		},
 	}
 	var seeds []string
 	for _, c := range controls {
@@ -256,6 +269,33 @@
 	}
 }
 
+// A crash that one VM reports to a control VM reaches the others with the polls that are
+// open, and so does what clears it; a VM that starts later gets it with its first poll.
+func TestCrashesReachAllVMs(t *testing.T) {
+	c := startControl(t, "c", "near")
+	early := startFollower(t, c)
+	eventually.Until(t, "the lease holds", early.Lease.Valid)
+	row := quarantine.Crash{ID: "1", Boot: "t/1", Service: "s", Parts: []string{"p"}}
+	knows := func(f *follower, cleared int) func() bool {
+		return func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.crashes) == 1 && len(f.crashes["1"].Cleared) == cleared && f.asked == 1
+		}
+	}
+	begun := time.Now()
+	c.vmState.Quarantine.Merge([]quarantine.Crash{row})
+	eventually.Until(t, "the crash is known", knows(early, 0))
+	if took := time.Since(begun); took > pollWait/2 {
+		t.Errorf("the crash came after %v, not with the open poll", took)
+	}
+	late := startFollower(t, c)
+	eventually.Until(t, "a later VM knows it", knows(late, 0))
+	row.Cleared = []string{"p"}
+	c.vmState.Quarantine.Merge([]quarantine.Crash{row})
+	eventually.Until(t, "both know that the part is cleared", func() bool { return knows(early, 1)() && knows(late, 1)() })
+}
+
 // After a control VM has lost power, connections from before carry nothing any more and
 // aren't reset either. With several of them in the pool, polls must not try one after
 // the other.
