--- a/core/place/limits_test.go
+++ b/core/place/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 // limitedRegion is a region of VMs that each place requests at the same targets, some of
 // which name a limit. Calls between VMs are at times lost.
 type limitedRegion struct {
+	mu      sync.Mutex // guards random, as answers come beside new requests
 	random  *rand.Rand
 	placers map[string]*Placer
 	rows    map[string]instance.Registration
@@ -39,6 +41,12 @@
 	return g
 }
 
+func (g *limitedRegion) intN(n int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.IntN(n)
+}
+
 func (g *limitedRegion) start(id string) {
 	p := NewPlacer(id, "r")
 	p.SetTargets(g.rows, func(string) string { return "r" })
@@ -60,7 +68,7 @@
 	now := time.Now()
 	return Request{
 		Service: "s", Sticky: true, Memory: 100000, Now: now, Deadline: now.Add(3 * time.Second), Bound: time.Second, Objective: time.Second,
-		Demand: Demand{Prompt: 200, Parts: []Part{{ID: fmt.Sprint("p", g.random.IntN(50)), Tokens: 100}, {ID: fmt.Sprint(g.random.Uint64()), Tokens: 100}}},
+		Demand: Demand{Prompt: 200, Parts: []Part{{ID: fmt.Sprint("p", g.intN(50)), Tokens: 100}, {ID: fmt.Sprint(g.intN(1<<60)), Tokens: 100}}},
 	}
 }
 
@@ -81,7 +89,7 @@
 		rate, named := g.limits[target]
 		n := targetlimit.Notice{Named: named, Rate: rate}
 		own.ObserveLimit(target, n, sent, time.Now())
-		if g.random.IntN(10) > 0 { // else the report is lost
+		if g.intN(10) > 0 { // else the report is lost
 			assigned.ObserveLimit(n, time.Now())
 		}
 		assigned.Done(Success, time.Now())
@@ -93,7 +101,7 @@
 	for _, c := range own.Candidates(r, 3) {
 		r.Preferred, r.Limits = c.Target, own.KnownLimits("s", c.VM, r.Now)
 		coordinator, runs := g.placers[c.VM]
-		if !runs || (coordinator != own && g.random.IntN(3) == 0) {
+		if !runs || (coordinator != own && g.intN(3) == 0) {
 			failed = true
 			continue
 		}
@@ -142,10 +150,10 @@
 				g := newLimitedRegion(seed, vms, 8, limits)
 				begun := time.Now()
 				for number := 0; time.Since(begun) < 40*time.Second; number++ {
-					g.send(fmt.Sprint("vm", g.random.IntN(vms)))
+					g.send(fmt.Sprint("vm", g.intN(vms)))
 					time.Sleep(10 * time.Millisecond)
 					if number%800 == 799 {
-						g.start(fmt.Sprint("vm", g.random.IntN(vms)))
+						g.start(fmt.Sprint("vm", g.intN(vms)))
 						g.tellVMs()
 					}
 				}
