--- a/core/place/limits_test.go
+++ b/core/place/limits_test.go
@@ -68,7 +68,7 @@
 	now := time.Now()
 	return Request{
 		Service: "s", Sticky: true, Memory: 100000, Now: now, Deadline: now.Add(3 * time.Second), Bound: time.Second, Objective: time.Second,
-		Demand: Demand{Prompt: 200, Parts: []Part{{ID: fmt.Sprint("p", g.intN(50)), Tokens: 100}, {ID: fmt.Sprint(g.intN(1<<60)), Tokens: 100}}},
+		Demand: Demand{Prompt: 200, Parts: []Part{{ID: fmt.Sprint("p", g.intN(50)), Tokens: 100}, {ID: fmt.Sprint(g.intN(1 << 60)), Tokens: 100}}},
 	}
 }
 
