--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -80,6 +80,9 @@
 	"configuration_not_confirmed": "the VM had no confirmation by a majority that its configuration is the newest",
 	"stopping":                    "the VM was stopping and the request could have outlasted it",
 	"tries_used_up":               "targets failed it, and it may not be sent to another one",
+	"quarantined":                 "a part of the request, or the whole of it, has crashed targets repeatedly; see 'kingcuprill quarantine list'",
+	"suspect_part":                "a target crashed that was about to answer a request with a part of this one, and another request was trying that part",
+	"trial_failed":                "the request ran once as a trial, since a target crashed at a part of it, and failed",
 	"deadline":                    "the route's timeout ended while a target was at work",
 }
 
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -14,6 +14,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -86,15 +88,41 @@
 	return s.judge(r, time.Now())
 }
 
-// Counts returns the number of suspect parts, and of refused causes.
-func (l *List) Counts() (suspects, refused int) {
-	now := time.Now()
-	for _, s := range *l.index.Load() {
-		suspects += len(s.suspects)
+// Entry is a suspect part, or a set of parts of which one has crashed targets
+// repeatedly.
+type Entry struct {
+	Service       string
+	Parts         []string
+	Organisations []string  // whose requests have crashed targets, where it is refused
+	Crashes       int       // where it is refused
+	Until         time.Time // end of the refusal, zero for suspect parts
+}
+
+// Entries returns what is suspect or refused, ordered by service and part.
+func (l *List) Entries() (entries []Entry) {
+	for service, s := range *l.index.Load() {
+		for part := range s.suspects {
+			entries = append(entries, Entry{Service: service, Parts: []string{part}})
+		}
 		for _, c := range s.causes {
-			if now.Before(c.until()) {
-				refused++
-			}
+			entries = append(entries, Entry{
+				Service: service, Parts: c.parts, Organisations: slices.Sorted(maps.Keys(c.organisations)), Crashes: c.crashes, Until: c.until(),
+			})
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), slices.Compare(a.Parts, b.Parts))
+	})
+	return entries
+}
+
+// Counts returns the number of suspect parts, and of refused sets of parts.
+func (l *List) Counts() (suspects, refused int) {
+	for _, e := range l.Entries() {
+		if e.Until.IsZero() {
+			suspects++
+		} else {
+			refused++
 		}
 	}
 	return suspects, refused
--- a/io/cli/dial/dial.go
+++ b/io/cli/dial/dial.go
@@ -24,6 +24,13 @@
 	return t.next.RoundTrip(request)
 }
 
+// Quarantines returns a client for the quarantine calls at an address of a VM. The token
+// may be empty.
+func Quarantines(address, token string) operator.Quarantines {
+	client := &http.Client{Timeout: callTimeout, Transport: tokenTransport{token: token, next: http.DefaultTransport}}
+	return operator.NewQuarantinesProtobufClient("http://"+address, client)
+}
+
 // Operator returns a client for the operator address (host:port) of a VM. Each call
 // has a timeout of 30 seconds.
 func Operator(address, token string) operator.Operator {
--- a/io/cli/factory/factory.go
+++ b/io/cli/factory/factory.go
@@ -45,11 +45,13 @@
 	JSONFields string // names of the fields to print, separated by commas; empty: print rows as text
 	// Dial returns a client for an operator address. Tests may replace it.
 	Dial func(address, token string) operator.Operator
+	// DialQuarantines is like Dial, for the quarantine calls.
+	DialQuarantines func(address, token string) operator.Quarantines
 }
 
 // New returns a factory with defaults from the environment variables.
 func New(streams Streams) *Factory {
-	return &Factory{Streams: streams, VMs: os.Getenv(VMsVariable), TokenFile: os.Getenv(TokenFileVariable), Dial: dial.Operator}
+	return &Factory{Streams: streams, VMs: os.Getenv(VMsVariable), TokenFile: os.Getenv(TokenFileVariable), Dial: dial.Operator, DialQuarantines: dial.Quarantines}
 }
 
 // Flags declares the flags of all commands that call a VM.
@@ -71,12 +73,31 @@
 	if err != nil {
 		return err
 	}
+	return f.callVMs(func(address string) error { return call(f.Dial(address, token)) })
+}
+
+// CallQuarantines is like Call, for the quarantine calls. The VMs of the platform take
+// them without a token, at the address of their metrics.
+func (f *Factory) CallQuarantines(call func(operator.Quarantines) error) error {
+	token := ""
+	if f.TokenFile != "" {
+		read, err := f.token()
+		if err != nil {
+			return err
+		}
+		token = read
+	}
+	return f.callVMs(func(address string) error { return call(f.DialQuarantines(address, token)) })
+}
+
+// callVMs runs call with the VMs' addresses in their order until one answers.
+func (f *Factory) callVMs(call func(address string) error) error {
 	if f.VMs == "" {
 		return fmt.Errorf("no VM address is set; set --vms or %s to the operator addresses of your VMs, such as 10.0.0.1:7003", VMsVariable)
 	}
 	var failures []string
 	for address := range strings.SplitSeq(f.VMs, ",") {
-		err = peer.FromTwirp(call(f.Dial(address, token)))
+		err := peer.FromTwirp(call(address))
 		if err == nil || !unreachable(err) {
 			return err
 		}
--- a/io/cli/root/groups.go
+++ b/io/cli/root/groups.go
@@ -12,6 +12,8 @@
 	organisationlist "kingcuprill/io/cli/organisation/list"
 	organisationremove "kingcuprill/io/cli/organisation/remove"
 	organisationset "kingcuprill/io/cli/organisation/set"
+	quarantinelift "kingcuprill/io/cli/quarantine/lift"
+	quarantinelist "kingcuprill/io/cli/quarantine/list"
 	replicaadd "kingcuprill/io/cli/replica/add"
 	replicalist "kingcuprill/io/cli/replica/list"
 	replicapromote "kingcuprill/io/cli/replica/promote"
@@ -40,6 +42,7 @@
 		{Name: "vm", Short: "VMs and the VM set", Commands: []*command.Command{vmconfirmstopped.New(f, nil), vmlist.New(f, nil), vmremove.New(f, nil)}},
 		{Name: "replica", Short: "Replicas of the control log", Commands: []*command.Command{replicaadd.New(f, nil), replicalist.New(f, nil), replicapromote.New(f, nil), replicaremove.New(f, nil)}},
 		{Name: "target", Short: "Targets", Commands: []*command.Command{targetlist.New(f, nil)}},
+		{Name: "quarantine", Short: "Requests that crash targets", Commands: []*command.Command{quarantinelift.New(f, nil), quarantinelist.New(f, nil)}},
 		{Name: "config", Short: "Whole configurations", Commands: []*command.Command{configapply.New(f, nil), configdiff.New(f, nil), configexport.New(f, nil)}},
 		{Name: "request", Short: "Requests of callers", Commands: []*command.Command{requestexplain.New(f, nil)}},
 		{Name: "status", Short: "State of the system", Commands: []*command.Command{statusshow.New(f, nil)}},
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -33,6 +33,7 @@
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/propose"
+	"kingcuprill/io/quarantine"
 	"kingcuprill/io/replica"
 	"kingcuprill/io/vm"
 	"kingcuprill/io/vmconfig"
@@ -235,7 +236,7 @@
 	server := &vm.Server{VMState: v.VMState, Replica: v.replica, Proposer: v.Proposer, FollowServer: v.Follow, DrawServer: v.drawer, Forwarder: &forward.Server{}}
 	listeners := map[string]http.Handler{
 		v.Config.PeerAddress: server.Handler(v.peers.Credentials), v.Config.ControlAddress: control, v.Config.DirectoryAddress: directory,
-		v.Config.MetricsAddress: v.Metrics.Text(),
+		v.Config.MetricsAddress: (&quarantine.Server{Crashes: v.VMState.Quarantine, Log: v.Log}).Handler(v.Metrics.Text()),
 	}
 	v.addGauges()
 	for address, handler := range listeners {
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -36,6 +36,7 @@
 	"kingcuprill/io/listener"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/peer"
+	quarantinecalls "kingcuprill/io/quarantine"
 	"kingcuprill/io/upstream"
 	"kingcuprill/io/vmconfig"
 )
@@ -304,7 +305,8 @@
 	}
 	if v.Config.MetricsAddress != "" {
 		v.addGauges()
-		if err := v.serve(v.Config.MetricsAddress, v.Metrics.Text()); err != nil {
+		operators := &quarantinecalls.Server{Crashes: v.quarantine, Log: v.Log}
+		if err := v.serve(v.Config.MetricsAddress, operators.Handler(v.Metrics.Text())); err != nil {
 			return err
 		}
 	}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -19,6 +19,7 @@
 	"kingcuprill/io/codec"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/propose"
+	"kingcuprill/io/quarantine"
 	"kingcuprill/io/report"
 	"kingcuprill/io/withdraw"
 	"kingcuprill/rpc/operator"
@@ -44,6 +45,7 @@
 func (s *Server) Handler(metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(operator.OperatorPathPrefix, operator.NewOperatorServer(s))
+	mux.Handle(operator.QuarantinesPathPrefix, operator.NewQuarantinesServer(&quarantine.Server{Crashes: s.VMState.Quarantine, Log: s.Log}))
 	mux.Handle("GET /metrics", metrics)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
