Log the software version of a target with its registration, and publish a change of it

The incident of joined streams: no log line names the version of a target, so that a wrong registration can't be told from a choice that ignores the version. A version that changes under the same start was kept, but not spread to the entry VMs.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -70,7 +70,7 @@
 		merged.Heard = report.Heard
 	}
 	changed = merged.State != old.State || merged.Address != old.Address || merged.Service != old.Service ||
-		merged.DataCentre != old.DataCentre || merged.Slots != old.Slots ||
+		merged.DataCentre != old.DataCentre || merged.Version != old.Version || merged.Slots != old.Slots ||
 		merged.ColdUntil.Sub(old.ColdUntil).Abs() > coldTolerance && merged.ColdUntil.After(merged.Heard)
 	return merged, changed, true
 }
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -191,7 +191,7 @@
 	v.registryMu.Unlock()
 	v.Metrics.Count("reports")
 	if changed {
-		v.Log.Info("registration of a target has changed", "target", merged.ID, "service", merged.Service, "state", merged.State.String(),
+		v.Log.Info("registration of a target has changed", "target", merged.ID, "service", merged.Service, "version", merged.Version, "state", merged.State.String(),
 			"address", merged.Address, "data_centre", merged.DataCentre, "born", merged.Born, "sequence", merged.Sequence, "cold_until", merged.ColdUntil)
 	}
 }
