--- /dev/null
+++ b/io/front/versions_test.go
@@ -0,0 +1,119 @@
+package front
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"kingcuprill/core/entry"
+	"kingcuprill/core/instance"
+	"kingcuprill/core/place"
+	"kingcuprill/core/plan"
+)
+
+var resumable = plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 3}
+
+// breakingStream sends the events 1 and 2 and breaks off. It goes on after them for a
+// request that asks for that.
+func breakingStream(conn net.Conn, request *http.Request) {
+	if request.Header.Get("Last-Event-Id") == "2" {
+		stream(true, 3)(conn, request)
+		return
+	}
+	stream(false, 1, 2)(conn, request)
+}
+
+// resumed returns the number of requests to a target that ask for the rest of a stream.
+func (s *target) resumed() (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, request := range s.seen {
+		if request.Header.Get("Last-Event-Id") != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// register replaces the targets of a fixture by one for each version.
+func (w *fixture) register(targets []*target, versions ...string) {
+	rows := map[string]instance.Registration{}
+	for i, s := range targets {
+		id := fmt.Sprintf("t%d", i)
+		rows[id] = instance.Registration{ID: id, Service: "s", Address: s.address, Version: versions[i], State: instance.Ready, Slots: 8, Heard: time.Now()}
+	}
+	w.server.Placer.SetTargets(rows, func(string) string { return "region" })
+}
+
+// abroad makes a fixture reachable as the only entry VM of another region.
+func (w *fixture) abroad(t *testing.T, region string) entry.VM {
+	t.Helper()
+	hop := httptest.NewServer(http.HandlerFunc(w.server.ServeForwarded))
+	t.Cleanup(hop.Close)
+	return entry.VM{ID: "vm-" + region, Region: region, PeerAddress: hop.Listener.Addr().String(), Ready: true}
+}
+
+// A stream that breaks off goes on at a target of the version that began it, or ends.
+func TestStreamsOfTwoVersionsAreNotJoined(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions []string
+		whole    bool
+	}{
+		"same version": {[]string{"v1", "v1"}, true}, "two versions": {[]string{"v1", "v2"}, false}, "one of each twice": {[]string{"v1", "v2", "v1", "v2"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var targets []*target
+			for range test.versions {
+				targets = append(targets, startTarget(t, breakingStream))
+			}
+			w := newFixture(t, resumable, targets...)
+			w.register(targets, test.versions...)
+			code, body, _ := w.ask(t, "k")
+			if whole := code == http.StatusOK && strings.Count(body, "id:") == 3; whole != test.whole {
+				t.Errorf("status %d, events %q", code, body)
+			}
+			first, second := "", ""
+			for i, s := range targets {
+				if s.resumed() > 0 {
+					second = test.versions[i]
+				} else if s.count() > 0 {
+					first = test.versions[i]
+				}
+			}
+			if second != "" && first != second {
+				t.Errorf("begun at version %s, went on at %s", first, second)
+			}
+		})
+	}
+}
+
+// The same over another region, on which the version of the first target isn't known.
+func TestForwardedStreamsOfTwoVersionsAreNotJoined(t *testing.T) {
+	for name, begunHere := range map[string]bool{"begun here": true, "begun abroad": false} {
+		t.Run(name, func(t *testing.T) {
+			begins, goesOn := startTarget(t, breakingStream), startTarget(t, breakingStream)
+			first, second := newFixture(t, resumable), newFixture(t, resumable)
+			first.register([]*target{begins}, "v1")
+			second.register([]*target{goesOn}, "v2")
+			here := newFixture(t, resumable)
+			if begunHere {
+				here.register([]*target{begins}, "v1")
+			}
+			vms := []entry.VM{first.abroad(t, "first"), second.abroad(t, "second")}
+			here.server.Entries.Store(&vms)
+			here.server.Placer.SetRemote([]place.Remote{
+				{Service: "s", DataCentre: "first", Region: "first", Targets: 1000}, {Service: "s", DataCentre: "second", Region: "second", Targets: 1},
+			})
+			if begunHere {
+				here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "second", Region: "second", Targets: 1}})
+			}
+			if code, body, _ := here.ask(t, "k"); code != 0 || goesOn.resumed() != 0 {
+				t.Errorf("status %d, events %q; the other version got the rest %d times", code, body, goesOn.resumed())
+			}
+		})
+	}
+}
