Continue a stream only at the version of the software that began it

Cause: the version comes with the registrations, and nothing that chooses a target read it; a take-up named nothing that a VM could look up.

One place decides now (io/front/version.go): the first event that reaches the caller fixes the version, and every further choice of a target, a region or a source of memory is restricted to it; the hop passes it both ways. The entry VM that sends the first event records the stream (hash of its id, service, version) at a control VM, which copies it to a second one, in batches; a take-up asks its own table, then all control VMs. Without a record a stream goes on only if all control VMs have listened for a minute and have heard of one version; otherwise it is refused, not run, at once. Records are bounded, searches too, and never guessed. The rest of a stream may begin within half of the time left, as the bound for new answers is over by then. Memory of shared parts is fetched within a version.

--- a/core/place/apart.go
+++ b/core/place/apart.go
@@ -3,7 +3,7 @@
 import "time"
 
 // pickApart selects the target with the fewest requests.
-func (p *Placer) pickApart(r Request, preferred, source *Target) (assignment *Assignment, predicted time.Duration, reason Reason) {
+func (p *Placer) pickApart(r Request, preferred *Target, source sources) (assignment *Assignment, predicted time.Duration, reason Reason) {
 	var best *Target
 	reason = NoTargets
 	for _, t := range p.byService[r.Service] {
--- a/core/place/assignment.go
+++ b/core/place/assignment.go
@@ -11,6 +11,7 @@
 
 	id        string // id of the target; kept as it may report another address later
 	address   string
+	version   string // of the target's software
 	placer    *Placer
 	service   string
 	demand    Demand
@@ -140,6 +141,11 @@
 	return a.id, a.address
 }
 
+// Version returns the version of the target's software.
+func (a *Assignment) Version() string {
+	return a.version
+}
+
 // Source returns the address of the target from which to fetch the KV memory of
 // the shared parts, empty for none.
 func (a *Assignment) Source() string {
--- a/core/place/elsewhere.go
+++ b/core/place/elsewhere.go
@@ -30,7 +30,7 @@
 	defer p.mu.Unlock()
 	own := 0
 	for _, t := range p.byService[r.Service] {
-		if p.mayPrefer(t, Request{Now: r.Now, Evacuated: r.Evacuated}) {
+		if p.mayPrefer(t, Request{Now: r.Now, Evacuated: r.Evacuated, SameVersion: r.SameVersion, Version: r.Version}) {
 			own++
 		}
 	}
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -19,36 +19,45 @@
 	return total
 }
 
-// source returns the target from which others can fetch the KV memory of a
-// request's shared parts: one that is known to have read them, or else the one
-// at which they are read first. It returns nil if there is none.
+// sources are the targets from which others can fetch the KV memory of a request's
+// shared parts, by version: what one version of the software has computed need not fit
+// another.
+type sources map[string]*Target
+
+// sources returns for each version a target that is known to have read the shared
+// parts, or else the one at which they are read first, if it has that version.
 //
 // When requests share long parts and the target that has read them is full,
 // fetching the memory takes a fraction of the time and cost of reading the parts
 // again.
-func (p *Placer) source(r Request, preferred *Target) (best *Target) {
+func (p *Placer) sources(r Request, preferred *Target) (found sources) {
 	if !r.Fetch || len(r.Demand.Parts) < 2 {
 		return nil
 	}
+	var best *Target
 	if home := p.targets[r.Home]; home != nil && home.Region == p.Region && home.usable(r.Now) {
 		best = home
 	}
 	if best == nil {
 		best = preferred
 	}
-	if best != nil && best.missingShared(r.Demand) == 0 {
-		return best
+	found = sources{}
+	complete := map[string]bool{}
+	if best != nil {
+		found[best.Version] = best
+		complete[best.Version] = best.missingShared(r.Demand) == 0
 	}
 	for _, t := range p.byService[r.Service] {
-		if t.usable(r.Now) && t.missingShared(r.Demand) == 0 {
-			return t
+		if !complete[t.Version] && t.usable(r.Now) && t.missingShared(r.Demand) == 0 {
+			found[t.Version], complete[t.Version] = t, true
 		}
 	}
-	return best
+	return found
 }
 
-// fetches reports whether a request fetches the KV memory of its shared parts from
-// source when it is sent to the target.
-func (t *Target) fetches(r Request, source *Target) bool {
+// fetches reports whether a request fetches the KV memory of its shared parts when it is
+// sent to the target.
+func (t *Target) fetches(r Request, all sources) bool {
+	source := all[t.Version]
 	return source != nil && source != t && t.missingShared(r.Demand) >= minFetch
 }
--- a/core/place/fetch_test.go
+++ b/core/place/fetch_test.go
@@ -62,15 +62,33 @@
 func TestSourceMustBeUsable(t *testing.T) {
 	p := placers(1, 3, nil)[0]
 	r := Request{Service: "llm", Sticky: true, Now: start, Fetch: true, Home: "t0", Demand: sharedDemand("part", "own")}
-	if got := p.source(r, nil); got == nil || got.ID != "t0" {
+	if got := p.sources(r, nil)[""]; got == nil || got.ID != "t0" {
 		t.Fatalf("source %v, want t0", got)
 	}
 	p.MarkDisplaced("t0", start)
-	if got := p.source(r, nil); got != nil {
+	if got := p.sources(r, nil)[""]; got != nil {
 		t.Errorf("source %v, though it was displaced", got.ID)
 	}
 	r.Home, r.Demand.Parts = "t1", r.Demand.Parts[1:]
-	if got := p.source(r, nil); got != nil {
+	if got := p.sources(r, nil)[""]; got != nil {
 		t.Errorf("source %v of a prompt that shares nothing", got.ID)
 	}
 }
+
+// The memory of shared parts is fetched from targets of the same version only.
+func TestPartsOfAnotherVersionAreNotFetched(t *testing.T) {
+	versions := map[string]string{"t0": "v1", "t1": "v2", "t2": "v2"}
+	p := placers(1, 3, func(r *instance.Registration) { r.Version = versions[r.ID] })[0]
+	r := Request{Service: "llm", Sticky: true, Now: start, Fetch: true, Home: "t0", Demand: sharedDemand("part", "own")}
+	for _, id := range []string{"t0", "t2"} {
+		p.targets[id].recordParts(r.Demand, 0, start)
+	}
+	all := p.sources(r, nil)
+	if p.targets["t1"].fetches(r, all) != true || all["v2"].ID != "t2" {
+		t.Errorf("t1 fetches from %v", all["v2"])
+	}
+	p.MarkDisplaced("t2", start)
+	if all := p.sources(r, nil); p.targets["t1"].fetches(r, all) {
+		t.Errorf("t1 fetches from %v, of another version", all["v2"])
+	}
+}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -141,7 +141,7 @@
 	if p.belongsElsewhere(r, preferred) {
 		return nil, 0, Elsewhere
 	}
-	source := p.source(r, preferred)
+	source := p.sources(r, preferred)
 	if r.Apart {
 		return p.pickApart(r, preferred, source)
 	}
@@ -169,7 +169,7 @@
 // fastest returns the target with the lowest cost among those that may take the
 // request, or the reason why there is none. saved is the
 // part of a target's limit that must be saved up for a request below the average size.
-func (p *Placer) fastest(r Request, preferred, source *Target, saved float64) (best *Target, predicted time.Duration, reason Reason) {
+func (p *Placer) fastest(r Request, preferred *Target, source sources, saved float64) (best *Target, predicted time.Duration, reason Reason) {
 	reason = NoTargets
 	lowest, limited := time.Duration(0), time.Duration(0)
 	for _, t := range p.byService[r.Service] {
@@ -205,7 +205,7 @@
 
 // eligible reports whether a target may take the request, whatever its load.
 func (p *Placer) eligible(t *Target, r Request, preferred *Target) bool {
-	if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) {
+	if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) || !r.accepts(t.Version) {
 		return false
 	}
 	return !r.Coordinated || t.coordinator == p.Self || t == preferred
@@ -241,12 +241,12 @@
 	if !t.usable(r.Now) || t.State == instance.Silent || r.Evacuated[t.DataCentre] || r.Now.Before(t.ColdUntil) {
 		return false
 	}
-	return !slices.Contains(r.Excluded, t.ID)
+	return r.accepts(t.Version) && !slices.Contains(r.Excluded, t.ID)
 }
 
 // cost returns the predicted time until the target begins to answer, and that
 // time plus the penalties that apply.
-func (p *Placer) cost(t *Target, r Request, preferred bool, source *Target) (cost, predicted time.Duration) {
+func (p *Placer) cost(t *Target, r Request, preferred bool, source sources) (cost, predicted time.Duration) {
 	predicted = t.predict(t.work(r, t.holdsShared(r, preferred, source)), p.model(r.Service), r.Now)
 	cost = predicted + p.errorPenalty(t, r)
 	if !preferred {
@@ -271,7 +271,7 @@
 // although this VM doesn't know that it has read them: it fetches them, or it is the
 // preferred one, to which all VMs of the region send them. The coordinator of a target
 // has seen all requests there and assumes nothing.
-func (t *Target) holdsShared(r Request, preferred bool, source *Target) bool {
+func (t *Target) holdsShared(r Request, preferred bool, source sources) bool {
 	return (preferred && !r.Coordinated) || t.fetches(r, source)
 }
 
@@ -292,16 +292,16 @@
 	return work
 }
 
-func (p *Placer) admit(t *Target, r Request, preferred bool, source *Target) *Assignment {
+func (p *Placer) admit(t *Target, r Request, preferred bool, source sources) *Assignment {
 	fetches := t.fetches(r, source)
 	work := t.work(r, t.holdsShared(r, preferred, source))
 	a := &Assignment{
-		Target: t, id: t.ID, address: t.Address, placer: p, service: r.Service, demand: r.Demand, work: work, workAhead: t.pending + work, begun: r.Now,
+		Target: t, id: t.ID, address: t.Address, version: t.Version, placer: p, service: r.Service, demand: r.Demand, work: work, workAhead: t.pending + work, begun: r.Now,
 		predicted: t.predict(work, p.model(r.Service), r.Now),
 		deadline:  r.Deadline,
 	}
 	if fetches {
-		a.source = source.Address
+		a.source = source[t.Version].Address
 	}
 	if r.EventTokens > 0 {
 		a.expected = r.Demand.Expected/r.EventTokens + 1
--- a/core/place/remote.go
+++ b/core/place/remote.go
@@ -8,12 +8,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Remote is the number of usable targets of a service in a data centre of another
-// region.
+// Remote is the number of usable targets of one version of a service in a data
+// centre of another region.
 type Remote struct {
 	Service    string
 	DataCentre string
 	Region     string
+	Version    string // of their software
 	Targets    int
 }
 
@@ -50,7 +51,7 @@
 func (p *Placer) remoteTargets(r Request) (targets map[string]int) {
 	targets = map[string]int{}
 	for _, remote := range p.remote {
-		if remote.Service == r.Service && remote.Targets > 0 && !r.Evacuated[remote.DataCentre] {
+		if remote.Service == r.Service && remote.Targets > 0 && r.accepts(remote.Version) && !r.Evacuated[remote.DataCentre] {
 			targets[remote.Region] += remote.Targets
 		}
 	}
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -44,10 +44,19 @@
 	// Apart says that the request may crash its target, so that it should run where it
 	// harms the fewest others.
 	Apart bool
+	// SameVersion says that the software of the target must have Version, since an
+	// earlier one of that version has begun the answer.
+	SameVersion bool
+	Version     string
 	// Retry says that the request was sent to a target before.
 	Retry bool
 }
 
+// accepts reports whether the software of the request's target may have a version.
+func (r Request) accepts(version string) bool {
+	return !r.SameVersion || version == r.Version
+}
+
 // affinity returns the rendezvous key of a request: its last shared part. For a
 // request that needn't go to the same target as others it is the time, which
 // spreads such requests over the targets.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -10,6 +10,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -62,6 +63,11 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service })
+}
+
 // Service describes the targets of one service.
 type Service struct {
 	Name          string
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -24,6 +24,7 @@
 	"kingcuprill/core/instance"
 	"kingcuprill/core/membership"
 	"kingcuprill/core/raft"
+	corestream "kingcuprill/core/streamversion"
 	"kingcuprill/core/vmstate"
 	"kingcuprill/io/disk"
 	"kingcuprill/io/draw"
@@ -35,6 +36,7 @@
 	"kingcuprill/io/propose"
 	"kingcuprill/io/quarantine"
 	"kingcuprill/io/replica"
+	"kingcuprill/io/streamversion"
 	"kingcuprill/io/vm"
 	"kingcuprill/io/vmconfig"
 	"kingcuprill/rpc/operator"
@@ -81,6 +83,7 @@
 	registryMu sync.Mutex // serialises writes to the registry
 	registry   *instance.Registry
 	drawer     *draw.Server
+	streams    *streamversion.Server
 	membersMu  sync.Mutex // serialises writes to the members
 	servers    []*listener.Server
 }
@@ -112,6 +115,7 @@
 	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.Follow = follow.NewServer(v.VMState, epoch, v.registry.Table, v.Proposer.Confirm, v.controlAddresses, log)
+	v.streams = streamversion.NewServer(c.PeerAddress, v.controlAddresses, v.peers, log)
 	v.drawer = draw.NewServer(v.replica, v.Proposer, v.peers, v.Follow.SinceConfirmed, log)
 	return v, nil
 }
@@ -189,6 +193,9 @@
 	v.registryMu.Lock()
 	merged, changed := v.registry.Report(report)
 	v.registryMu.Unlock()
+	if merged.Service != "" {
+		v.streams.Heard.Note(corestream.Version{Service: merged.Service, Version: merged.Version}, time.Now())
+	}
 	v.Metrics.Count("reports")
 	if changed {
 		v.Log.Info("registration of a target has changed", "target", merged.ID, "service", merged.Service, "version", merged.Version, "state", merged.State.String(),
@@ -233,7 +240,7 @@
 // serve the control and the directory address.
 func (v *VM) Run(ctx context.Context, control, directory http.Handler) (err error) {
 	defer fault.Annotate(&err, "control VM %s", v.Config.ID)
-	server := &vm.Server{VMState: v.VMState, Replica: v.replica, Proposer: v.Proposer, FollowServer: v.Follow, DrawServer: v.drawer, Forwarder: &forward.Server{}}
+	server := &vm.Server{VMState: v.VMState, Replica: v.replica, Proposer: v.Proposer, FollowServer: v.Follow, DrawServer: v.drawer, StreamVersions: v.streams, Forwarder: &forward.Server{}}
 	listeners := map[string]http.Handler{
 		v.Config.PeerAddress: server.Handler(v.peers.Credentials), v.Config.ControlAddress: control, v.Config.DirectoryAddress: directory,
 		v.Config.MetricsAddress: (&quarantine.Server{Crashes: v.VMState.Quarantine, Log: v.Log}).Handler(v.Metrics.Text()),
@@ -270,6 +277,7 @@
 	v.Metrics.Gauge("term", func() int64 { return int64(v.replica.Status().Term) })
 	v.Metrics.Gauge("commit", func() int64 { return int64(v.replica.Status().Commit) })
 	v.Metrics.Gauge("log_bytes", func() int64 { return v.replica.Status().LogBytes })
+	v.Metrics.Gauge("stream_versions", v.streams.Streams)
 	v.Metrics.Gauge("confirmed_ms_ago", func() int64 { return v.Follow.SinceConfirmed().Milliseconds() })
 }
 
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -100,7 +100,7 @@
 	}
 	c.full.Succeeded(coordinated)
 	return &Reservation{
-		client: c, coordinator: address, id: answer.GetReservation(), target: answer.GetTarget(), address: answer.GetAddress(), source: answer.GetSource(),
+		client: c, coordinator: address, id: answer.GetReservation(), target: answer.GetTarget(), address: answer.GetAddress(), source: answer.GetSource(), version: answer.GetVersion(),
 	}, predicted, "", nil
 }
 
--- a/io/coordinator/codec.go
+++ b/io/coordinator/codec.go
@@ -15,6 +15,7 @@
 		Now: now, Deadline: now.Add(time.Duration(m.GetLeftNanoseconds())),
 	}
 	r.Demand = place.Demand{Prompt: int(m.GetPromptTokens()), Output: int(m.GetOutputTokens()), Expected: int(m.GetExpectedTokens())}
+	r.SameVersion, r.Version = m.Version != nil, m.GetVersion()
 	r.Limits = toLimits(m.GetLimits())
 	for _, p := range m.GetParts() {
 		r.Demand.Parts = append(r.Demand.Parts, place.Part{ID: p.GetId(), Tokens: int(p.GetTokens())})
@@ -29,6 +30,9 @@
 		LeftNanoseconds: int64(r.Deadline.Sub(r.Now)), Fetch: r.Fetch, Home: r.Home, Retry: r.Retry, Apart: r.Apart, MayForward: r.MayForward, AwayNanoseconds: int64(r.AwayTime),
 		PromptTokens: int64(r.Demand.Prompt), OutputTokens: int64(r.Demand.Output), ExpectedTokens: int64(r.Demand.Expected),
 	}
+	if r.SameVersion {
+		m.Version = &r.Version
+	}
 	m.Limits = fromLimits(r.Limits)
 	for _, p := range r.Demand.Parts {
 		m.Parts = append(m.Parts, &entry.Part{Id: p.ID, Tokens: int64(p.Tokens)})
--- a/io/coordinator/reservation.go
+++ b/io/coordinator/reservation.go
@@ -17,6 +17,7 @@
 	target      string
 	address     string
 	source      string
+	version     string
 
 	begun    bool
 	events   int       // so far
@@ -37,6 +38,11 @@
 	return r.target, r.address
 }
 
+// Version returns the version of the target's software.
+func (r *Reservation) Version() string {
+	return r.version
+}
+
 // Source returns the address of the target from which the memory of the shared
 // prompt parts is to be fetched, or an empty string if nothing is fetched.
 func (r *Reservation) Source() string {
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -74,7 +74,7 @@
 	}
 	id, address := assignment.Where()
 	return &entry.ReserveResponse{
-		Reservation: s.addReservation(assignment, wanted.Deadline), Target: id, Address: address, Source: assignment.Source(),
+		Reservation: s.addReservation(assignment, wanted.Deadline), Target: id, Address: address, Source: assignment.Source(), Version: assignment.Version(),
 		PredictedNanoseconds: int64(predicted), Limits: limits,
 	}, nil
 }
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -37,6 +37,7 @@
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/peer"
 	quarantinecalls "kingcuprill/io/quarantine"
+	"kingcuprill/io/streamversion"
 	"kingcuprill/io/upstream"
 	"kingcuprill/io/vmconfig"
 )
@@ -127,6 +128,7 @@
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		Metrics: v.Metrics, Log: o.Log,
 	}
+	v.front.Streams = streamversion.NewClient(peers, v.client.Controls, v.client.Polled, v.vmCount.Load, o.Log)
 	v.front.Coordinators.OnLimits = func(limits []place.TargetLimit) { v.placer.LearnLimits(limits, time.Now()) }
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
 	return v
@@ -176,18 +178,18 @@
 func (v *VM) applyTargets(rows map[string]instance.Registration, remote []follow.RemoteTargets) {
 	v.placer.SetTargets(rows, func(dataCentre string) string { return v.Config.Regions[dataCentre] })
 	var others []place.Remote
-	add := func(service, dataCentre string, count int) {
+	add := func(service, dataCentre, version string, count int) {
 		if region := v.Config.Regions[dataCentre]; region != v.Config.Region && region != "" {
-			others = append(others, place.Remote{Service: service, DataCentre: dataCentre, Region: region, Targets: count})
+			others = append(others, place.Remote{Service: service, DataCentre: dataCentre, Region: region, Version: version, Targets: count})
 		}
 	}
 	for _, r := range remote {
-		add(r.Service, r.DataCentre, r.Targets)
+		add(r.Service, r.DataCentre, r.Version, r.Targets)
 	}
 	// A control VM of an earlier release sends the rows of all regions.
 	for _, row := range rows {
 		if row.State == instance.Ready {
-			add(row.Service, row.DataCentre, 1)
+			add(row.Service, row.DataCentre, row.Version, 1)
 		}
 	}
 	v.placer.SetRemote(others)
@@ -227,6 +229,7 @@
 func (v *VM) applyCrashes(control string, rows []quarantine.Crash, lacksOthers bool) {
 	v.quarantine.Merge(rows)
 	if lacksOthers {
+		v.front.Streams.SendAll(control)
 		v.crashes.SendTo(control, v.quarantine.Rows())
 	}
 }
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -253,7 +253,7 @@
 	}
 	check("the near control VM's entry VMs are known, and the number of all", func() bool { return len(f.entries) == 51 && f.count == 52 })
 	check("the targets of the region and the ended one are known", func() bool { return len(f.targets) == 2 })
-	check("the others are counted", func() bool { return len(f.remote) == 1 && f.remote[0] == RemoteTargets{"s", "abroad", 40} })
+	check("the others are counted", func() bool { return len(f.remote) == 1 && f.remote[0] == RemoteTargets{"s", "abroad", "", 40} })
 	put("own", "near", instance.Draining)
 	check("a change of an own target comes at once", func() bool { return f.targets["own"].State == instance.Draining })
 	near.web.CloseClientConnections()
--- a/io/follow/scope.go
+++ b/io/follow/scope.go
@@ -7,10 +7,11 @@
 	"kingcuprill/rpc/vm"
 )
 
-// RemoteTargets is the number of usable targets of a service in a data centre.
+// RemoteTargets is the number of usable targets of one version of a service in a data centre.
 type RemoteTargets struct {
 	Service    string
 	DataCentre string
+	Version    string // of their software
 	Targets    int
 }
 
@@ -27,7 +28,7 @@
 func newReport(answer *vm.FollowResponse, now time.Time) report {
 	r := report{at: now, entries: int(answer.GetEntryCount())}
 	for _, count := range answer.GetCounts() {
-		r.remote = append(r.remote, RemoteTargets{Service: count.GetService(), DataCentre: count.GetDataCentre(), Targets: int(count.GetCount())})
+		r.remote = append(r.remote, RemoteTargets{Service: count.GetService(), DataCentre: count.GetDataCentre(), Version: count.GetVersion(), Targets: int(count.GetCount())})
 	}
 	return r
 }
--- a/io/follow/targets.go
+++ b/io/follow/targets.go
@@ -74,16 +74,16 @@
 // counts returns how many targets of each service and data centre outside a region
 // can take requests.
 func (s *Server) counts(except string, now time.Time) (counts []*vm.TargetCount) {
-	type key struct{ service, dataCentre string }
+	type key struct{ service, dataCentre, version string }
 	byKey := map[key]*vm.TargetCount{}
 	rows, _ := s.Targets.Since(0)
 	for _, row := range rows {
 		if s.region(row) == except || row.State != instance.Ready || now.Before(row.ColdUntil) {
 			continue
 		}
-		k := key{row.Service, row.DataCentre}
+		k := key{row.Service, row.DataCentre, row.Version}
 		if byKey[k] == nil {
-			byKey[k] = &vm.TargetCount{Service: row.Service, DataCentre: row.DataCentre}
+			byKey[k] = &vm.TargetCount{Service: row.Service, DataCentre: row.DataCentre, Version: row.Version}
 			counts = append(counts, byKey[k])
 		}
 		byKey[k].Count++
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -76,6 +76,7 @@
 	}
 	// Only entry VMs may state that no target has run the request.
 	header.Del(hopNotRun)
+	x.setOrigin(header)
 	if _, dated := header["Date"]; !dated {
 		// A nil value keeps net/http from adding a Date header: answers carry only
 		// the target's headers.
@@ -146,6 +147,7 @@
 
 func (x *exchange) send(controller *http.ResponseController, response *upstream.Response, event eventstream.Event) error {
 	if !x.begun {
+		x.begin()
 		x.copyHeader(response)
 		x.writer.WriteHeader(response.StatusCode)
 		x.begun = true
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -10,6 +10,7 @@
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quarantine"
+	"kingcuprill/core/streamversion"
 	"kingcuprill/io/upstream"
 )
 
@@ -56,6 +57,9 @@
 	stay     bool          // the home region of the shared part has refused the request
 	failure  *failedAnswer // of a target, sent if no later try succeeds
 
+	origin    streamOrigin
+	answering *streamversion.Version // of the target that answers the current try, nil if it isn't known
+
 	crashIdentity quarantine.Request // see identity
 	trial         bool               // it runs apart from other requests with its suspect parts
 	progress      answerProgress     // of the answer of this VM's last try
@@ -151,7 +155,7 @@
 	if x.runs > 0 && (!x.route.MayRepeat() || x.runs >= x.attempts()) {
 		return false
 	}
-	if result == broken && !x.hasLast {
+	if result == broken && !x.mayContinue() {
 		return false
 	}
 	verdict := x.judge()
@@ -190,8 +194,8 @@
 		eventTokens = service.EventTokens
 	}
 	return place.Request{
-		EventTokens: eventTokens,
-		Service:     x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
+		EventTokens: eventTokens, SameVersion: x.origin.known, Version: x.origin.Version.Version,
+		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
 		Retry: x.tries > 0, Apart: x.trial, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
 		PreferredBound: x.preferredBound(now), Bound: x.bound(now), Objective: x.route.Objective, Deadline: x.deadline, Now: now,
 	}
@@ -215,7 +219,7 @@
 	}
 	// Targets don't get the caller's key, and callers can't set the headers that
 	// this system sets for targets.
-	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, h.Rank, hopFrom, hopRuns, hopTrial} {
+	for _, name := range []string{keyHeader, h.Organisation, h.Target, h.FetchFrom, h.Rank, hopFrom, hopRuns, hopTrial, hopVersion, hopService} {
 		header.Del(name)
 	}
 	if x.route.Kind == plan.Stream {
@@ -307,6 +311,7 @@
 func (x *exchange) try(ctx context.Context, reserved reservation) outcome {
 	s := x.server
 	target, address := reserved.Where()
+	x.answering = &streamversion.Version{Service: x.service, Version: reserved.Version()}
 	x.tries++
 	x.target = target
 	x.excluded = append(x.excluded, target)
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -32,6 +32,7 @@
 	Model        string   // model that the request is for
 	Parts        string   // parts of the prompt as id:tokens, separated by commas
 	LastEvent    string   // id of the last event that the caller has received
+	Resumes      string   // id of the request that began the stream which the caller takes up
 	FetchFrom    string   // address of a target that has read the shared parts of the prompt
 	OutputHint   string   // expected output tokens
 	Rank         string   // priority of the request at an engine, 0 is the most urgent
@@ -47,6 +48,10 @@
 	hopRuns   = "Kc-Hop-Runs" // number of the route's attempts that the receiver may use
 	hopNotRun = "Kc-Hop-Not-Run"
 	hopTrial  = "Kc-Hop-Trial" // the receiver runs the request as a trial
+	// hopVersion and hopService are the version of the targets that have begun the answer,
+	// and their service. Answers carry the version, too.
+	hopVersion = "Kc-Hop-Version"
+	hopService = "Kc-Hop-Service"
 )
 
 var hopByHop = map[string]bool{
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -98,6 +98,7 @@
 	if x.trial {
 		header.Set(hopTrial, "1")
 	}
+	x.addOrigin(header)
 	if key := x.header.Get(keyHeader); key != "" {
 		header.Set(keyHeader, key)
 	}
@@ -125,5 +126,6 @@
 	if response.StatusCode >= http.StatusInternalServerError && x.couldRepeat() {
 		return x.keepFailure(response)
 	}
+	x.answering = x.answeringVersion(response)
 	return x.deliver(response, nil, timer)
 }
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -17,6 +17,8 @@
 type reservation interface {
 	// Where returns the target's id and address.
 	Where() (id, address string)
+	// Version returns the version of the target's software.
+	Version() string
 	// Source returns the address of the target from which the shared parts of the
 	// prompt are to be fetched, or "".
 	Source() string
@@ -126,6 +128,11 @@
 	if reserved != nil {
 		a.chosen = reserved
 	}
+	if reserved != nil && r.SameVersion && reserved.Version() != r.Version {
+		// A coordinator of an earlier release ignores the version.
+		reserved.Done(place.Inconclusive, time.Now())
+		return answer{}, errNoCoordinator
+	}
 	return a, err
 }
 
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -25,6 +25,7 @@
 	"kingcuprill/io/coordinator"
 	"kingcuprill/io/draw"
 	"kingcuprill/io/metrics"
+	"kingcuprill/io/streamversion"
 	"kingcuprill/io/upstream"
 )
 
@@ -47,6 +48,9 @@
 	// this is the only VM.
 	Coordinators *coordinator.Client
 	Quota        *quota.Limiter
+	// Streams remembers at which versions of targets streams have begun; nil if streams
+	// can't be taken up again.
+	Streams *streamversion.Client
 	// Quarantine holds what is known of requests that crash targets.
 	Quarantine *quarantine.List
 	Drawer     *draw.Client     // draws tokens of rate limits from the control VMs
@@ -133,6 +137,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	if refused := x.takeUp(ctx); refused != nil {
+		x.refuse(refused)
+		return
+	}
 	x.dispatch(ctx)
 }
 
--- a/io/front/timing.go
+++ b/io/front/timing.go
@@ -13,6 +13,9 @@
 	// preferredShare is the share of the objective up to which a request goes to
 	// the target that has read the shared parts of its prompt.
 	preferredShare = 0.45
+	// continuedDivisor gives the part of the time left within which the rest of a stream
+	// must be predicted to begin.
+	continuedDivisor = 2
 	// deadlineMargin keeps the timeout of a try from ending just before the
 	// request's own deadline.
 	deadlineMargin = time.Second
@@ -29,6 +32,11 @@
 // is refused unless it can be answered in time, so that a backlog doesn't make all
 // answers late. Package place extends it for requests that return after a refusal.
 func (x *exchange) bound(now time.Time) time.Duration {
+	if x.origin.known {
+		// The rest of a stream can't be answered in time any more, but is of no use to the
+		// caller without it.
+		return max(1, x.deadline.Sub(now)/continuedDivisor)
+	}
 	left := time.Duration(boundShare*float64(x.route.Objective)) - now.Sub(x.arrived)
 	if x.from != "" {
 		left -= interRegionLatency
--- /dev/null
+++ b/io/front/version.go
@@ -0,0 +1,110 @@
+package front
+
+import (
+	"context"
+	"net/http"
+
+	"kingcuprill/core/plan"
+	"kingcuprill/core/streamversion"
+	"kingcuprill/io/upstream"
+)
+
+// streamOrigin is the version of the targets at which the answer to a request has begun.
+// All of its events must come from that version.
+type streamOrigin struct {
+	streamversion.Version
+	known bool
+	id    string // of the request that began the stream, which callers name when they take it up
+}
+
+// takeUp finds the version of a stream that the caller takes up again. The request is
+// refused if it isn't known: another version may write something else.
+func (x *exchange) takeUp(ctx context.Context) *refusal {
+	x.origin.id = x.id
+	if x.route.Kind != plan.Stream {
+		return nil
+	}
+	if x.from != "" {
+		return x.takeUpForwarded()
+	}
+	if x.header.Get(x.server.Headers.LastEvent) == "" {
+		return nil
+	}
+	x.origin.id = x.header.Get(x.server.Headers.Resumes)
+	unknown := &refusal{status: http.StatusServiceUnavailable, reason: "stream_version_unknown", notRun: true}
+	if x.server.Streams == nil {
+		return unknown
+	}
+	version, found := x.server.Streams.Find(ctx, x.origin.id, x.service)
+	if !found || !x.route.LeadsTo(version.Service) {
+		x.server.Log.Warn("stream can't be taken up, as the version that began it is not known", "request", x.id, "begun_by", x.origin.id, "service", x.service, "begun_at", version.Service)
+		return unknown
+	}
+	x.origin.Version, x.origin.known = version, true
+	x.service = version.Service
+	x.server.Log.Info("caller takes up a stream", "request", x.id, "begun_by", x.origin.id, "service", version.Service, "version", version.Version)
+	return nil
+}
+
+// takeUpForwarded takes the version of a stream from the entry VM that forwards the
+// request.
+func (x *exchange) takeUpForwarded() *refusal {
+	versions, known := x.header[hopVersion]
+	if !known && x.header.Get(x.server.Headers.LastEvent) != "" {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "stream_version_unknown", notRun: true}
+	}
+	if !known {
+		return nil
+	}
+	service := x.header.Get(hopService)
+	if !x.route.LeadsTo(service) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "stream_service_unknown", notRun: true}
+	}
+	x.origin.Version, x.origin.known = streamversion.Version{Service: service, Version: versions[0]}, true
+	x.service = service
+	return nil
+}
+
+// begin notes that an event of an answer is about to reach the caller. A stream that
+// may be taken up again is recorded.
+func (x *exchange) begin() {
+	if x.origin.known || x.answering == nil {
+		return
+	}
+	x.origin.Version, x.origin.known = *x.answering, true
+	if x.from == "" && x.route.Resumable && x.origin.id != "" && x.server.Streams != nil {
+		x.server.Streams.Record(x.origin.id, x.origin.Version)
+	}
+}
+
+// mayContinue reports whether a begun answer can go on at another target.
+func (x *exchange) mayContinue() bool {
+	return x.hasLast && x.origin.known
+}
+
+// addOrigin adds the version of a begun stream to a request that is forwarded.
+func (x *exchange) addOrigin(header http.Header) {
+	if x.origin.known {
+		header[hopVersion] = []string{x.origin.Version.Version}
+		header[hopService] = []string{x.service}
+	}
+}
+
+// answeringVersion returns the version of the target that answers at another entry VM,
+// nil if that VM doesn't say.
+func (x *exchange) answeringVersion(response *upstream.Response) *streamversion.Version {
+	versions, known := response.Header[hopVersion]
+	if !known {
+		return nil
+	}
+	return &streamversion.Version{Service: x.service, Version: versions[0]}
+}
+
+// setOrigin tells an entry VM that has forwarded the request the version of the answer.
+// Callers don't get it.
+func (x *exchange) setOrigin(header http.Header) {
+	header.Del(hopVersion)
+	if x.from != "" && x.origin.known {
+		header[hopVersion] = []string{x.origin.Version.Version}
+	}
+}
--- a/io/front/versions_test.go
+++ b/io/front/versions_test.go
@@ -117,3 +117,15 @@
 		})
 	}
 }
+
+// A caller takes up a stream of which no VM knows the version: nothing runs, and the
+// answer says so.
+func TestStreamsOfUnknownVersionAreNotTakenUp(t *testing.T) {
+	s := startTarget(t, breakingStream)
+	w := newFixture(t, resumable, s)
+	for _, header := range [][]string{{"Last-Event-Id", "2"}, {"Last-Event-Id", "2", "Resumes", "6"}, {"Last-Event-Id", "2", hopVersion, "", hopService, "s"}} {
+		if code, body, _ := w.ask(t, "k", header...); code != http.StatusServiceUnavailable || s.count() != 0 {
+			t.Errorf("%v: status %d, body %q, %d requests reached a target", header, code, body, s.count())
+		}
+	}
+}
--- a/io/vm/server.go
+++ b/io/vm/server.go
@@ -22,6 +22,7 @@
 	"kingcuprill/io/propose"
 	"kingcuprill/io/replica"
 	"kingcuprill/io/report"
+	"kingcuprill/io/streamversion"
 	"kingcuprill/io/withdraw"
 	"kingcuprill/rpc/operator"
 	"kingcuprill/rpc/vm"
@@ -44,6 +45,8 @@
 	Answers      *book.Answers
 	FollowServer *follow.Server // nil on a VM that entry VMs don't follow
 	DrawServer   *draw.Server   // nil on a VM that entry VMs don't follow
+	// StreamVersions is nil on a VM that entry VMs don't follow.
+	StreamVersions *streamversion.Server
 }
 
 // Handler returns the handler of the peer listener. It rejects requests without a
@@ -181,3 +184,20 @@
 	}
 	return answer, nil
 }
+
+// RecordStreams remembers at which versions of targets streams have begun.
+func (s *Server) RecordStreams(_ context.Context, request *vm.RecordStreamsRequest) (*vm.RecordStreamsResponse, error) {
+	if s.StreamVersions == nil {
+		return nil, peer.ToTwirp(fault.New(fault.NotFound, "VM %s keeps no versions of streams", s.VMState.Self))
+	}
+	s.StreamVersions.Record(request)
+	return &vm.RecordStreamsResponse{}, nil
+}
+
+// FindStream returns what is known of the version at which a stream has begun.
+func (s *Server) FindStream(_ context.Context, request *vm.FindStreamRequest) (*vm.FindStreamResponse, error) {
+	if s.StreamVersions == nil {
+		return nil, peer.ToTwirp(fault.New(fault.NotFound, "VM %s keeps no versions of streams", s.VMState.Self))
+	}
+	return s.StreamVersions.Find(request), nil
+}
