Let begun streams go on whose parts are suspect

A stream has passed the begin of its answer, which a harmful part doesn't, so nothing is learnt by holding it back. Requests whose parts are refused stay refused.

TestSuspicionDoesNotEndBegunStreams failed before (broken off after 2 events).

--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -51,12 +51,17 @@
 	return x.crashIdentity
 }
 
-// judge returns whether the request may run now.
+// judge returns whether the request may run now. The rest of a stream isn't suspect: a
+// target has gone beyond the begin of its answer without a crash.
 func (x *exchange) judge() quarantine.Verdict {
 	if x.server.Quarantine.Empty() {
 		return quarantine.Verdict{}
 	}
-	return x.server.Quarantine.Judge(x.identity())
+	verdict := x.server.Quarantine.Judge(x.identity())
+	if x.origin.known && !x.trial {
+		verdict.Suspect = false
+	}
+	return verdict
 }
 
 // quarantined ends a request that must not run like others, and reports whether it
@@ -155,7 +160,7 @@
 // sendWatched sends the request to a target and waits for the head of the answer. It
 // takes the request back if it turns out to crash targets, before it crashes this one.
 func (x *exchange) sendWatched(ctx context.Context, target, address string, header http.Header) (*upstream.Response, error) {
-	if x.trial {
+	if x.trial || x.origin.known {
 		return x.server.Targets.Do(ctx, target, address, x.request(header))
 	}
 	var headCame atomic.Bool
--- a/io/front/versions_test.go
+++ b/io/front/versions_test.go
@@ -13,6 +13,7 @@
 	"kingcuprill/core/instance"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
+	"kingcuprill/core/quarantine"
 )
 
 var resumable = plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 3}
@@ -118,6 +119,23 @@
 	}
 }
 
+// A stream breaks off while another target crashes at one of its parts. It goes on, as its
+// own target has begun the answer without a crash.
+func TestSuspicionDoesNotEndBegunStreams(t *testing.T) {
+	var w *fixture
+	breaks := func(conn net.Conn, request *http.Request) {
+		if request.Header.Get("Last-Event-Id") == "" {
+			w.server.Quarantine.Report("1", "other/1", quarantine.Request{Service: "s", Parts: []string{"p"}, Fingerprint: "f"}, true, false)
+		}
+		breakingStream(conn, request)
+	}
+	targets := []*target{startTarget(t, breaks), startTarget(t, breaks)}
+	w = newFixture(t, resumable, targets...)
+	if code, body, _ := w.ask(t, "k", "Parts", "p:10,own:10", "Tokens", "20,5"); code != http.StatusOK || strings.Count(body, "id:") != 3 {
+		t.Errorf("status %d, events %q", code, body)
+	}
+}
+
 // A caller takes up a stream of which no VM knows the version: nothing runs, and the
 // answer says so.
 func TestStreamsOfUnknownVersionAreNotTakenUp(t *testing.T) {
