--- a/io/front/versions_test.go
+++ b/io/front/versions_test.go
@@ -124,10 +124,14 @@
 func TestSuspicionDoesNotEndBegunStreams(t *testing.T) {
 	var w *fixture
 	breaks := func(conn net.Conn, request *http.Request) {
-		if request.Header.Get("Last-Event-Id") == "" {
-			w.server.Quarantine.Report("1", "other/1", quarantine.Request{Service: "s", Parts: []string{"p"}, Fingerprint: "f"}, true, false)
+		if request.Header.Get("Last-Event-Id") != "" {
+			breakingStream(conn, request)
+			return
 		}
-		breakingStream(conn, request)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: 1000\r\n\r\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", request.Header.Get("Id"), streamHeader)
+		time.Sleep(50 * time.Millisecond) // the events have been passed on
+		w.server.Quarantine.Report("1", "other/1", quarantine.Request{Service: "s", Parts: []string{"p"}, Fingerprint: "f"}, true, false)
+		reset(conn, request)
 	}
 	targets := []*target{startTarget(t, breaks), startTarget(t, breaks)}
 	w = newFixture(t, resumable, targets...)
