Send requests over other VMs while a VM reaches no target

Callers of VMs that had lost their links to the targets were refused with 503 after the timeout of a connection; callers of the other VMs, too, at 300 VMs. Cause: a VM knew no way to the targets of its region but its own links, and remembered nothing of them from one request to the next. Its failures also counted against the targets, at their coordinators and as crashes.

A VM now tells from new connections whether it reaches targets at all (core/reach, io/targetlink): three different targets that fail with none that is reached. If no target sends anything for 250 ms though requests wait, or a connection fails, it tries a few. Without links requests go to VMs of the data centre that have some, then of the region, then of others; tries that aren't sent yet are taken back, and those that may be repeated. Nobody forwards to a VM that says it has no links; one that gets a request all the same refuses it at once, and it isn't forwarded twice. What fails meanwhile says nothing about the targets, and is no crash. One connection each 200 ms is tried until one works.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -18,6 +18,8 @@
 	CallerAddress string // host:port for callers
 	PeerAddress   string // host:port for other VMs
 	Ready         bool
+	// WithoutTargets says that the VM reaches no target of its region itself.
+	WithoutTargets bool
 }
 
 // Seen is an entry VM and the time of its last report.
--- a/core/entry/partner_test.go
+++ b/core/entry/partner_test.go
@@ -13,7 +13,7 @@
 	for i := range count {
 		vms = append(vms, VM{ID: fmt.Sprint("there-", i), Region: "there", Ready: true}, VM{ID: fmt.Sprint("here-", i), Region: "here", Ready: true})
 	}
-	none := func(string) bool { return false }
+	none := func(VM) bool { return false }
 	senders := map[string]int{}
 	for i := range count {
 		self := fmt.Sprint("here-", i)
@@ -22,11 +22,11 @@
 			t.Fatalf("%s has the partner %v", self, partner)
 		}
 		senders[partner.ID]++
-		other, _ := Partner(self, vms, "there", func(id string) bool { return id == partner.ID })
+		other, _ := Partner(self, vms, "there", func(v VM) bool { return v.ID == partner.ID })
 		if other.ID == partner.ID {
 			t.Errorf("%s keeps a partner that is excluded", self)
 		}
-		again, _ := Partner(self, vms, "there", func(id string) bool { return id == other.ID })
+		again, _ := Partner(self, vms, "there", func(v VM) bool { return v.ID == other.ID })
 		if again.ID != partner.ID {
 			t.Errorf("%s changes its partner when another VM leaves", self)
 		}
@@ -39,7 +39,7 @@
 }
 
 func TestPartnerMustBeReady(t *testing.T) {
-	if partner, found := Partner("a", []VM{{ID: "b", Region: "r"}}, "r", func(string) bool { return false }); found {
+	if partner, found := Partner("a", []VM{{ID: "b", Region: "r"}}, "r", func(VM) bool { return false }); found {
 		t.Errorf("partner %v, though it isn't ready", partner)
 	}
 }
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -330,6 +330,26 @@
 	}
 }
 
+// Address is where a target can be reached.
+type Address struct {
+	ID      string
+	Address string
+}
+
+// Usable returns the targets of the region, of all services, that may get requests.
+func (p *Placer) Usable(now time.Time) (found []Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, targets := range p.byService {
+		for _, t := range targets {
+			if t.usable(now) && t.State != instance.Silent {
+				found = append(found, Address{ID: t.ID, Address: t.Address})
+			}
+		}
+	}
+	return found
+}
+
 // Boot identifies the current start of a target.
 func (p *Placer) Boot(id string) string {
 	p.mu.Lock()
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -38,6 +38,7 @@
 	"kingcuprill/io/peer"
 	quarantinecalls "kingcuprill/io/quarantine"
 	"kingcuprill/io/streamversion"
+	"kingcuprill/io/targetlink"
 	"kingcuprill/io/upstream"
 	"kingcuprill/io/vmconfig"
 )
@@ -128,6 +129,8 @@
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		Metrics: v.Metrics, Log: o.Log,
 	}
+	v.front.Links = targetlink.NewMonitor(v.front.Targets, func() []place.Address { return v.placer.Usable(time.Now()) }, o.Log)
+	v.front.Links.Changed = v.reportLinks
 	v.front.Streams = streamversion.NewClient(peers, v.client.Controls, v.client.Polled, v.vmCount.Load, o.Log)
 	v.front.Coordinators.OnLimits = func(limits []place.TargetLimit) { v.placer.LearnLimits(limits, time.Now()) }
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
@@ -151,9 +154,15 @@
 	c := v.Config
 	return entry.VM{
 		ID: c.ID, Region: c.Region, DataCentre: c.DataCentre, CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, Ready: v.Ready(),
+		WithoutTargets: v.front.Links.Lost(),
 	}
 }
 
+// reportLinks tells the other VMs at once whether this one reaches targets.
+func (v *VM) reportLinks(bool) {
+	go v.client.ReportState(context.Background())
+}
+
 // Ready reports whether callers should be sent to this VM: it has a plan and
 // isn't stopping.
 func (v *VM) Ready() bool {
@@ -277,6 +286,12 @@
 // addGauges adds the gauges of this VM's load and of the state that it acts on.
 func (v *VM) addGauges() {
 	v.Metrics.Gauge("running", v.front.Running)
+	v.Metrics.Gauge("links_lost", func() int64 {
+		if v.front.Links.Lost() {
+			return 1
+		}
+		return 0
+	})
 	v.Metrics.Gauge("lease_left_ms", func() int64 { return v.lease.Left().Milliseconds() })
 	v.Metrics.Gauge("revision", func() int64 { return int64(v.state.Read().Revision) })
 	v.Metrics.Gauge("entry_vms", v.vmCount.Load)
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -111,6 +111,7 @@
 			now := time.Now()
 			reserved.Answered(now)
 			reserved.Event(now)
+			x.server.Links.Heard()
 			x.recordEvent(now)
 		}
 		passed = true
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -93,6 +93,9 @@
 		if x.tries > 0 && !x.mayTryAgain(ctx, result) {
 			break
 		}
+		if x.server.Links.Lost() && x.goAround(ctx, &result) {
+			return
+		}
 		reserved, predicted, reason := x.place(ctx)
 		x.predicted = predicted
 		if reserved == nil {
@@ -325,14 +328,15 @@
 	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout())
 	defer cancel()
 	sent := time.Now()
-	response, err := x.sendWatched(bounded, target, address, header)
+	links := x.watchLinks(bounded)
+	defer links.stop()
+	response, err := x.sendWatched(links, target, address, header)
 	if err == nil {
+		s.Links.Heard()
 		x.noteLimit(reserved, response, sent)
 	}
 	if err != nil {
-		if x.caller.Context().Err() == nil && !errors.Is(err, errSuspect) {
-			observed = place.Failure
-		}
+		observed = x.blame(target, err)
 		x.recordBreak(target, address, false, err)
 		return x.recordConnectionError(err, 1)
 	}
@@ -359,8 +363,8 @@
 	switch {
 	case result == delivered:
 		observed = place.Success
-	case x.caller.Context().Err() == nil:
-		observed = place.Failure
+	default:
+		observed = x.blame(target, x.progress.err)
 	}
 	if x.progress.mayHaveCrashed() {
 		x.recordBreak(target, address, x.progress.began.IsZero(), x.progress.err)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -28,6 +28,7 @@
 	"kingcuprill/io/draw"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/peer"
+	"kingcuprill/io/targetlink"
 	"kingcuprill/io/upstream"
 )
 
@@ -169,6 +170,7 @@
 		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: entries,
 		Metrics: metrics.New(), Log: log,
 	}
+	w.server.Links = targetlink.NewMonitor(w.server.Targets, func() []place.Address { return placer.Usable(time.Now()) }, log)
 	w.front = httptest.NewServer(w.server)
 	t.Cleanup(w.front.Close)
 	return w
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -48,7 +48,8 @@
 		if x.atHome(x.server.Region) && reason != place.NoTargets && x.server.regions.InBackoff(regionRoute{region, x.route.Name}, now) {
 			continue
 		}
-		partner, found := entry.Partner(x.server.Self, known, region, func(id string) bool { return x.server.partners.InBackoff(id, now) })
+		excluded := func(v entry.VM) bool { return v.WithoutTargets || x.server.partners.InBackoff(v.ID, now) }
+		partner, found := entry.Partner(x.server.Self, known, region, excluded)
 		if found {
 			vms = append(vms, partner)
 		}
@@ -115,7 +116,9 @@
 	if reason := response.Header.Get(hopNotRun); reason != "" {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		if reason != quarantinedReason && reason != suspectReason {
+		if reason == linksReason {
+			x.server.partners.Refused(v.ID, time.Now())
+		} else if reason != quarantinedReason && reason != suspectReason && v.Region != x.server.Region {
 			x.server.regions.Refused(regionRoute{v.Region, x.route.Name}, time.Now())
 		}
 		x.server.Log.Info("entry VM has refused the forwarded request without running it", "request", x.id, "vm", v.ID, "reason", reason)
--- /dev/null
+++ b/io/front/links.go
@@ -0,0 +1,113 @@
+package front
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kingcuprill/core/entry"
+	"kingcuprill/core/place"
+	"kingcuprill/io/targetlink"
+)
+
+// maxNeighbours is the number of other VMs of the region to which a VM without links to
+// targets sends a request, one after the other.
+const maxNeighbours = 2
+
+// linksReason is the reason of refusals by a VM that reaches no target.
+const linksReason = "links_lost"
+
+// errLinksLost is the cause of a try that was given up as this VM has lost its links.
+var errLinksLost = errors.New("this VM reaches no target any more")
+
+// neighbours returns VMs of this region that reach targets, those of this data centre
+// first. Requests are spread over them by their ids.
+func (x *exchange) neighbours() (vms []entry.VM) {
+	s, now := x.server, time.Now()
+	if x.from != "" || !x.atHome(s.Region) || time.Until(x.deadline) < minForwardTime {
+		return nil
+	}
+	own := ""
+	for _, v := range *s.Entries.Load() {
+		switch {
+		case v.ID == s.Self:
+			own = v.DataCentre
+		case v.Ready && !v.WithoutTargets && v.Region == s.Region && !s.partners.InBackoff(v.ID, now):
+			vms = append(vms, v)
+		}
+	}
+	weight := func(v entry.VM) uint64 {
+		w := xxhash.Sum64String(x.id+"\x00"+v.ID) >> 1
+		if v.DataCentre == own {
+			w += 1 << 63
+		}
+		return w
+	}
+	slices.SortFunc(vms, func(a, b entry.VM) int { return cmp.Compare(weight(b), weight(a)) })
+	return vms[:min(maxNeighbours, len(vms))]
+}
+
+// goAround sends the request over other VMs, as this one reaches no target. It reports
+// whether the request has ended.
+func (x *exchange) goAround(ctx context.Context, result *outcome) (ended bool) {
+	x.server.Metrics.Count("links.around")
+	for _, v := range append(x.neighbours(), x.forwardCandidates(place.NoTargets)...) {
+		if x.runs > 0 && !x.mayTryAgain(ctx, *result) || !x.takeRetry(x.placement(time.Now())) {
+			break
+		}
+		if *result = x.forwardTo(ctx, v); *result == delivered {
+			return true
+		}
+	}
+	if !x.server.Links.Lost() {
+		return false
+	}
+	x.giveUp(ctx, *result, linksReason)
+	return true
+}
+
+// linkWatch bounds a try by the links of this VM.
+type linkWatch struct {
+	connecting context.Context // ends when the links are lost
+	sent       context.Context // the same, if the request may be sent again
+	stop       func()
+}
+
+// watchLinks starts to watch the links for a try. If nothing comes from any target, it
+// has them probed.
+func (x *exchange) watchLinks(ctx context.Context) linkWatch {
+	links := x.server.Links
+	connecting, endConnecting := context.WithCancelCause(ctx)
+	sent, endSent := context.WithCancelCause(ctx)
+	repeatable := x.couldRepeatAfter(x.runs + 1)
+	forget := links.OnLost(func() {
+		endConnecting(errLinksLost)
+		if repeatable {
+			endSent(errLinksLost)
+		}
+	})
+	timer := time.AfterFunc(targetlink.SilentAfter, links.CheckSilence)
+	return linkWatch{connecting: connecting, sent: sent, stop: func() {
+		timer.Stop()
+		forget()
+		endConnecting(nil)
+		endSent(nil)
+	}}
+}
+
+// blame returns what a failed try says about its target: nothing, if this VM doesn't
+// reach other targets either.
+func (x *exchange) blame(target string, err error) place.Result {
+	if x.caller.Context().Err() != nil || errors.Is(err, errSuspect) || errors.Is(err, errLinksLost) {
+		return place.Inconclusive
+	}
+	if !x.server.Links.ReachesOther(target) {
+		x.server.Log.Info("failed try says nothing about its target, as this VM reaches no other one", "request", x.id, "target", target)
+		return place.Inconclusive
+	}
+	return place.Failure
+}
--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -143,8 +143,8 @@
 			continue
 		}
 		// The name of the service takes the place of a VM's, so that all VMs agree.
-		vm, found := entry.Partner("trials of "+x.service, *s.Entries.Load(), region, func(id string) bool {
-			return id != s.Self && s.partners.InBackoff(id, now)
+		vm, found := entry.Partner("trials of "+x.service, *s.Entries.Load(), region, func(v entry.VM) bool {
+			return v.WithoutTargets || v.ID != s.Self && s.partners.InBackoff(v.ID, now)
 		})
 		if found {
 			return vm
@@ -159,12 +159,14 @@
 
 // sendWatched sends the request to a target and waits for the head of the answer. It
 // takes the request back if it turns out to crash targets, before it crashes this one.
-func (x *exchange) sendWatched(ctx context.Context, target, address string, header http.Header) (*upstream.Response, error) {
+func (x *exchange) sendWatched(links linkWatch, target, address string, header http.Header) (*upstream.Response, error) {
+	request := x.request(header)
+	request.Connecting = links.connecting
 	if x.trial || x.origin.known {
-		return x.server.Targets.Do(ctx, target, address, x.request(header))
+		return x.server.Targets.Do(links.sent, target, address, request)
 	}
 	var headCame atomic.Bool
-	watched, end := context.WithCancelCause(ctx)
+	watched, end := context.WithCancelCause(links.sent)
 	stop := x.server.Quarantine.Watch(x.identity(), func() {
 		if !headCame.Load() {
 			x.server.Log.Warn("request is taken back from its target, since other targets have crashed at a part of it", "request", x.id, "target", target)
@@ -172,7 +174,7 @@
 		}
 	})
 	defer stop()
-	response, err := x.server.Targets.Do(watched, target, address, x.request(header))
+	response, err := x.server.Targets.Do(watched, target, address, request)
 	headCame.Store(true)
 	return response, err
 }
@@ -185,7 +187,7 @@
 	}
 	s := x.server
 	boot := s.Placer.Boot(target)
-	if !s.crashes.happened(boot, func() bool { return s.Targets.Refuses(target, address) }) {
+	if !s.crashes.happened(boot, func() bool { return s.Links.ReachesOther(target) && s.Targets.Refuses(target, address) }) {
 		return
 	}
 	row := s.Quarantine.Report(x.id+"@"+boot, boot, x.identity(), begun, x.trial)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -26,6 +26,7 @@
 	"kingcuprill/io/draw"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/streamversion"
+	"kingcuprill/io/targetlink"
 	"kingcuprill/io/upstream"
 )
 
@@ -53,9 +54,10 @@
 	Streams *streamversion.Client
 	// Quarantine holds what is known of requests that crash targets.
 	Quarantine *quarantine.List
-	Drawer     *draw.Client     // draws tokens of rate limits from the control VMs
-	Targets    *upstream.Client // sends requests to targets
-	Peers      *upstream.Client // forwards requests to entry VMs of other regions
+	Drawer     *draw.Client        // draws tokens of rate limits from the control VMs
+	Targets    *upstream.Client    // sends requests to targets
+	Links      *targetlink.Monitor // of this VM to the targets
+	Peers      *upstream.Client    // forwards requests to other entry VMs
 	Entries    *atomic.Pointer[[]entry.VM]
 	Metrics    *metrics.Metrics
 	Log        *slog.Logger
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -54,6 +54,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Connecting bounds the wait for a connection, besides the context of the request. It
+	// may be nil.
+	Connecting context.Context
 	// EchoHeader names the response header that must have the value EchoValue,
 	// usually the request's id. If it is empty, no header is checked.
 	EchoHeader string
@@ -64,6 +67,9 @@
 // safe for concurrent use.
 type Client struct {
 	Dialed func() // called for each new connection; may be nil
+	// OnDial is called with the result of each new connection, unless the caller has
+	// cancelled it. It may be nil.
+	OnDial func(peer string, err error)
 	// DialAddress returns the address to dial in place of an address. If it is nil,
 	// the address itself is dialled.
 	DialAddress func(address string) string
@@ -96,7 +102,7 @@
 // connections are kept by peer, because another peer may come to have the same
 // address. Errors are of type *Failure.
 func (c *Client) Do(ctx context.Context, peer, address string, request Request) (response *Response, err error) {
-	conn, err := c.acquire(ctx, peer, address)
+	conn, err := c.connect(ctx, peer, address, request.Connecting)
 	if err != nil {
 		return nil, &Failure{Err: err}
 	}
@@ -137,18 +143,39 @@
 	return parsed, nil
 }
 
+// connect returns a connection to a peer, within two contexts.
+func (c *Client) connect(ctx context.Context, peer, address string, also context.Context) (*conn, error) {
+	if also == nil {
+		return c.acquire(ctx, peer, address)
+	}
+	both, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(also, func() { cancel(context.Cause(also)) })()
+	conn, err := c.acquire(both, peer, address)
+	if err != nil && both.Err() != nil {
+		return nil, context.Cause(both)
+	}
+	return conn, err
+}
+
+// Connect opens a connection to a peer and keeps it for the next request.
+func (c *Client) Connect(ctx context.Context, peer, address string) error {
+	dialed, err := c.dial(ctx, peer, address)
+	if err != nil {
+		return err
+	}
+	dialed.idleUntil = time.Now().Add(c.idleTime(nil))
+	c.push(peer, dialed)
+	return nil
+}
+
 // Refuses reports whether a peer refuses a new connection, as nothing listens at its
 // address. A connection that it accepts is kept for the next request.
 func (c *Client) Refuses(peer, address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	dialed, err := c.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-	}
-	dialed.idleUntil = time.Now().Add(c.idleTime(nil))
-	c.push(peer, dialed)
-	return false
+	err := c.Connect(ctx, peer, address)
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // acquire returns an idle connection of the peer that still works, or dials a
@@ -164,7 +191,7 @@
 		}
 		kept.discard()
 	}
-	dialed, err := c.dial(ctx, address)
+	dialed, err := c.dial(ctx, peer, address)
 	if err != nil {
 		return nil, err
 	}
@@ -174,12 +201,15 @@
 	return dialed, nil
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+func (c *Client) dial(ctx context.Context, peer, address string) (*conn, error) {
 	if c.DialAddress != nil {
 		address = c.DialAddress(address)
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if c.OnDial != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		c.OnDial(peer, err)
+	}
 	if err != nil {
 		return nil, err
 	}
