--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -129,6 +129,7 @@
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		Metrics: v.Metrics, Log: o.Log,
 	}
+	v.front.Targets.DialAddress = peers.VM.Dial
 	v.front.Links = targetlink.NewMonitor(v.front.Targets, func() []place.Address { return v.placer.Usable(time.Now()) }, o.Log)
 	v.front.Links.Changed = v.reportLinks
 	v.front.Streams = streamversion.NewClient(peers, v.client.Controls, v.client.Polled, v.vmCount.Load, o.Log)
--- /dev/null
+++ b/io/targetlink/monitor_test.go
@@ -0,0 +1,89 @@
+package targetlink
+
+import (
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kingcuprill/core/place"
+	"kingcuprill/io/rig/eventually"
+	"kingcuprill/io/upstream"
+)
+
+// listen accepts connections at an address and never answers.
+func listen(t *testing.T, address string) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+		}
+	}()
+	return listener
+}
+
+// Targets that are silent, but accept connections, are reached. When none is any more,
+// the requests that wait are told, and when one is again, the links are whole.
+func TestSilentTargetsAreReached(t *testing.T) {
+	var listeners []net.Listener
+	var known []place.Address
+	for _, id := range []string{"a", "b", "c", "d"} {
+		listener := listen(t, "127.0.0.1:0")
+		listeners = append(listeners, listener)
+		known = append(known, place.Address{ID: id, Address: listener.Addr().String()})
+	}
+	m := NewMonitor(upstream.NewClient(nil), func() []place.Address { return known }, slog.New(slog.DiscardHandler))
+	var told, changes atomic.Int64
+	m.Changed = func(bool) { changes.Add(1) }
+	defer m.OnLost(func() { told.Add(1) })()
+	m.OnLost(func() { t.Error("told after stop") })()
+	m.CheckSilence()
+	if m.Lost() || !m.ReachesOther("a") {
+		t.Fatal("silent targets count as not reached")
+	}
+	for _, listener := range listeners {
+		listener.Close()
+	}
+	time.Sleep(recently + 50*time.Millisecond)
+	m.CheckSilence()
+	if !m.Lost() || told.Load() != 1 || m.ReachesOther("a") {
+		t.Fatalf("lost %v, told %d", m.Lost(), told.Load())
+	}
+	listen(t, known[2].Address)
+	eventually.Until(t, "the links are whole", func() bool { return !m.Lost() })
+	if changes.Load() != 2 {
+		t.Errorf("%d changes", changes.Load())
+	}
+}
+
+// One target that refuses connections has failed, as long as another is reached, or none
+// other is known.
+func TestOneTargetThatRefuses(t *testing.T) {
+	good := listen(t, "127.0.0.1:0")
+	bad := listen(t, "127.0.0.1:0")
+	bad.Close()
+	known := []place.Address{{ID: "bad", Address: bad.Addr().String()}, {ID: "good", Address: good.Addr().String()}}
+	m := NewMonitor(upstream.NewClient(nil), func() []place.Address { return known }, slog.New(slog.DiscardHandler))
+	for range 5 {
+		if err := m.Targets.Connect(t.Context(), "bad", known[0].Address); err == nil {
+			t.Fatal("connected")
+		}
+	}
+	if m.Lost() || !m.ReachesOther("bad") {
+		t.Error("links count as lost, though another target is reached")
+	}
+	alone := NewMonitor(upstream.NewClient(nil), func() []place.Address { return known[:1] }, slog.New(slog.DiscardHandler))
+	if !alone.ReachesOther("bad") {
+		t.Error("the only target isn't blamed")
+	}
+}
