Keep brittle targets from refusing more than they survive

Targets that say how many refusals they survive were loaded like others: up to twice the slots of a plain service, and without a coordinator by each VM as it saw fit. Nothing read the header, and a refusal changed nothing at the coordinator.

A brittle target gets its requests from its coordinator only, no more than its slots, none for a second after half of the refusals that it survives, and fewer than before for some seconds. A coordinator that has just started or taken over uses half of the slots. The notice travels like that of limits; it ends with an answer without it. Values that can't be read are logged once for each target and ignored.

--- a/core/place/assignment.go
+++ b/core/place/assignment.go
@@ -107,6 +107,7 @@
 	Failure                    // it failed
 	Displaced                  // another target answered at its address
 	Error                      // it answered with an error
+	Refused                    // it had no room for the request
 )
 
 // Done ends the assignment and takes its load off the target.
@@ -124,6 +125,9 @@
 	defer a.placer.mu.Unlock()
 	a.clearPending()
 	delete(t.streams, a)
+	if result == Refused {
+		t.brittle.Refused(t.inFlight, now)
+	}
 	t.inFlight--
 	t.memory.remove(a.demand)
 	switch result {
--- a/core/place/capacity.go
+++ b/core/place/capacity.go
@@ -26,6 +26,9 @@
 // VM coordinates the target, the other VMs of the region are assumed to load it as
 // this one does.
 func (p *Placer) hasCapacity(t *Target, r Request) bool {
+	if t.brittle.Named && !p.hasBrittleCapacity(t, r.Now) {
+		return false
+	}
 	vms, slack := len(p.readyVMs), slotsSlack
 	switch {
 	case r.Coordinated && r.Memory > 0:
--- a/core/place/coordinate.go
+++ b/core/place/coordinate.go
@@ -59,7 +59,8 @@
 
 // NeedsCoordination reports whether requests of a service must go through the
 // coordinators of its targets. They must for engines, whose KV memory all VMs use,
-// for targets with few slots per VM, and for targets that name a limit.
+// for targets with few slots per VM, and for targets that name a limit or are
+// brittle.
 func (p *Placer) NeedsCoordination(r Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -67,7 +68,7 @@
 		return true
 	}
 	for _, t := range p.byService[r.Service] {
-		if t.limit.Named || t.slots() < sharedSlots*len(p.readyVMs) {
+		if t.limit.Named || t.brittle.Named || t.slots() < sharedSlots*len(p.readyVMs) {
 			return true
 		}
 	}
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -36,6 +36,8 @@
 	// set before the first use.
 	Retries Retries
 
+	started time.Time
+
 	mu           sync.Mutex
 	targets      map[string]*Target       // by id
 	byService    map[string][]*Target     // by service, in this region
@@ -52,7 +54,7 @@
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
 	return &Placer{
-		Self: self, Region: region, targets: map[string]*Target{}, models: map[string]*latencyModel{},
+		Self: self, Region: region, started: time.Now(), targets: map[string]*Target{}, models: map[string]*latencyModel{},
 		refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, away: awayCounts{},
 		readyVMs: []string{self}, allVMs: []string{self},
 	}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -20,6 +20,7 @@
 import (
 	"time"
 
+	"kingcuprill/core/brittle"
 	"kingcuprill/core/circuit"
 	"kingcuprill/core/instance"
 	"kingcuprill/core/targetlimit"
@@ -82,6 +83,7 @@
 	lastSuccess    time.Time
 	errors         errorRate
 	limit          targetlimit.Limit // that it names in its answers
+	brittle        brittle.State
 	// displacedUntil is set when another target has answered at the address.
 	displacedUntil time.Time
 }
--- a/io/coordinator/reservation.go
+++ b/io/coordinator/reservation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kingcuprill/core/brittle"
 	"kingcuprill/core/place"
 	"kingcuprill/core/targetlimit"
 	"kingcuprill/rpc/entry"
@@ -64,6 +65,12 @@
 	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Limit: &entry.LimitNotice{Named: n.Named, RatePerSecond: n.Rate}})
 }
 
+// ObserveBrittle reports to the coordinator what the head of the answer says about the
+// refusals that the target survives.
+func (r *Reservation) ObserveBrittle(n brittle.Notice, _ time.Time) {
+	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Brittle: &entry.BrittleNotice{Named: n.Named, Most: int32(n.Most)}})
+}
+
 // Event counts an event of a stream, and reports the progress of the stream now and
 // then. The coordinator learns from it early how slow the target's streams are; a
 // stream takes seconds, in which many more requests are placed.
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"kingcuprill/core/brittle"
 	"kingcuprill/core/place"
 	"kingcuprill/core/targetlimit"
 	"kingcuprill/io/peer"
@@ -113,6 +114,9 @@
 	if limit := p.GetLimit(); limit != nil {
 		r.assignment.ObserveLimit(targetlimit.Notice{Named: limit.GetNamed(), Rate: limit.GetRatePerSecond()}, now)
 	}
+	if notice := p.GetBrittle(); notice != nil {
+		r.assignment.ObserveBrittle(brittle.Notice{Named: notice.GetNamed(), Most: int(notice.GetMost())}, now)
+	}
 	if p.GetBegun() {
 		r.assignment.Begun(now)
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -333,7 +333,7 @@
 	response, err := x.sendWatched(links, target, address, header)
 	if err == nil {
 		s.Links.Heard()
-		x.noteLimit(reserved, response, sent)
+		x.noteHead(reserved, response, sent)
 	}
 	if err != nil {
 		observed = x.blame(target, err)
@@ -343,6 +343,9 @@
 	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
+		if response.StatusCode == http.StatusServiceUnavailable {
+			observed = place.Refused
+		}
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			observed = place.Displaced
 			s.Placer.MarkDisplaced(target, time.Now())
--- a/io/front/limit.go
+++ b/io/front/limit.go
@@ -8,14 +8,20 @@
 	"kingcuprill/io/upstream"
 )
 
-// noteLimit records the limit that the head of an answer names, or that it names none,
-// here and at the target's coordinator.
-func (x *exchange) noteLimit(reserved reservation, response *upstream.Response, sent time.Time) {
-	s, now := x.server, time.Now()
+// noteHead records what the head of an answer says about its target.
+func (x *exchange) noteHead(reserved reservation, response *upstream.Response, sent time.Time) {
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return // of another target
 	}
 	target, _ := reserved.Where()
+	x.noteLimit(reserved, target, response, sent)
+	x.noteBrittle(reserved, target, response, sent)
+}
+
+// noteLimit records the limit that the head of an answer names, or that it names none,
+// here and at the target's coordinator.
+func (x *exchange) noteLimit(reserved reservation, target string, response *upstream.Response, sent time.Time) {
+	s, now := x.server, time.Now()
 	n, err := targetlimit.Parse(response.Header.Values(s.Headers.Limit))
 	if err != nil {
 		s.Log.Warn("target names a limit that can't be read; it is ignored", "request", x.id, "target", target, "error", err)
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"kingcuprill/core/brittle"
 	"kingcuprill/core/entry"
 	"kingcuprill/core/place"
 	"kingcuprill/core/targetlimit"
@@ -24,6 +25,9 @@
 	Source() string
 	// ObserveLimit records what the head of the answer says about the target's limit.
 	ObserveLimit(n targetlimit.Notice, now time.Time)
+	// ObserveBrittle records what the head of the answer says about the refusals that the
+	// target survives.
+	ObserveBrittle(n brittle.Notice, now time.Time)
 	// Answered records that the answer has begun.
 	Answered(now time.Time)
 	// Event records that an event of a stream has come.
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -68,6 +68,8 @@
 	partners backoff.Tracker[string]      // backoff after an entry VM of another region has not answered
 	running  atomic.Int64
 	crashes  crashChecks
+	// unreadable are the targets whose number of refusals can't be read.
+	unreadable onceEach
 }
 
 const (
