Don't take a copy of an earlier refusal for the answer to a request that runs

Other operators saw 'not run' for requests that a target had run, as it wrote an earlier refusal once more on a kept connection. Looked at on all ways:

- targets and VMs over io/upstream: an answer must bear the request's id, so that a copy is dropped unless the same request is sent twice on one connection.
That could happen between VMs (a region is asked again after it sent a request back).
A connection isn't used again now for a request of the same id.
- plain services of the daemons: a new connection for each call; held.
- engines of the daemons: a refusal names no exchange, and any status but 200 on a pooled connection promised that the job has not run.
On a connection that was used before, only a refusal that names the exchange does now.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -39,6 +39,10 @@
 	Body    []byte
 }
 
+// IDHeader carries the id of an exchange. A target that repeats it in its answer shows
+// which exchange the answer belongs to.
+const IDHeader = "Kingcuprill-Exchange-Id"
+
 // Header is one HTTP header line.
 type Header struct {
 	Name  string
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"time"
@@ -100,21 +101,29 @@
 	return usage, err
 }
 
-func (c *Client) post(ctx context.Context, t *target.Target, job Job) (*http.Response, error) {
+// answer is the head of an engine's answer.
+type answer struct {
+	*http.Response
+	fresh bool // nothing was sent on the connection before
+}
+
+func (c *Client) post(ctx context.Context, t *target.Target, job Job) (a answer, err error) {
 	body, err := json.Marshal(jobJSON{
 		ExchangeID: job.ExchangeID, Model: job.Generation.Model, Prompt: job.Generation.Prompt, MaxTokens: job.Generation.MaxTokens,
 		Stream: true, Priority: job.Priority, ResumeFrom: job.Generation.ResumeFrom, ResumeText: job.Generation.ResumeText,
 		Organisation: job.Organisation,
 	})
 	if err != nil {
-		return nil, err
+		return a, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address+"/v1/completions", bytes.NewReader(body))
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.fresh = !i.Reused }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+t.Address+"/v1/completions", bytes.NewReader(body))
 	if err != nil {
-		return nil, err
+		return a, err
 	}
 	request.Header.Set("Content-Type", "application/json")
-	return c.pooled.Do(request)
+	a.Response, err = c.pooled.Do(request)
+	return a, err
 }
 
 // stream is the state of the event stream of one job.
@@ -208,14 +217,17 @@
 }
 
 // statusFailure returns the failure for a status other than 200, which an engine
-// sends only before it runs a job. A 4xx status other than 429 is final.
-func (s *stream) statusFailure(response *http.Response) error {
+// sends only before it runs a job. A 4xx status other than 429 is final. On a connection
+// that was used before, an answer that doesn't name its exchange may be a copy of an
+// earlier one: it doesn't show that this job has not run.
+func (s *stream) statusFailure(response answer) error {
 	err := fault.New(fault.Overloaded, "target %s answered status %d", s.target.ID, response.StatusCode)
 	final := response.StatusCode >= 400 && response.StatusCode < 500 && response.StatusCode != http.StatusTooManyRequests
 	if final {
 		err.Code = fault.Invalid
 	}
-	return &exchange.Failure{NotRun: true, Final: final, Err: err}
+	notRun := response.fresh || response.Header.Get(exchange.IDHeader) == s.job.ExchangeID
+	return &exchange.Failure{NotRun: notRun, Final: final, Err: err}
 }
 
 // watch asks the engine for its progress over a new connection after each silence
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -21,10 +21,6 @@
 	"kingcuprill/io/settings"
 )
 
-// ExchangeHeader carries the id of an exchange. If a service repeats it in its
-// answer, an answer to another call is noticed.
-const ExchangeHeader = "Kingcuprill-Exchange-Id"
-
 // OrganisationHeader carries the organisation's name if the route is set to send
 // it.
 const OrganisationHeader = "Kingcuprill-Organisation"
@@ -61,7 +57,7 @@
 	for _, h := range call.Headers {
 		request.Header.Add(h.Name, h.Value)
 	}
-	request.Header.Set(ExchangeHeader, exchangeID)
+	request.Header.Set(exchange.IDHeader, exchangeID)
 	if organisation != "" {
 		request.Header.Set(OrganisationHeader, organisation)
 	}
@@ -70,7 +66,7 @@
 		return answer, &exchange.Failure{NotRun: !connected.Load(), Err: err}
 	}
 	defer response.Body.Close()
-	if echoed := response.Header.Get(ExchangeHeader); echoed != "" && echoed != exchangeID {
+	if echoed := response.Header.Get(exchange.IDHeader); echoed != "" && echoed != exchangeID {
 		return answer, &exchange.Failure{Err: fmt.Errorf("the answer belongs to exchange %q", echoed)}
 	}
 	onHead(response.Header)
@@ -100,7 +96,7 @@
 
 // withheld are the headers that are passed on neither to a target nor to a caller:
 // credentials and the gateway's own.
-var withheld = []string{"Authorization", "X-Api-Key", "Cookie", ExchangeHeader, OrganisationHeader}
+var withheld = []string{"Authorization", "X-Api-Key", "Cookie", exchange.IDHeader, OrganisationHeader}
 
 // EndToEnd returns the headers that are passed on: neither hop-by-hop headers, nor
 // those that could carry a caller's credentials, nor the gateway's own.
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -31,6 +31,8 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 
+	answered []string // ids of the last requests that it has carried
+
 	mu        sync.Mutex
 	expecting bool          // a request waits for its response
 	broken    bool          // closed, or bytes came that belong to no request
@@ -87,6 +89,16 @@
 	return true
 }
 
+// maxAnswered bounds the ids that a connection remembers.
+const maxAnswered = 16
+
+func (c *conn) noteAnswered(id string) {
+	if len(c.answered) >= maxAnswered {
+		c.answered = c.answered[1:]
+	}
+	c.answered = append(c.answered, id)
+}
+
 // release makes a connection idle after a complete response. If unread bytes are
 // buffered, it closes the connection and returns false.
 func (c *conn) release(idle time.Duration, now time.Time) bool {
