Break off streams visibly when what follows is no part of them

Other operators saw the text of an error, or its whole head, in the middle of a stream, or a stream that ended as if it were complete.

Lines that no event has end a stream as broken: fields have names in lower case. An answer without an event that should go on with a begun stream doesn't complete it: the caller can take it up, and is then told by the target itself that nothing follows.

--- a/core/eventstream/reader.go
+++ b/core/eventstream/reader.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -19,6 +20,10 @@
 // ErrTruncated is returned if the stream ends in the middle of an event.
 var ErrTruncated = errors.New("the stream ended in the middle of an event")
 
+// ErrForeign is returned for a line that no event has, such as the head of an HTTP answer
+// or the text of an error.
+var ErrForeign = errors.New("the stream has a line that is no field of an event")
+
 // Event is one event of a stream.
 type Event struct {
 	Raw   []byte // unchanged, with the blank line that ends it
@@ -40,7 +45,7 @@
 }
 
 // Next returns the next whole event, or io.EOF after the last one. Other errors
-// are ErrTorn, those of the source, and those for an event that is larger than
+// are ErrTruncated, ErrForeign, those of the source, and those for an event that is larger than
 // MaxEvent or whose id is not a number or out of sequence.
 func (r *Reader) Next() (event Event, err error) {
 	for {
@@ -76,6 +81,9 @@
 // check parses the id of an event and compares it with the last one.
 func (r *Reader) check(event *Event) error {
 	for line := range bytes.Lines(event.Raw) {
+		if !isField(bytes.TrimRight(line, "\r\n")) {
+			return ErrForeign
+		}
 		value, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:"))
 		if !found {
 			continue
@@ -95,3 +103,23 @@
 	r.last, r.hasLast = event.ID, true
 	return nil
 }
+
+// isField reports whether a line is a comment, or a field with a name in lower case.
+// Senders may add fields of their own to those of the format; only the latter may come
+// without a value.
+func isField(line []byte) bool {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found {
+		return len(line) == 0 || slices.Contains(fields, string(line))
+	}
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// fields are the names of fields that the format knows (HTML standard, server-sent
+// events).
+var fields = []string{"event", "data", "id", "retry"}
--- a/core/eventstream/reader_test.go
+++ b/core/eventstream/reader_test.go
@@ -26,6 +26,10 @@
 		{"resumed", "id: 8\ndata: h\n\n", 7, true, 1, io.EOF},
 		{"resumed too early", "id: 7\ndata: g\n\n", 7, true, 0, nil},
 		{"empty", "", 0, false, 0, io.EOF},
+		{"comment and own field", ": wait\n\nid: 1\nown-field: 3\ndata\n\n", 0, false, 2, io.EOF},
+		{"head of an answer", "id: 1\ndata: a\n\nHTTP/1.1 500 X\r\n\r\n", 0, false, 1, ErrForeign},
+		{"header", "id: 1\nContent-Type: text/plain\n\n", 0, false, 0, ErrForeign},
+		{"plain text", "Internal Server Error\n\n", 0, false, 0, ErrForeign},
 		{"id is no number", "id: x\n\n", 0, false, 0, nil},
 	}
 	for _, test := range tests {
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -20,6 +20,11 @@
 // errCallerLeft is returned when a write to the caller fails.
 var errCallerLeft = errors.New("the caller has left")
 
+// errNothingFollows is the error of an answer that should go on with a begun stream and
+// has no event. The stream has broken off before its end, and such an answer may as well
+// be one that a target gives when it has failed.
+var errNothingFollows = errors.New("the target sent nothing after the events before")
+
 // deliver passes an answer on to the caller. reserved is nil for the answer of
 // another entry VM. timer is the timeout of the try; it then bounds the wait for
 // each event of a stream.
@@ -100,6 +105,9 @@
 			// ended before the answer.
 			err = eventstream.ErrTruncated
 		}
+		if errors.Is(err, io.EOF) && !passed && x.begun {
+			err = errNothingFollows
+		}
 		if err != nil {
 			if reserved != nil && errors.Is(err, io.EOF) && !x.progress.began.IsZero() {
 				x.recordSound()
