Take a target out of use that says in an answer that it leaves

Requests reached targets long after they had said in their answers that they leave: only heartbeats were read, which may be seconds late. The VM that passes such an answer on sends that target nothing more, checks again right before a send, and tells the target's coordinator, which gives no places there.

--- a/core/place/target.go
+++ b/core/place/target.go
@@ -84,6 +84,7 @@
 	errors         errorRate
 	limit          targetlimit.Limit // that it names in its answers
 	brittle        brittle.State
+	leavingUntil   time.Time // it has said in an answer that it leaves
 	// displacedUntil is set when another target has answered at the address.
 	displacedUntil time.Time
 }
@@ -95,7 +96,7 @@
 
 // usable reports whether the target may get new requests, whatever its load.
 func (t *Target) usable(now time.Time) bool {
-	if now.Before(t.displacedUntil) {
+	if now.Before(t.displacedUntil) || now.Before(t.leavingUntil) {
 		return false
 	}
 	switch t.State {
--- a/io/coordinator/reservation.go
+++ b/io/coordinator/reservation.go
@@ -65,6 +65,11 @@
 	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Limit: &entry.LimitNotice{Named: n.Named, RatePerSecond: n.Rate}})
 }
 
+// ObserveLeaving reports to the coordinator that the target leaves.
+func (r *Reservation) ObserveLeaving(time.Time) {
+	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Leaving: true})
+}
+
 // ObserveBrittle reports to the coordinator what the head of the answer says about the
 // refusals that the target survives.
 func (r *Reservation) ObserveBrittle(n brittle.Notice, _ time.Time) {
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -114,6 +114,9 @@
 	if limit := p.GetLimit(); limit != nil {
 		r.assignment.ObserveLimit(targetlimit.Notice{Named: limit.GetNamed(), Rate: limit.GetRatePerSecond()}, now)
 	}
+	if p.GetLeaving() {
+		r.assignment.ObserveLeaving(now)
+	}
 	if notice := p.GetBrittle(); notice != nil {
 		r.assignment.ObserveBrittle(brittle.Notice{Named: notice.GetNamed(), Most: int(notice.GetMost())}, now)
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -321,7 +321,7 @@
 	observed := place.Inconclusive
 	defer func() { reserved.Done(observed, time.Now()) }()
 	// The lease is checked again: it may have expired while a place was reserved.
-	if x.keyed && !s.Lease.Valid() {
+	if x.keyed && !s.Lease.Valid() || !s.Placer.MaySend(target, time.Now()) {
 		return notRun
 	}
 	header := x.targetHeader(target, reserved.Source())
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -33,7 +33,7 @@
 )
 
 var testHeaders = Headers{
-	RequestID: "Id", TimeLeft: "Left", Organisation: "Organisation", Target: "Target", NotRun: "Not-Run",
+	RequestID: "Id", TimeLeft: "Left", Organisation: "Organisation", Target: "Target", NotRun: "Not-Run", Leaving: "Leaving", Brittle: "Brittle",
 	Tokens: "Tokens", Parts: "Parts", LastEvent: "Last-Event-Id", Own: []string{"Secret"},
 }
 
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -28,6 +28,7 @@
 	Target       string   // id of the target that is addressed
 	NotRun       string   // set by a target that has not run the request
 	Limit        string   // requests per second that a target takes from all VMs, set by it
+	Leaving      string   // "1" in the answers of a target that leaves
 	Brittle      string   // requests per second that a target may refuse before it fails, set by it
 	Tokens       string   // prompt tokens and maximum output tokens, separated by a comma
 	Model        string   // model that the request is for
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -25,6 +25,8 @@
 	Source() string
 	// ObserveLimit records what the head of the answer says about the target's limit.
 	ObserveLimit(n targetlimit.Notice, now time.Time)
+	// ObserveLeaving records that the head of the answer says that the target leaves.
+	ObserveLeaving(now time.Time)
 	// ObserveBrittle records what the head of the answer says about the refusals that the
 	// target survives.
 	ObserveBrittle(n brittle.Notice, now time.Time)
