Send a target nothing for the time that it names with a refusal

Targets that turned a request away with 503 and Retry-After got more requests of the same VM before that time was over: the header was passed over. The VM excludes the target from its own requests until then, checks again right before a send, and tells callers that time if no other target of the service is left in the region. Others go on, as the target speaks to one VM.

TestRefusingTargetIsLeftAlone fails without the reading of the header.

--- a/core/place/leaving.go
+++ b/core/place/leaving.go
@@ -33,5 +33,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, found := p.targets[id]
-	return !found || !now.Before(t.leavingUntil)
+	return !found || !now.Before(t.leavingUntil) && !now.Before(t.pausedUntil)
 }
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -85,6 +85,7 @@
 	limit          targetlimit.Limit // that it names in its answers
 	brittle        brittle.State
 	leavingUntil   time.Time // it has said in an answer that it leaves
+	pausedUntil    time.Time // it has refused a request of this VM and wants no other one before
 	// displacedUntil is set when another target has answered at the address.
 	displacedUntil time.Time
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -198,7 +198,7 @@
 	}
 	return place.Request{
 		EventTokens: eventTokens, SameVersion: x.origin.known, Version: x.origin.Version.Version,
-		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.excluded, ColdRate: service.ColdPerSecond,
+		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.unusable(now), ColdRate: service.ColdPerSecond,
 		Retry: x.tries > 0, Apart: x.trial, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
 		PreferredBound: x.preferredBound(now), Bound: x.bound(now), Objective: x.route.Objective, Deadline: x.deadline, Now: now,
 	}
--- a/io/front/limit.go
+++ b/io/front/limit.go
@@ -17,6 +17,7 @@
 	x.noteLimit(reserved, target, response, sent)
 	x.noteBrittle(reserved, target, response, sent)
 	x.noteLeaving(reserved, target, response)
+	x.notePause(target, response)
 }
 
 // noteLimit records the limit that the head of an answer names, or that it names none,
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -256,7 +256,8 @@
 func (x *exchange) retryAfter() time.Duration {
 	now := time.Now()
 	longest := x.deadline.Sub(now) / retryAfterDivisor
-	backlog := max(minRetryAfter, x.predicted-x.bound(now))
+	_, paused := x.server.Placer.Paused(x.service, now)
+	backlog := max(minRetryAfter, x.predicted-x.bound(now), paused)
 	jittered := backlog + time.Duration(rand.Int64N(int64(backlog)))
 	return min(jittered, longest)
 }
