Don't run a request here that went over another VM and may have run

Cause: when the links came back while a request was under way over another VM and its answer was lost, the request went on to a target here: the check of what may run again was made for requests that this VM had sent itself, and not for those that it had forwarded.

TestRequestThatWentAroundRunsOnce failed before (one run here, one over the other VM).

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -90,11 +90,14 @@
 	}
 	result := notRun
 	for x.tries < x.maxTries() {
-		if x.tries > 0 && !x.mayTryAgain(ctx, result) {
+		if (x.tries > 0 || x.runs > 0) && !x.mayTryAgain(ctx, result) {
 			break
 		}
-		if x.server.Links.Lost() && x.goAround(ctx, &result) {
-			return
+		if x.server.Links.Lost() {
+			if x.goAround(ctx, &result) {
+				return
+			}
+			continue // the links are whole again
 		}
 		reserved, predicted, reason := x.place(ctx)
 		x.predicted = predicted
--- a/io/front/links_test.go
+++ b/io/front/links_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -47,3 +48,29 @@
 		})
 	}
 }
+
+// A request that may run once was sent over another VM, which lost its answer, while this
+// VM's own links came back. It must not run here.
+func TestRequestThatWentAroundRunsOnce(t *testing.T) {
+	targets := unreachable(t, 6)
+	var here *fixture
+	own := startTarget(t, status(200, "", "fine"))
+	runs := startTarget(t, func(conn net.Conn, _ *http.Request) {
+		if err := here.server.Targets.Connect(t.Context(), "t0", own.address); err != nil {
+			t.Error(err)
+		}
+		conn.Close()
+	})
+	here = newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 3}, targets...)
+	here.server.Entries.Store(&[]entry.VM{{ID: "other", Region: "region", PeerAddress: runs.address, Ready: true}})
+	for i := range 3 {
+		_ = here.server.Targets.Connect(t.Context(), fmt.Sprint("t", i), targets[i].address)
+	}
+	if !here.server.Links.Lost() {
+		t.Fatal("the links aren't lost")
+	}
+	here.register([]*target{own}, "")
+	if code, _, _ := here.ask(t, "k"); code != http.StatusBadGateway || own.count() != 0 || runs.count() != 1 {
+		t.Errorf("status %d; %d runs here, %d over the other VM", code, own.count(), runs.count())
+	}
+}
