Don't take a slow VM for one without links to targets

Targets that don't answer in time show lost links only if another VM of the region does. A refused connection still shows it by itself.

TestSlowVMKeepsItsLinks.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -31,24 +31,49 @@
 	return &Tracker{failed: map[string]time.Time{}, reached: map[string]time.Time{}}
 }
 
-// Dialed records the result of a new connection to one of known targets. It reports
-// whether the links are lost now or whole again.
-func (t *Tracker) Dialed(target string, reached bool, known int, now time.Time) (changed bool) {
+// Change is what a new connection has shown of the links.
+type Change uint8
+
+// Changes.
+const (
+	None  Change = iota
+	Lost         // the links are lost, if Confirm is called
+	Whole        // the links are whole again
+)
+
+// Dialed records the result of a new connection to one of known targets.
+func (t *Tracker) Dialed(target string, reached bool, known int, now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.lost
 	if reached {
 		clear(t.failed)
 		t.reached[target] = now
+		if !t.lost {
+			return None
+		}
 		t.lost = false
-		return before
+		return Whole
 	}
 	t.failed[target] = now
 	expired := func(_ string, at time.Time) bool { return now.Sub(at) > failureExpiry }
 	maps.DeleteFunc(t.failed, expired)
 	maps.DeleteFunc(t.reached, expired)
-	t.lost = t.lost || len(t.failed) >= max(1, min(lostTargets, known))
-	return t.lost != before
+	if t.lost || len(t.failed) < max(1, min(lostTargets, known)) {
+		return None
+	}
+	return Lost
+}
+
+// Confirm makes the links count as lost. It reports whether they didn't yet, and no
+// target was reached meanwhile.
+func (t *Tracker) Confirm() (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lost || len(t.failed) == 0 {
+		return false
+	}
+	t.lost = true
+	return true
 }
 
 // Lost reports whether the links are lost.
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -30,7 +30,12 @@
 		tracker := NewTracker()
 		changes := 0
 		for _, d := range test.dials {
-			if tracker.Dialed(d.target, d.ok, test.known, start.Add(d.after)) {
+			switch tracker.Dialed(d.target, d.ok, test.known, start.Add(d.after)) {
+			case Lost:
+				if tracker.Confirm() {
+					changes++
+				}
+			case Whole:
 				changes++
 			}
 		}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -132,6 +133,10 @@
 	v.front.Targets.DialAddress = peers.VM.Dial
 	v.front.Links = targetlink.NewMonitor(v.front.Targets, func() []place.Address { return v.placer.Usable(time.Now()) }, o.Log)
 	v.front.Links.Changed = v.reportLinks
+	v.front.Links.Neighbour = func() (string, bool) {
+		address, found := v.neighbour()
+		return peers.VM.Dial(address), found
+	}
 	v.front.Streams = streamversion.NewClient(peers, v.client.Controls, v.client.Polled, v.vmCount.Load, o.Log)
 	v.front.Coordinators.OnLimits = func(limits []place.TargetLimit) { v.placer.LearnLimits(limits, time.Now()) }
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
@@ -159,6 +164,17 @@
 	}
 }
 
+// neighbour returns the address of another ready VM of the region, at random.
+func (v *VM) neighbour() (address string, found bool) {
+	all := *v.entries.Load()
+	for _, i := range rand.Perm(len(all)) {
+		if e := all[i]; e.Ready && e.Region == v.Config.Region && e.ID != v.Config.ID {
+			return e.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
 // reportLinks tells the other VMs at once whether this one reaches targets.
 func (v *VM) reportLinks(bool) {
 	go v.client.ReportState(context.Background())
--- a/io/targetlink/monitor.go
+++ b/io/targetlink/monitor.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,8 @@
 	Targets *upstream.Client
 	// Known returns the targets of the region that may be sent requests.
 	Known func() []place.Address
+	// Neighbour returns the address of another VM of the region. It may be nil.
+	Neighbour func() (address string, found bool)
 	// Changed is called when the links are lost and when they are whole again. It may be
 	// nil and must not block.
 	Changed func(lost bool)
@@ -103,10 +107,17 @@
 }
 
 func (m *Monitor) dialed(target string, err error) {
-	if !m.tracker.Dialed(target, err == nil, len(m.Known()), time.Now()) {
+	change := m.tracker.Dialed(target, err == nil, len(m.Known()), time.Now())
+	switch {
+	case change == reach.None:
+		return
+	case change == reach.Lost && m.slowItself(err):
+		m.Log.Warn("no target of the region can be reached, and no other VM either; this VM's requests don't go over others", "last", target, "error", err)
+		return
+	case change == reach.Lost && !m.tracker.Confirm():
 		return
 	}
-	lost := m.tracker.Lost()
+	lost := change == reach.Lost
 	if lost {
 		m.Log.Warn("no target of the region can be reached; requests go over other VMs", "last", target, "error", err)
 		m.callWaiting()
@@ -119,6 +130,26 @@
 	}
 }
 
+// slowItself reports whether another VM can't be reached in time either, after targets
+// haven't answered. Then this VM or its network is slow, and a way over another VM is
+// slower still.
+func (m *Monitor) slowItself(err error) bool {
+	var failure net.Error
+	if m.Neighbour == nil || !errors.As(err, &failure) || !failure.Timeout() {
+		return false
+	}
+	address, found := m.Neighbour()
+	if !found {
+		return false
+	}
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err != nil {
+		return true
+	}
+	conn.Close()
+	return false
+}
+
 func (m *Monitor) callWaiting() {
 	m.mu.Lock()
 	waiting := m.waiting
--- a/io/targetlink/monitor_test.go
+++ b/io/targetlink/monitor_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -87,3 +88,23 @@
 		t.Error("the only target isn't blamed")
 	}
 }
+
+// No target answers in time. If another VM doesn't either, this VM or its network is slow,
+// and its links don't count as lost.
+func TestSlowVMKeepsItsLinks(t *testing.T) {
+	reachable := listen(t, "127.0.0.1:0")
+	gone := listen(t, "127.0.0.1:0")
+	gone.Close()
+	for address, lost := range map[string]bool{reachable.Addr().String(): true, gone.Addr().String(): false} {
+		known := []place.Address{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+		m := NewMonitor(upstream.NewClient(nil), func() []place.Address { return known }, slog.New(slog.DiscardHandler))
+		m.Neighbour = func() (string, bool) { return address, true }
+		for _, target := range known {
+			m.dialed(target.ID, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded})
+		}
+		if m.Lost() != lost {
+			t.Errorf("lost %v, want %v", m.Lost(), lost)
+		}
+		m.dialed("a", nil)
+	}
+}
