Continue a generation at an engine of the version that began it, at the daemons' door too

The first token fixes the version; forwarded requests and the frames of answers carry it. If no engine of that version is left, the request ends at once.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -29,6 +29,10 @@
 	MaxTokens  int
 	ResumeFrom int    // index of the first token wanted
 	ResumeText string // the tokens before it
+	// SameVersion says that the engine's software must have Version, since one of that
+	// version has generated the tokens before.
+	SameVersion bool
+	Version     string
 }
 
 // Call is an HTTP request to a service that is not a model engine.
@@ -58,8 +62,9 @@
 
 // Token is one piece of a generated answer.
 type Token struct {
-	Index int
-	Text  string
+	Index   int
+	Text    string
+	Version string // of the software of the engine that has generated it
 }
 
 // Usage counts the tokens of a finished generation.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -35,8 +35,11 @@
 	Prefixes  []uint64 // hashes of the prompt's prefixes
 	Bytes     int      // length of the prompt
 	Permitted residency.Permitted
-	Suspect   bool     // was in flight at a target that crashed
-	Avoid     []string // ids of targets and VMs that have failed this request
+	// SameVersion restricts the choice to targets whose software has Version.
+	SameVersion bool
+	Version     string
+	Suspect     bool     // was in flight at a target that crashed
+	Avoid       []string // ids of targets and VMs that have failed this request
 	// Allows reports whether this VM may send a request to a target now. If it is nil,
 	// it may to all.
 	Allows func(t *target.Target) bool
@@ -75,7 +78,7 @@
 		if len(eligible) == sampleSize {
 			break
 		}
-		if !row.Serves(request.Model, now) || slices.Contains(request.Avoid, row.ID) {
+		if !row.Serves(request.Model, now) || request.SameVersion && row.Version != request.Version || slices.Contains(request.Avoid, row.ID) {
 			continue
 		}
 		if !row.Live.Circuit.Ready() || (request.Allows != nil && !request.Allows(row)) {
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -107,7 +107,11 @@
 	var text strings.Builder
 	text.WriteString(request.Generation.ResumeText)
 	next := request.Generation.ResumeFrom
+	same, version := request.Generation.SameVersion, request.Generation.Version
 	deliver := func(t exchange.Token) error {
+		if !same {
+			same, version = true, t.Version
+		}
 		next++
 		text.WriteString(t.Text)
 		return sink(t)
@@ -115,6 +119,8 @@
 	for {
 		generation := *request.Generation
 		generation.ResumeFrom, generation.ResumeText = next, text.String()
+		generation.SameVersion, generation.Version = same, version
+		r.routing.SameVersion, r.routing.Version = same, version
 		r.request.Generation = &generation
 		place, err := r.place(ctx)
 		if err != nil {
@@ -190,7 +196,11 @@
 	if r.request.Route.SendOrganisation {
 		job.Organisation = r.request.Organisation
 	}
-	usage, err = r.d.Engine.Generate(ctx, p.target, job, r.followTokens(sink))
+	ofVersion := func(t exchange.Token) error {
+		t.Version = p.target.Version
+		return sink(t)
+	}
+	usage, err = r.d.Engine.Generate(ctx, p.target, job, r.followTokens(ofVersion))
 	r.recordLocal(ctx, p.target, err)
 	return usage, err
 }
@@ -284,7 +294,7 @@
 			r.routing.Avoid = nil // retry at a place that has failed rather than refuse
 			continue
 		}
-		if time.Now().After(deadline) {
+		if time.Now().After(deadline) || r.versionGone(time.Now()) {
 			return p, fault.New(fault.NoTarget, "%v (route %q)", errNoTarget, r.request.Route.Name)
 		}
 		select {
--- a/io/dispatch/place.go
+++ b/io/dispatch/place.go
@@ -157,3 +157,17 @@
 	}
 	return candidates[rand.IntN(len(candidates))], true
 }
+
+// versionGone reports whether no engine of the version that has begun the answer is left
+// in this data centre.
+func (r *run) versionGone(now time.Time) bool {
+	if !r.routing.SameVersion {
+		return false
+	}
+	for _, row := range r.d.VMState.Targets.View.Read().ByService[r.routing.Service] {
+		if row.Version == r.routing.Version && row.Serves(r.routing.Model, now) {
+			return false
+		}
+	}
+	return true
+}
--- a/io/forward/client.go
+++ b/io/forward/client.go
@@ -65,7 +65,7 @@
 		if int(frame.GetIndex()) != next {
 			return usage, &exchange.Failure{Err: fmt.Errorf("vm %s sent token %d, token %d is missing", m.ID, frame.GetIndex(), next)}
 		}
-		if err := sink(exchange.Token{Index: next, Text: frame.GetText()}); err != nil {
+		if err := sink(exchange.Token{Index: next, Text: frame.GetText(), Version: frame.GetVersion()}); err != nil {
 			return usage, &exchange.Failure{Final: true, Err: err}
 		}
 		next++
@@ -154,6 +154,9 @@
 	if g := r.Generation; g != nil {
 		m.Model, m.Prompt, m.MaxTokens = g.Model, g.Prompt, int32(g.MaxTokens)
 		m.ResumeFrom, m.ResumeText = int32(g.ResumeFrom), g.ResumeText
+		if g.SameVersion {
+			m.Version = &g.Version
+		}
 	}
 	if call := r.Call; call != nil {
 		m.Method, m.Url, m.Headers, m.Body = call.Method, call.URL, fromHeaders(call.Headers), call.Body
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -50,7 +50,7 @@
 	defer cancel()
 	stop := writer.begin()
 	usage, err := s.Runner.Generate(ctx, request, message.GetSuspect(), func(t exchange.Token) error {
-		return writer.write(&vm.ForwardFrame{Index: int32(t.Index), Text: t.Text})
+		return writer.write(&vm.ForwardFrame{Index: int32(t.Index), Text: t.Text, Version: t.Version})
 	})
 	stop()
 	if err != nil {
@@ -128,6 +128,7 @@
 		r.Generation = &exchange.Generation{
 			Model: m.GetModel(), Prompt: m.GetPrompt(), MaxTokens: int(m.GetMaxTokens()),
 			ResumeFrom: int(m.GetResumeFrom()), ResumeText: m.GetResumeText(),
+			SameVersion: m.Version != nil, Version: m.GetVersion(),
 		}
 		return r
 	}
