--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -287,6 +287,7 @@
 	}
 	v.client.Run(&v.tomb, v.Config.Seeds)
 	v.tomb.Go(v.prune)
+	v.tomb.Go(func() error { return v.front.Links.Run(&v.tomb) })
 	v.Log.Info("entry VM serves", "vm", v.Config.ID, "region", v.Config.Region, "callers", v.Config.CallerAddress)
 	select {
 	case <-ctx.Done():
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -169,6 +169,7 @@
 	if err := controller.Flush(); err != nil {
 		return errCallerLeft
 	}
+	x.keepRecord(time.Now())
 	if event.HasID {
 		x.last, x.hasLast = event.ID, true
 	}
--- a/io/front/version.go
+++ b/io/front/version.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"kingcuprill/core/plan"
 	"kingcuprill/core/streamversion"
@@ -13,8 +14,9 @@
 // All of its events must come from that version.
 type streamOrigin struct {
 	streamversion.Version
-	known bool
-	id    string // of the request that began the stream, which callers name when they take it up
+	known    bool
+	id       string    // of the request that began the stream, which callers name when they take it up
+	recorded time.Time // last time that the version was recorded
 }
 
 // takeUp finds the version of a stream that the caller takes up again. The request is
@@ -42,6 +44,7 @@
 	}
 	x.origin.Version, x.origin.known = version, true
 	x.service = version.Service
+	x.record(time.Now())
 	x.server.Log.Info("caller takes up a stream", "request", x.id, "begun_by", x.origin.id, "service", version.Service, "version", version.Version)
 	return nil
 }
@@ -65,15 +68,29 @@
 	return nil
 }
 
-// begin notes that an event of an answer is about to reach the caller. A stream that
-// may be taken up again is recorded.
+// begin fixes the version of the stream, as its first event is about to reach the caller.
 func (x *exchange) begin() {
 	if x.origin.known || x.answering == nil {
 		return
 	}
 	x.origin.Version, x.origin.known = *x.answering, true
-	if x.from == "" && x.route.Resumable && x.origin.id != "" && x.server.Streams != nil {
-		x.server.Streams.Record(x.origin.id, x.origin.Version)
+	x.record(time.Now())
+}
+
+// record remembers the version of a stream that the caller may take up again, from now on
+// for as long as records are kept.
+func (x *exchange) record(now time.Time) {
+	if x.from != "" || !x.route.Resumable || !x.origin.known || x.origin.id == "" || x.server.Streams == nil {
+		return
+	}
+	x.origin.recorded = now
+	x.server.Streams.Record(x.origin.id, x.origin.Version)
+}
+
+// keepRecord records a long stream again before its record is forgotten.
+func (x *exchange) keepRecord(now time.Time) {
+	if now.Sub(x.origin.recorded) > streamversion.Retention/2 {
+		x.record(now)
 	}
 }
 
--- a/io/front/versions_test.go
+++ b/io/front/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,9 @@
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quarantine"
+	corestream "kingcuprill/core/streamversion"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/streamversion"
 )
 
 var resumable = plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 3}
@@ -151,3 +155,25 @@
 		}
 	}
 }
+
+// A stream that is taken up, or goes on for long, is recorded again, so that it can be
+// taken up for as long as it lives.
+func TestLongStreamsStayKnown(t *testing.T) {
+	now := time.Now()
+	known := streamversion.NewClient(peer.NewUnsigned("vm"), func() []string { return nil }, func() []string { return nil }, func() int64 { return 1 }, slog.New(slog.DiscardHandler))
+	x := &exchange{server: &Server{Streams: known}, route: resumable}
+	x.origin.id = "7"
+	x.answering = &corestream.Version{Service: "s", Version: "v1"}
+	x.begin()
+	if v, found := known.Find(t.Context(), "7", "s"); !found || v != *x.answering {
+		t.Fatalf("version %v, found %v", v, found)
+	}
+	first := x.origin.recorded
+	x.keepRecord(now.Add(corestream.Retention / 4))
+	if x.origin.recorded != first {
+		t.Error("recorded again at once")
+	}
+	if x.keepRecord(now.Add(corestream.Retention)); x.origin.recorded == first {
+		t.Error("not recorded again")
+	}
+}
--- a/io/targetlink/monitor.go
+++ b/io/targetlink/monitor.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"gopkg.in/tomb.v2"
+
 	"kingcuprill/core/place"
 	"kingcuprill/core/reach"
 	"kingcuprill/io/upstream"
@@ -121,7 +123,6 @@
 	if lost {
 		m.Log.Warn("no target of the region can be reached; requests go over other VMs", "last", target, "error", err)
 		m.callWaiting()
-		go m.retry()
 	} else {
 		m.Log.Info("targets of the region can be reached again", "target", target)
 	}
@@ -202,10 +203,19 @@
 	return chosen
 }
 
-// retry tries one target after the other until one is reached.
-func (m *Monitor) retry() {
-	for m.tracker.Lost() {
-		time.Sleep(retryInterval)
+// Run tries one target after the other while the links are lost, until the tomb dies.
+func (m *Monitor) Run(t *tomb.Tomb) error {
+	ticker := time.NewTicker(retryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		if !m.tracker.Lost() {
+			continue
+		}
 		for _, target := range m.choose("", 1) {
 			m.connect(target)
 		}
--- a/io/targetlink/monitor_test.go
+++ b/io/targetlink/monitor_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"gopkg.in/tomb.v2"
+
 	"kingcuprill/core/place"
 	"kingcuprill/io/rig/eventually"
 	"kingcuprill/io/upstream"
@@ -44,6 +46,9 @@
 		known = append(known, place.Address{ID: id, Address: listener.Addr().String()})
 	}
 	m := NewMonitor(upstream.NewClient(nil), func() []place.Address { return known }, slog.New(slog.DiscardHandler))
+	var group tomb.Tomb
+	group.Go(func() error { return m.Run(&group) })
+	t.Cleanup(func() { group.Kill(nil) })
 	var told, changes atomic.Int64
 	m.Changed = func(bool) { changes.Add(1) }
 	defer m.OnLost(func() { told.Add(1) })()
