--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -334,26 +334,15 @@
 	links := x.watchLinks(bounded)
 	defer links.stop()
 	response, err := x.sendWatched(links, target, address, header)
-	if err == nil {
-		s.Links.Heard()
-		x.noteHead(reserved, response, sent)
-	}
 	if err != nil {
 		observed = x.blame(target, err)
 		x.recordBreak(target, address, false, err)
 		return x.recordConnectionError(err, 1)
 	}
+	s.Links.Heard()
+	x.noteHead(reserved, response, sent)
 	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
-		_, err := response.ReadAll(maxAnswer)
-		response.Finish(err == nil)
-		if response.StatusCode == http.StatusServiceUnavailable {
-			observed = place.Refused
-		}
-		if response.StatusCode == http.StatusMisdirectedRequest {
-			observed = place.Displaced
-			s.Placer.MarkDisplaced(target, time.Now())
-		}
-		s.Log.Info("target has refused the request without running it", "request", x.id, "target", target, "status", response.StatusCode)
+		observed = x.endRefused(target, response)
 		return notRun
 	}
 	x.runs++
@@ -366,10 +355,8 @@
 		return x.deliver(response, nil, timer)
 	}
 	result := x.deliver(response, reserved, timer)
-	switch {
-	case result == delivered:
-		observed = place.Success
-	default:
+	observed = place.Success
+	if result != delivered {
 		observed = x.blame(target, x.progress.err)
 	}
 	if x.progress.mayHaveCrashed() {
@@ -377,3 +364,19 @@
 	}
 	return result
 }
+
+// endRefused reads a target's refusal of a request that it has not run, and returns what
+// it says about the target.
+func (x *exchange) endRefused(target string, response *upstream.Response) (observed place.Result) {
+	_, err := response.ReadAll(maxAnswer)
+	response.Finish(err == nil)
+	x.server.Log.Info("target has refused the request without running it", "request", x.id, "target", target, "status", response.StatusCode)
+	switch response.StatusCode {
+	case http.StatusServiceUnavailable:
+		return place.Refused
+	case http.StatusMisdirectedRequest:
+		x.server.Placer.MarkDisplaced(target, time.Now())
+		return place.Displaced
+	}
+	return place.Inconclusive
+}
