Take no retry from the budget for tries that reached no target

A request whose first target can't be reached was refused when the retry budget of its service was used up, although nothing had been sent: at the moment in which a VM loses its links, each waiting request took one. The platform bounds what arrives at targets beyond the first of each request. TestUnsentTriesTakeNoRetries failed before (503).

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -47,7 +47,8 @@
 	predicted time.Duration // from the last selection of a target to the begin of its answer
 	first     time.Duration // from the arrival to the begin of the answer
 
-	tries    int // sends to targets
+	tries    int // targets that were selected and, but for unsent ones, sent the request
+	unsent   int
 	runs     int // of these, the ones that may have run
 	excluded []string
 	target   string // of the last try
@@ -168,9 +169,14 @@
 	return !verdict.Refused && !verdict.Suspect
 }
 
+// wasSent reports whether the request may have reached a target.
+func (x *exchange) wasSent() bool {
+	return x.tries > x.unsent
+}
+
 // takeRetry takes a retry from this VM's own budget if the request was sent before.
 func (x *exchange) takeRetry(r place.Request) (allowed bool) {
-	return x.tries == 0 || x.server.budget(r).Retry()
+	return !x.wasSent() || x.server.budget(r).Retry()
 }
 
 // giveUp ends the request without an answer of a further target: it refuses it,
@@ -202,7 +208,7 @@
 	return place.Request{
 		EventTokens: eventTokens, SameVersion: x.origin.known, Version: x.origin.Version.Version,
 		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.unusable(now), ColdRate: service.ColdPerSecond,
-		Retry: x.tries > 0, Apart: x.trial, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
+		Retry: x.wasSent(), Apart: x.trial, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
 		PreferredBound: x.preferredBound(now), Bound: x.bound(now), Objective: x.route.Objective, Deadline: x.deadline, Now: now,
 	}
 }
@@ -325,6 +331,7 @@
 	defer func() { reserved.Done(observed, time.Now()) }()
 	// The lease is checked again: it may have expired while a place was reserved.
 	if x.keyed && !s.Lease.Valid() || !s.Placer.MaySend(target, time.Now()) {
+		x.unsent++
 		return notRun
 	}
 	header := x.targetHeader(target, reserved.Source())
@@ -337,7 +344,11 @@
 	if err != nil {
 		observed = x.blame(target, err)
 		x.recordBreak(target, address, false, err)
-		return x.recordConnectionError(err, 1)
+		result := x.recordConnectionError(err, 1)
+		if result == notRun {
+			x.unsent++
+		}
+		return result
 	}
 	s.Links.Heard()
 	x.noteHead(reserved, response, sent)
--- a/io/front/links_test.go
+++ b/io/front/links_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kingcuprill/core/entry"
+	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 )
 
@@ -74,3 +75,16 @@
 		t.Errorf("status %d; %d runs here, %d over the other VM", code, own.count(), runs.count())
 	}
 }
+
+// A target can't be reached. Another one is tried, though the retry budget is used up:
+// nothing was sent yet.
+func TestUnsentTriesTakeNoRetries(t *testing.T) {
+	good := startTarget(t, status(200, "", "fine"))
+	w := newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1}, unreachable(t, 1)[0], good)
+	w.server.Placer.Retries = place.Retries{Ratio: 0.001, Slack: 0.001}
+	for i := range 20 {
+		if code, _, _ := w.ask(t, "k"); code != http.StatusOK {
+			t.Fatalf("request %d: status %d", i, code)
+		}
+	}
+}
