Let silent targets go on while others are tried beside them

What callers saw: 502, or a stream that broke off, while its target was sound and only silent for longer than the timeout of a try.

Cause: the timer of a try ended it, and only then another target was looked for. Class: an answer that runs was given up before anything stood in its place, for a sign (silence) that doesn't tell a sound target from a failed one. The same held where the links of a VM counted as lost (all begun answers ended at once), for requests that went over another VM, and for bodies of whole answers.

Change: a silent try isn't ended. After the same timeouts as before a hedged try runs beside it: a copy of the exchange, with the tries, runs, exclusions and budget so far. The first of the two that has a part of the answer owns it and ends the other; this is decided under one lock (hedge). If no other target takes the request, the silent one has until the deadline, and another is looked for from time to time. Two engines don't work on a stream for more than 300 ms: one that doesn't refuse the hedged try for that long gets the stream. A silent VM isn't asked again for the same request.

--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -13,9 +13,9 @@
 	"kingcuprill/io/upstream"
 )
 
-// gapsUntilBroken is the multiple of the route's MaxGap after which a stream
-// without a new event counts as broken, if it can be resumed.
-const gapsUntilBroken = 3
+// silentGaps is the multiple of the route's MaxGap after which a stream without a new
+// event is continued at another target, if that one begins first.
+const silentGaps = 3
 
 // errCallerLeft is returned when a write to the caller fails.
 var errCallerLeft = errors.New("the caller has left")
@@ -26,21 +26,26 @@
 var errNothingFollows = errors.New("the target sent nothing after the events before")
 
 // deliver passes an answer on to the caller. reserved is nil for the answer of
-// another entry VM. timer is the timeout of the try; it then bounds the wait for
-// each event of a stream.
-func (x *exchange) deliver(response *upstream.Response, reserved reservation, timer *time.Timer) outcome {
+// another entry VM.
+func (x *exchange) deliver(h *hedge, response *upstream.Response, reserved reservation) outcome {
 	streamed := x.route.Kind == plan.Stream && response.StatusCode == http.StatusOK &&
 		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") && response.Header.Get("Content-Encoding") == ""
 	if streamed {
-		return x.deliverStream(response, reserved, timer)
+		return x.deliverStream(h, response, reserved)
 	}
-	return x.deliverWhole(response, reserved)
+	return x.deliverWhole(h, response, reserved)
 }
 
 // deliverWhole reads the complete answer before it sends any of it to the caller.
 // If an earlier try has begun a stream, such an answer can't continue it.
-func (x *exchange) deliverWhole(response *upstream.Response, reserved reservation) outcome {
+func (x *exchange) deliverWhole(h *hedge, response *upstream.Response, reserved reservation) outcome {
 	body, err := response.ReadAll(maxAnswer)
+	if err == nil && !x.begun {
+		if lost := x.take(h); lost != nil {
+			return x.endWithout(response, lost)
+		}
+	}
+	h.leave()
 	response.Finish(err == nil)
 	if reserved != nil {
 		reserved.Answered(time.Now())
@@ -51,10 +56,7 @@
 	if err != nil || x.begun {
 		x.progress.err = err
 		x.server.Log.Warn("answer of the target has broken off or does not continue the begun stream; the request is retried if possible", "request", x.id, "target", x.target, "error", err, "bytes", len(body))
-		if x.begun {
-			return broken
-		}
-		return mayHaveRun
+		return x.unfinished()
 	}
 	x.deliverBody(response, body)
 	return delivered
@@ -90,7 +92,7 @@
 }
 
 // deliverStream passes events on as they come, each as a whole.
-func (x *exchange) deliverStream(response *upstream.Response, reserved reservation, timer *time.Timer) outcome {
+func (x *exchange) deliverStream(h *hedge, response *upstream.Response, reserved reservation) outcome {
 	last, begun := x.last, x.hasLast
 	if !begun {
 		last, begun = x.resumePoint()
@@ -108,13 +110,16 @@
 		if errors.Is(err, io.EOF) && !passed && x.begun {
 			err = errNothingFollows
 		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			h.leave()
+			return x.breakStream(response, err)
+		}
+		if lost := x.take(h); lost != nil {
+			return x.endWithout(response, lost)
+		}
 		if err != nil {
-			if reserved != nil && errors.Is(err, io.EOF) && !x.progress.began.IsZero() {
-				x.recordSound()
-			}
-			return x.endStream(response, err)
+			return x.endStream(response, reserved)
 		}
-		x.setEventTimeout(timer)
 		if reserved != nil {
 			now := time.Now()
 			reserved.Answered(now)
@@ -128,6 +133,7 @@
 			x.log("caller has left", "reason", err.Error(), "last_event", x.last)
 			return delivered
 		}
+		h.wait(x.eventTimeout())
 	}
 }
 
@@ -137,14 +143,13 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// setEventTimeout sets how long the next event may take. A stream that can't be
-// resumed has until the deadline.
-func (x *exchange) setEventTimeout(timer *time.Timer) {
-	left := time.Until(x.deadline) + deadlineMargin
-	if x.couldRepeat() && x.route.MaxGap > 0 {
-		left = min(left, gapsUntilBroken*x.route.MaxGap)
+// eventTimeout returns how long the next event may take before the stream is continued at
+// another target, if that is possible.
+func (x *exchange) eventTimeout() time.Duration {
+	if x.route.MaxGap > 0 {
+		return silentGaps * x.route.MaxGap
 	}
-	timer.Reset(left)
+	return x.tryTimeout()
 }
 
 // resumePoint returns the id of the last event that the caller has received in
@@ -176,29 +181,32 @@
 	return nil
 }
 
-// endStream handles the end of a stream: after its last event, or where it broke
-// off.
-func (x *exchange) endStream(response *upstream.Response, err error) outcome {
-	if errors.Is(err, io.EOF) {
-		response.Finish(true)
-		if !x.begun {
-			x.copyHeader(response)
-			x.writer.WriteHeader(response.StatusCode)
-			x.begun = true
-		}
-		x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
-		x.log("request is answered", "status", response.StatusCode, "last_event", x.last)
-		return delivered
+// endStream ends a stream after its last event.
+func (x *exchange) endStream(response *upstream.Response, reserved reservation) outcome {
+	if reserved != nil && !x.progress.began.IsZero() {
+		x.recordSound()
 	}
+	response.Finish(true)
+	if !x.begun {
+		x.copyHeader(response)
+		x.writer.WriteHeader(response.StatusCode)
+		x.begun = true
+	}
+	x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
+	x.log("request is answered", "status", response.StatusCode, "last_event", x.last)
+	return delivered
+}
+
+// breakStream handles the end of a stream that has broken off.
+func (x *exchange) breakStream(response *upstream.Response, err error) outcome {
 	response.Finish(false)
 	if x.caller.Context().Err() != nil {
 		x.log("caller has left", "last_event", x.last)
 		return delivered
 	}
 	x.progress.err = err
-	x.server.Log.Warn("stream of the target has broken off; the request is retried if possible", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "parts", x.demand.SharedIDs(), "error", err)
-	if x.begun {
-		return broken
+	if !errors.Is(err, errNotNeeded) && !errors.Is(err, errOvertaken) {
+		x.server.Log.Warn("stream of the target has broken off; the request is retried if possible", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "parts", x.demand.SharedIDs(), "error", err)
 	}
-	return mayHaveRun
+	return x.unfinished()
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -22,8 +22,6 @@
 
 var errNoCoordinator = errors.New("no call to the target's coordinator is possible now")
 
-var errSlow = errors.New("the target has not answered in time")
-
 // exchange is the state of one request of a caller, over all its tries.
 type exchange struct {
 	server  *Server
@@ -64,6 +62,9 @@
 	crashIdentity quarantine.Request // see identity
 	trial         bool               // it runs apart from other requests with its suspect parts
 	progress      answerProgress     // of the answer of this VM's last try
+
+	behind   *hedge // of the try that this exchange runs beside, nil if there is none
+	silentVM string // entry VM at which that try waits
 }
 
 // failedAnswer is a complete answer with an error status.
@@ -82,14 +83,17 @@
 	broken                    // the answer broke off after part of it was delivered
 )
 
-// dispatch tries targets until one has answered the caller or no further try is
-// allowed.
+// dispatch ends the request with an answer.
 func (x *exchange) dispatch(ctx context.Context) {
 	x.server.budget(x.placement(time.Now())).Request()
-	if x.quarantined(ctx) {
-		return
+	if !x.quarantined(ctx) {
+		x.tryTargets(ctx, notRun)
 	}
-	result := notRun
+}
+
+// tryTargets tries targets until one has answered the caller or no further try is
+// allowed. result is the outcome of the tries so far.
+func (x *exchange) tryTargets(ctx context.Context, result outcome) {
 	for x.tries < x.maxTries() {
 		if (x.tries > 0 || x.runs > 0) && !x.mayTryAgain(ctx, result) {
 			break
@@ -180,8 +184,13 @@
 }
 
 // giveUp ends the request without an answer of a further target: it refuses it,
-// breaks off a begun answer, or delivers an earlier target's error answer.
+// breaks off a begun answer, or delivers an earlier target's error answer. If another
+// try of it still waits for its target, that one goes on.
 func (x *exchange) giveUp(ctx context.Context, result outcome, reason string) {
+	if !x.releaseAnswer() {
+		x.server.Log.Debug("no further target takes the request; it stays at its silent one", "request", x.id, "reason", reason)
+		return
+	}
 	switch {
 	case x.caller.Context().Err() != nil:
 		x.log("caller has left", "reason", reason)
@@ -250,8 +259,16 @@
 func (x *exchange) recordConnectionError(err error, runs int) outcome {
 	var failure *upstream.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
+	if errors.Is(err, errNotNeeded) {
+		return x.countRuns(sent, runs)
+	}
 	x.server.Metrics.Count("tries.failed")
 	x.server.Log.Warn("try has failed without an answer; the request is retried if possible", "request", x.id, "target", x.target, "try", x.tries, "sent", sent, "parts", x.demand.SharedIDs(), "error", err)
+	return x.countRuns(sent, runs)
+}
+
+// countRuns adds the runs of a try without an answer, if the request was sent.
+func (x *exchange) countRuns(sent bool, runs int) outcome {
 	if !sent {
 		return notRun
 	}
@@ -271,22 +288,6 @@
 	return mayHaveRun
 }
 
-// withTryTimeout returns a context that is cancelled when a try takes longer than
-// the timeout, and the timer behind it.
-func (x *exchange) withTryTimeout(ctx context.Context, timeout time.Duration) (bounded context.Context, timer *time.Timer, cancel func()) {
-	bounded, end := context.WithCancelCause(ctx)
-	timer = time.AfterFunc(timeout, func() {
-		// If no retry is left in the budget, a slow answer is better than none.
-		if x.server.budget(x.placement(time.Now())).Available() {
-			end(errSlow)
-		}
-	})
-	return bounded, timer, func() {
-		timer.Stop()
-		end(nil)
-	}
-}
-
 // lowestRank is the least urgent priority at an engine.
 const lowestRank = 9
 
@@ -319,29 +320,38 @@
 	return header
 }
 
-// try sends the request to the target of a reservation.
+// try sends the request to the target of a reservation. If that one is silent, others are
+// tried beside it.
 func (x *exchange) try(ctx context.Context, reserved reservation) outcome {
-	s := x.server
-	target, address := reserved.Where()
+	target, _ := reserved.Where()
 	x.answering = &streamversion.Version{Service: x.service, Version: reserved.Version()}
 	x.tries++
 	x.target = target
 	x.excluded = append(x.excluded, target)
-	observed := place.Inconclusive
-	defer func() { reserved.Done(observed, time.Now()) }()
 	// The lease is checked again: it may have expired while a place was reserved.
-	if x.keyed && !s.Lease.Valid() || !s.Placer.MaySend(target, time.Now()) {
+	if x.keyed && !x.server.Lease.Valid() || !x.server.Placer.MaySend(target, time.Now()) {
 		x.unsent++
+		reserved.Done(place.Inconclusive, time.Now())
 		return notRun
 	}
-	header := x.targetHeader(target, reserved.Source())
-	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout())
-	defer cancel()
+	bounded, h := x.startHedge(ctx, x.tryTimeout(), 1)
+	return h.finish(x.tryTarget(bounded, h, reserved))
+}
+
+// tryTarget sends the request to the target of a reservation and delivers the answer.
+func (x *exchange) tryTarget(ctx context.Context, h *hedge, reserved reservation) outcome {
+	s := x.server
+	target, address := reserved.Where()
+	observed := place.Inconclusive
+	defer func() { reserved.Done(observed, time.Now()) }()
 	sent := time.Now()
-	links := x.watchLinks(bounded)
+	links := x.watchLinks(ctx, h)
 	defer links.stop()
-	response, err := x.sendWatched(links, target, address, header)
+	stopClaim := x.claimLater(takeoverAfter)
+	response, err := x.sendWatched(ctx, links.connecting, target, address, x.targetHeader(target, reserved.Source()))
+	stopClaim()
 	if err != nil {
+		h.leave()
 		observed = x.blame(target, err)
 		x.recordBreak(target, address, false, err)
 		result := x.recordConnectionError(err, 1)
@@ -353,21 +363,18 @@
 	s.Links.Heard()
 	x.noteHead(reserved, response, sent)
 	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
+		h.leave()
 		observed = x.endRefused(target, response)
 		return notRun
 	}
-	x.runs++
-	x.progress = answerProgress{mark: s.Quarantine.Mark()}
-	if response.StatusCode >= http.StatusInternalServerError {
+	result := x.receive(h, response, reserved, 1)
+	switch {
+	case response.StatusCode >= http.StatusInternalServerError:
 		observed = place.Error
-		if x.couldRepeat() {
-			return x.keepFailure(response)
-		}
-		return x.deliver(response, nil, timer)
-	}
-	result := x.deliver(response, reserved, timer)
-	observed = place.Success
-	if result != delivered {
+		return result
+	case result == delivered:
+		observed = place.Success
+	default:
 		observed = x.blame(target, x.progress.err)
 	}
 	if x.progress.mayHaveCrashed() {
@@ -376,6 +383,57 @@
 	return result
 }
 
+// receive takes the answer of a try that stands for a number of runs, from its head on. An
+// error is kept back as long as another target may answer. reserved is nil for the answer
+// of another entry VM.
+func (x *exchange) receive(h *hedge, response *upstream.Response, reserved reservation, runs int) outcome {
+	if response.StatusCode >= http.StatusInternalServerError {
+		h.leave()
+		x.runs += runs
+		if x.couldRepeat() || !x.ownsAnswer() {
+			return x.keepFailure(response)
+		}
+		return x.deliver(h, response, nil)
+	}
+	if !h.deliver() {
+		return x.endWithout(response, errOvertaken)
+	}
+	x.runs += runs
+	if reserved == nil {
+		x.answering = x.answeringVersion(response)
+	}
+	x.progress = answerProgress{mark: x.server.Quarantine.Mark()}
+	h.wait(x.tryTimeout())
+	return x.deliver(h, response, reserved)
+}
+
+// take takes the right to deliver the part of the answer that has come. It returns an
+// error if another try has it.
+func (x *exchange) take(h *hedge) error {
+	if !h.deliver() {
+		return errOvertaken
+	}
+	if !x.claimAnswer() {
+		return errNotNeeded
+	}
+	return nil
+}
+
+// endWithout ends a try whose answer another one delivers.
+func (x *exchange) endWithout(response *upstream.Response, err error) outcome {
+	response.Finish(false)
+	x.progress.err = err
+	return x.unfinished()
+}
+
+// unfinished returns the outcome of a try that has not answered the request to its end.
+func (x *exchange) unfinished() outcome {
+	if x.begun {
+		return broken
+	}
+	return mayHaveRun
+}
+
 // endRefused reads a target's refusal of a request that it has not run, and returns what
 // it says about the target.
 func (x *exchange) endRefused(target string, response *upstream.Response) (observed place.Result) {
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -48,7 +49,9 @@
 		if x.atHome(x.server.Region) && reason != place.NoTargets && x.server.regions.InBackoff(regionRoute{region, x.route.Name}, now) {
 			continue
 		}
-		excluded := func(v entry.VM) bool { return v.WithoutTargets || x.server.partners.InBackoff(v.ID, now) }
+		excluded := func(v entry.VM) bool {
+			return v.WithoutTargets || v.ID == x.silentVM || x.server.partners.InBackoff(v.ID, now)
+		}
 		partner, found := entry.Partner(x.server.Self, known, region, excluded)
 		if found {
 			vms = append(vms, partner)
@@ -91,7 +94,7 @@
 // forwardTo sends the request to one entry VM of another region.
 func (x *exchange) forwardTo(ctx context.Context, v entry.VM) outcome {
 	x.server.Metrics.Away.Inc(1)
-	x.target = "vm:" + v.ID
+	x.target = vmPrefix + v.ID
 	x.progress = answerProgress{}
 	header := x.outgoing()
 	header.Set(hopFrom, x.server.Self)
@@ -103,17 +106,25 @@
 	if key := x.header.Get(keyHeader); key != "" {
 		header.Set(keyHeader, key)
 	}
-	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout()+forwardTimeoutExtra)
-	defer cancel()
-	response, err := x.server.Peers.Do(bounded, v.ID, v.PeerAddress, x.request(header))
+	bounded, h := x.startHedge(ctx, x.tryTimeout()+forwardTimeoutExtra, x.forwardedRuns())
+	return h.finish(x.tryVM(bounded, h, v, header))
+}
+
+// tryVM sends the request to an entry VM and delivers the answer.
+func (x *exchange) tryVM(ctx context.Context, h *hedge, v entry.VM, header http.Header) outcome {
+	stopClaim := x.claimLater(takeoverAfter + 2*interRegionLatency)
+	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
+	stopClaim()
 	if err != nil {
-		if x.caller.Context().Err() == nil {
+		h.leave()
+		if x.caller.Context().Err() == nil && !errors.Is(err, errNotNeeded) {
 			x.server.partners.Refused(v.ID, time.Now())
 		}
 		return x.recordConnectionError(err, x.forwardedRuns())
 	}
 	x.server.partners.Succeeded(v.ID)
 	if reason := response.Header.Get(hopNotRun); reason != "" {
+		h.leave()
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
 		if reason == linksReason {
@@ -125,10 +136,5 @@
 		return notRun
 	}
 	x.server.regions.Succeeded(regionRoute{v.Region, x.route.Name})
-	x.runs += x.forwardedRuns()
-	if response.StatusCode >= http.StatusInternalServerError && x.couldRepeat() {
-		return x.keepFailure(response)
-	}
-	x.answering = x.answeringVersion(response)
-	return x.deliver(response, nil, timer)
+	return x.receive(h, response, nil, x.forwardedRuns())
 }
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -36,7 +36,7 @@
 		switch {
 		case v.ID == s.Self:
 			own = v.DataCentre
-		case v.Ready && !v.WithoutTargets && v.Region == s.Region && !s.partners.InBackoff(v.ID, now):
+		case v.Ready && !v.WithoutTargets && v.ID != x.silentVM && v.Region == s.Region && !s.partners.InBackoff(v.ID, now):
 			vms = append(vms, v)
 		}
 	}
@@ -73,36 +73,31 @@
 // linkWatch bounds a try by the links of this VM.
 type linkWatch struct {
 	connecting context.Context // ends when the links are lost
-	sent       context.Context // the same, if the request may be sent again
 	stop       func()
 }
 
 // watchLinks starts to watch the links for a try. If nothing comes from any target, it
-// has them probed.
-func (x *exchange) watchLinks(ctx context.Context) linkWatch {
+// has them probed. If they are lost, what isn't sent yet is taken back, and another way is
+// looked for beside what is sent.
+func (x *exchange) watchLinks(ctx context.Context, h *hedge) linkWatch {
 	links := x.server.Links
-	connecting, endConnecting := context.WithCancelCause(ctx)
-	sent, endSent := context.WithCancelCause(ctx)
-	repeatable := x.couldRepeatAfter(x.runs + 1)
+	connecting, end := context.WithCancelCause(ctx)
 	forget := links.OnLost(func() {
-		endConnecting(errLinksLost)
-		if repeatable {
-			endSent(errLinksLost)
-		}
+		end(errLinksLost)
+		go h.begin()
 	})
 	timer := time.AfterFunc(targetlink.SilentAfter, links.CheckSilence)
-	return linkWatch{connecting: connecting, sent: sent, stop: func() {
+	return linkWatch{connecting: connecting, stop: func() {
 		timer.Stop()
 		forget()
-		endConnecting(nil)
-		endSent(nil)
+		end(nil)
 	}}
 }
 
 // blame returns what a failed try says about its target: nothing, if this VM doesn't
 // reach other targets either.
 func (x *exchange) blame(target string, err error) place.Result {
-	if x.caller.Context().Err() != nil || errors.Is(err, errSuspect) || errors.Is(err, errLinksLost) {
+	if x.caller.Context().Err() != nil || errors.Is(err, errSuspect) || errors.Is(err, errLinksLost) || errors.Is(err, errNotNeeded) {
 		return place.Inconclusive
 	}
 	if !x.server.Links.ReachesOther(target) {
--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -159,14 +159,14 @@
 
 // sendWatched sends the request to a target and waits for the head of the answer. It
 // takes the request back if it turns out to crash targets, before it crashes this one.
-func (x *exchange) sendWatched(links linkWatch, target, address string, header http.Header) (*upstream.Response, error) {
+func (x *exchange) sendWatched(ctx, connecting context.Context, target, address string, header http.Header) (*upstream.Response, error) {
 	request := x.request(header)
-	request.Connecting = links.connecting
+	request.Connecting = connecting
 	if x.trial || x.origin.known {
-		return x.server.Targets.Do(links.sent, target, address, request)
+		return x.server.Targets.Do(ctx, target, address, request)
 	}
 	var headCame atomic.Bool
-	watched, end := context.WithCancelCause(links.sent)
+	watched, end := context.WithCancelCause(ctx)
 	stop := x.server.Quarantine.Watch(x.identity(), func() {
 		if !headCame.Load() {
 			x.server.Log.Warn("request is taken back from its target, since other targets have crashed at a part of it", "request", x.id, "target", target)
--- a/io/front/timing.go
+++ b/io/front/timing.go
@@ -4,7 +4,7 @@
 
 const (
 	// minTryTimeout is the least time that a target has to begin its answer before
-	// a repeatable request is sent to another target.
+	// a repeatable request is sent to another target too.
 	minTryTimeout = time.Second
 	// boundShare is the share of the route's objective, the time within which an
 	// answer should begin, by which the answer to a new request must be predicted
@@ -16,9 +16,6 @@
 	// continuedDivisor gives the part of the time left within which the rest of a stream
 	// must be predicted to begin.
 	continuedDivisor = 2
-	// deadlineMargin keeps the timeout of a try from ending just before the
-	// request's own deadline.
-	deadlineMargin = time.Second
 )
 
 // preferredBound returns the predicted time until the answer begins up to which
@@ -44,21 +41,13 @@
 	return max(1, left)
 }
 
-// tryTimeout returns how long a target may take to begin its answer.
+// tryTimeout returns how long a target may take to begin its answer before another one is
+// tried beside it.
 func (x *exchange) tryTimeout() time.Duration {
-	left := time.Until(x.deadline)
-	if !x.couldRepeatAfter(x.runs + 1) {
-		return left + deadlineMargin
-	}
-	return min(left+deadlineMargin, max(minTryTimeout, x.route.Objective*3/2))
+	return max(minTryTimeout, x.route.Objective*3/2)
 }
 
+// couldRepeat reports whether the request may be run again.
 func (x *exchange) couldRepeat() bool {
-	return x.couldRepeatAfter(x.runs)
-}
-
-// couldRepeatAfter reports whether the request may be run again after the given
-// number of runs.
-func (x *exchange) couldRepeatAfter(runs int) bool {
-	return x.route.MayRepeat() && runs < x.attempts() && x.tries < x.maxTries()
+	return x.route.MayRepeat() && x.runs < x.attempts() && x.tries < x.maxTries()
 }
