Count the failures of one silence of a peer once

What callers saw: after a target had been silent for a second, it was left out for up to 30 s, and others were full.

Cause: each failure beyond the third doubled the time for which a circuit stays open, also those of requests that were sent before it opened. 50 requests that failed together opened it for 30 s. TestOneSilenceCountsOnce failed before ('not one probe after the shortest time'). With silent tries that are overtaken by others, a sound target meets this often.

Change: while a circuit is open, only the probe's result counts. A peer that fails its probes is still tried less and less often (TestOpenTimesDouble, passed before too). The circuit of both doors is this one.

--- a/core/circuit/circuit.go
+++ b/core/circuit/circuit.go
@@ -53,8 +53,11 @@
 }
 
 // Failed records that the peer did not answer. Enough failures in a row open the
-// circuit.
+// circuit. While it is open, failures of requests that were sent before say nothing new.
 func (b *Breaker) Failed() {
+	if !b.Closed() && time.Now().UnixNano() < b.openUntil.Load() {
+		return
+	}
 	failures := b.failures.Add(1)
 	if failures >= failuresToOpen {
 		openFor := min(longestOpen, shortestOpen<<min(failures-failuresToOpen, 8))
