--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -395,7 +395,7 @@
 		}
 		return x.deliver(h, response, nil)
 	}
-	if !h.deliver() {
+	if !h.goOn() {
 		return x.endWithout(response, errOvertaken)
 	}
 	x.runs += runs
@@ -410,7 +410,7 @@
 // take takes the right to deliver the part of the answer that has come. It returns an
 // error if another try has it.
 func (x *exchange) take(h *hedge) error {
-	if !h.deliver() {
+	if !h.goOn() {
 		return errOvertaken
 	}
 	if !x.claimAnswer() {
--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -180,9 +180,9 @@
 	h.timer.Reset(timeout)
 }
 
-// deliver tells that the try's target has sent a part of the answer, and ends a hedged
+// goOn tells that the try's target has sent a part of the answer, and ends a hedged
 // try. It returns false if that one has the answer already.
-func (h *hedge) deliver() bool {
+func (h *hedge) goOn() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.state == tryOvertaken {
