Log and count each end without a complete answer once, by its kind

A request that ended early left one of four lines that didn't say why: whether its target was silent, the connection was lost, the VM was stopping or the configuration had changed. A failing handler left none.

Both doors now write one line for it with kind, silence of the target, revisions of the catalogue at the arrival and the end, and the rest of a planned stop, and count ended.KIND. A deferred check notices a request whose handler ends without a result. On the project's own interface, an answer whose last write fails was logged like one that was delivered.

--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -111,10 +112,9 @@
 	}
 	if a.stream {
 		if err := a.event(a.chunk("", &stop, total)); err != nil {
-			return nil // the caller disconnected after all tokens were sent
+			return notWritten(err)
 		}
-		_ = a.line([]byte("[DONE]"))
-		return nil
+		return notWritten(a.line([]byte("[DONE]")))
 	}
 	text := a.text.String()
 	choice := choiceJSON{FinishReason: &stop}
@@ -126,7 +126,7 @@
 		choice.Text = &text
 	}
 	a.in.w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(a.in.w).Encode(a.completion(object, choice, total))
+	return notWritten(json.NewEncoder(a.in.w).Encode(a.completion(object, choice, total)))
 }
 
 // fail ends a completion with an error. A stream that has begun gets the error as
@@ -153,3 +153,11 @@
 func (b *startedError) Unwrap() error {
 	return b.err
 }
+
+// notWritten returns the error of an answer whose last write has failed with err, or nil.
+func notWritten(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &startedError{err: fmt.Errorf("%w: %w", errNotWritten, err)}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -72,7 +72,10 @@
 	key     catalogue.Key // zero if the request has none
 	route   catalogue.Route
 	status  int
-	used    int // tokens
+	used    int  // tokens
+	ended   bool // the log line of its end is written
+	// revision is that of the catalogue at the arrival.
+	revision uint64
 	// untracked marks a health check or a lookup, which is neither logged nor
 	// counted.
 	untracked bool
@@ -84,9 +87,10 @@
 // the error response and logs the result.
 func (s *Server) wrap(handle func(*incomingRequest) error) bunrouter.HandlerFunc {
 	return func(w http.ResponseWriter, r bunrouter.Request) error {
-		in := &incomingRequest{id: uuid.NewString(), started: time.Now(), w: w, r: r, status: http.StatusOK}
+		in := &incomingRequest{id: uuid.NewString(), started: time.Now(), w: w, r: r, status: http.StatusOK, revision: s.VMState.Catalogue.Read().Revision}
 		w.Header().Set("X-Request-Id", in.id)
 		defer s.running.Add(-1)
+		defer s.settle(in)
 		var err error
 		if s.running.Add(1) > int64(s.Limits.MaxConcurrent) {
 			err = fault.New(fault.Overloaded, "this VM has reached limits.max_concurrent (%d requests); try again later", s.Limits.MaxConcurrent)
@@ -104,6 +108,7 @@
 
 // finish logs and counts a request.
 func (s *Server) finish(in *incomingRequest, err error) {
+	in.ended = true
 	if in.untracked {
 		return // too frequent for the log, and uses no target
 	}
@@ -113,7 +118,8 @@
 		"request_id", in.id, "organisation", in.key.Organisation, "key_id", in.key.ID, "route", in.route.Name,
 		"status", in.status, "duration", took, "tokens", in.used,
 	}
-	if err == nil {
+	attributes = append(attributes, s.noteEnd(in, in.endKind(err))...)
+	if err == nil || errors.Is(err, errNotWritten) {
 		s.Metrics.Answer.Update(took)
 		s.VMState.Burn.Count(in.key.Organisation, in.route.Name, false)
 		s.Log.Info("answered", attributes...)
@@ -124,6 +130,15 @@
 	s.Log.Info("refused", append(attributes, "code", code, "not_run", exchange.NotRun(err) || notRunCode(code), "error", err)...)
 }
 
+// settle is deferred by the handler: a request must not end unnoticed.
+func (s *Server) settle(in *incomingRequest) {
+	if in.ended {
+		return
+	}
+	fields := append([]any{"request_id", in.id, "route", in.route.Name, "duration", time.Since(in.started)}, s.noteEnd(in, endedOpen)...)
+	s.Log.Error("request ends without a result", fields...)
+}
+
 // countFailure counts a failed request in the metrics and, if its route is known,
 // in the burn rate, where errors of the caller don't count as failures.
 func (s *Server) countFailure(in *incomingRequest, code fault.Code) {
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -110,6 +110,6 @@
 	}
 	in.status = answer.Status
 	in.w.WriteHeader(answer.Status)
-	_, _ = in.w.Write(answer.Body)
-	return nil
+	_, err := in.w.Write(answer.Body)
+	return notWritten(err)
 }
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -49,7 +49,7 @@
 		x.recordSound()
 	}
 	if err != nil || x.begun {
-		x.progress.err = err
+		x.progress.err, x.lastError = err, err
 		x.server.Log.Warn("answer of the target has broken off or does not continue the begun stream; the request is retried if possible", "request", x.id, "target", x.target, "error", err, "bytes", len(body))
 		if x.begun {
 			return broken
@@ -67,7 +67,7 @@
 	x.writer.WriteHeader(response.StatusCode)
 	x.begun = true
 	if _, err := x.writer.Write(body); err != nil {
-		x.log("caller has left", "status", response.StatusCode)
+		x.end(x.writeKind(), "caller has left", "status", response.StatusCode)
 		return
 	}
 	x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
@@ -114,6 +114,7 @@
 			}
 			return x.endStream(response, err)
 		}
+		x.heardNow()
 		x.setEventTimeout(timer)
 		if reserved != nil {
 			now := time.Now()
@@ -125,7 +126,7 @@
 		passed = true
 		if err := x.send(controller, response, event); err != nil {
 			response.Finish(false)
-			x.log("caller has left", "reason", err.Error(), "last_event", x.last)
+			x.end(x.writeKind(), "caller has left", "reason", err.Error(), "last_event", x.last)
 			return delivered
 		}
 	}
@@ -192,10 +193,10 @@
 	}
 	response.Finish(false)
 	if x.caller.Context().Err() != nil {
-		x.log("caller has left", "last_event", x.last)
+		x.end(x.writeKind(), "caller has left", "last_event", x.last)
 		return delivered
 	}
-	x.progress.err = err
+	x.progress.err, x.lastError = err, err
 	x.server.Log.Warn("stream of the target has broken off; the request is retried if possible", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "parts", x.demand.SharedIDs(), "error", err)
 	if x.begun {
 		return broken
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"kingcuprill/core/place"
@@ -64,6 +65,10 @@
 	crashIdentity quarantine.Request // see identity
 	trial         bool               // it runs apart from other requests with its suspect parts
 	progress      answerProgress     // of the answer of this VM's last try
+
+	heard     atomic.Int64 // time from the arrival until the last sign of the target, in nanoseconds
+	lastError error        // of the last try that failed
+	ended     bool         // the log line of its end is written
 }
 
 // failedAnswer is a complete answer with an error status.
@@ -184,16 +189,16 @@
 func (x *exchange) giveUp(ctx context.Context, result outcome, reason string) {
 	switch {
 	case x.caller.Context().Err() != nil:
-		x.log("caller has left", "reason", reason)
+		x.end(x.endKind(ctx), "caller has left", "reason", reason)
 	case x.begun:
-		x.log("answer is broken off", "reason", reason, "last_event", x.last)
+		x.end(x.endKind(ctx), "answer is broken off", "reason", reason, "last_event", x.last)
 		panic(http.ErrAbortHandler)
 	case x.failure != nil:
 		x.deliverBody(x.failure.response, x.failure.body)
 	case x.runs > 0 && ctx.Err() != nil:
-		x.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline"})
+		x.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline", ended: x.endKind(ctx)})
 	case x.runs > 0:
-		x.refuse(&refusal{status: http.StatusBadGateway, reason: reason})
+		x.refuse(&refusal{status: http.StatusBadGateway, reason: reason, ended: x.endKind(ctx)})
 	default:
 		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: x.retryAfter(), notRun: true})
 	}
@@ -251,6 +256,7 @@
 	var failure *upstream.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
 	x.server.Metrics.Count("tries.failed")
+	x.lastError = err
 	x.server.Log.Warn("try has failed without an answer; the request is retried if possible", "request", x.id, "target", x.target, "try", x.tries, "sent", sent, "parts", x.demand.SharedIDs(), "error", err)
 	if !sent {
 		return notRun
@@ -338,6 +344,7 @@
 	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout())
 	defer cancel()
 	sent := time.Now()
+	x.heardNow()
 	links := x.watchLinks(bounded)
 	defer links.stop()
 	response, err := x.sendWatched(links, target, address, header)
@@ -351,6 +358,7 @@
 		return result
 	}
 	s.Links.Heard()
+	x.heardNow()
 	x.noteHead(reserved, response, sent)
 	if response.Header.Get(s.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		observed = x.endRefused(target, response)
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -91,7 +91,7 @@
 // forwardTo sends the request to one entry VM of another region.
 func (x *exchange) forwardTo(ctx context.Context, v entry.VM) outcome {
 	x.server.Metrics.Away.Inc(1)
-	x.target = "vm:" + v.ID
+	x.target = vmPrefix + v.ID
 	x.progress = answerProgress{}
 	header := x.outgoing()
 	header.Set(hopFrom, x.server.Self)
@@ -105,6 +105,7 @@
 	}
 	bounded, timer, cancel := x.withTryTimeout(ctx, x.tryTimeout()+forwardTimeoutExtra)
 	defer cancel()
+	x.heardNow()
 	response, err := x.server.Peers.Do(bounded, v.ID, v.PeerAddress, x.request(header))
 	if err != nil {
 		if x.caller.Context().Err() == nil {
@@ -113,6 +114,7 @@
 		return x.recordConnectionError(err, x.forwardedRuns())
 	}
 	x.server.partners.Succeeded(v.ID)
+	x.heardNow()
 	if reason := response.Header.Get(hopNotRun); reason != "" {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -102,6 +102,12 @@
 	s.stop.Store(&plannedStop{begun: time.Now(), end: end})
 }
 
+// stopped reports whether this VM has ended its planned stop.
+func (s *Server) stopped(now time.Time) bool {
+	stop := s.stop.Load()
+	return stop != nil && !now.Before(stop.end)
+}
+
 // outlastsStop reports whether the request may still run when this VM ends.
 func (x *exchange) outlastsStop() bool {
 	stop := x.server.stop.Load()
@@ -135,6 +141,7 @@
 	defer s.running.Add(-1)
 	x := &exchange{server: s, writer: w, caller: r, arrived: time.Now(), id: r.Header.Get(s.Headers.RequestID), from: from}
 	s.Metrics.Requests.Inc(1)
+	defer x.settle()
 	if refused := x.admit(); refused != nil {
 		x.refuse(refused)
 		return
@@ -154,6 +161,7 @@
 	reason     string
 	retryAfter time.Duration // until the caller should retry, 0 if a retry is of no use
 	notRun     bool
+	ended      endKind // if it is no answer to a request that was read
 }
 
 // kind returns the reason without the part that differs between requests.
@@ -215,7 +223,7 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", notRun: true}
 	}
 	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "body_not_read: " + err.Error(), notRun: true}
+		return &refusal{status: http.StatusBadRequest, reason: "body_not_read: " + err.Error(), notRun: true, ended: endedNotRead}
 	}
 	x.body = body
 	x.demand = x.server.Headers.demand(x.header)
@@ -294,12 +302,18 @@
 	x.writer.WriteHeader(r.status)
 	s.Metrics.Refused.Inc(1)
 	s.Metrics.Count("refused." + strconv.Itoa(r.status) + "." + r.kind())
-	x.log("request is refused", "status", r.status, "reason", r.reason, "retry_after", r.retryAfter, "not_run", r.notRun)
+	fields := []any{"status", r.status, "reason", r.reason, "retry_after", r.retryAfter, "not_run", r.notRun}
+	if r.ended != "" {
+		x.end(r.ended, "request is refused", fields...)
+		return
+	}
+	x.log("request is refused", fields...)
 }
 
 // log writes the log line for the end of a request.
 func (x *exchange) log(message string, args ...any) {
 	s := x.server
+	x.ended = true
 	fields := []any{
 		"request", x.id, "route", x.route.Name, "organisation", x.organisation.Name, "from", x.from,
 		"tries", x.tries, "target", x.target, "took", time.Since(x.arrived).Round(time.Millisecond / 10),
