Let one timetable decide what a planned stop of an entry VM takes and ends

What callers saw: in a planned stop in calm, requests that came in the grace period, also such that may run once only, were passed on to a target and cut at its end without an answer.

Cause: three clocks. The listener took connections for a quarter of the grace period, the admission took every request that arrived in the first 2 s whatever its deadline, and the end of the process, 0.7 s before the end of the grace, closed whatever still ran. The admission looked at the time of arrival only: a body that came slowly, or a wait for tokens or a place, carried a request past it. A deadline just before the end left no time to write the answer. Reading a body had no bound. Reporting the stop to a control VM that doesn't answer delayed the rest of the stop.

Ruled out: requests in the accept queue and on idle connections; they are served or not read (tests of io/listener).

Change: core/drain holds the timetable. A request that has not run is taken if its deadline lies before the time at which all must be answered, or if it may be repeated and callers may not know of the stop yet; this is asked on arrival, when its body is whole and before each send to a target. All others are refused at once as not run, with a close of the connection. At that time, an eighth of the grace but at most 1 s before its end, the requests that still run are ended: 502 if they may have run, 503 if not, and a begun stream breaks off. A body is read until the request's deadline at most (408) or that time.

Why it works: a taken request ends at its deadline or at that time, whichever comes first, and both lie before the connections are closed.

--- /dev/null
+++ b/core/drain/drain.go
@@ -0,0 +1,84 @@
+// Package drain is the timetable of a planned stop. Admission, the end of requests that
+// still run and the end of the listeners all go by it, so that what one of them takes
+// another doesn't cut off.
+package drain
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// closeDivisor and maxClose give the time in which a process ends after its last
+	// connection is closed.
+	closeDivisor = 16
+	maxClose     = 500 * time.Millisecond
+	// answerDivisor and maxAnswer give the time before the end of the grace period at which
+	// the requests that still run are answered. Answers need processor time too, of which
+	// a VM in a stop may have little.
+	answerDivisor = 8
+	maxAnswer     = time.Second
+)
+
+// Stop is a planned stop. The zero value is not used.
+type Stop struct {
+	Begun  time.Time
+	Accept time.Duration // in which callers may not know of the stop yet
+	Grace  time.Duration // until the process must have ended
+}
+
+// AcceptUntil returns when new connections are no longer accepted.
+func (s Stop) AcceptUntil() time.Time {
+	return s.Begun.Add(min(s.Accept, s.Grace))
+}
+
+// AnswerBy returns when the requests that still run get an answer or, if one has begun,
+// are broken off.
+func (s Stop) AnswerBy() time.Time {
+	return s.Begun.Add(s.Grace - min(s.Grace/answerDivisor, maxAnswer))
+}
+
+// CloseAt returns when all connections are closed.
+func (s Stop) CloseAt() time.Time {
+	return s.Begun.Add(s.Grace - min(s.Grace/closeDivisor, maxClose))
+}
+
+// Takes reports whether a request that has not run may be run: its deadline lies within
+// the stop, or it may be repeated elsewhere and its caller may not know of the stop.
+func (s Stop) Takes(now, deadline time.Time, repeatable bool) bool {
+	if !deadline.After(s.AnswerBy()) {
+		return true
+	}
+	return repeatable && now.Before(s.AcceptUntil())
+}
+
+// Clock holds the planned stop of a VM, once it has begun. It is safe for concurrent use,
+// and its zero value is ready for use.
+type Clock struct {
+	stop atomic.Pointer[Stop]
+}
+
+// Begin starts a planned stop.
+func (c *Clock) Begin(s Stop) {
+	c.stop.Store(&s)
+}
+
+// Stop returns the planned stop, if one has begun.
+func (c *Clock) Stop() (s Stop, begun bool) {
+	if found := c.stop.Load(); found != nil {
+		return *found, true
+	}
+	return Stop{}, false
+}
+
+// Takes reports whether a request that has not run may be run.
+func (c *Clock) Takes(now, deadline time.Time, repeatable bool) bool {
+	s, begun := c.Stop()
+	return !begun || s.Takes(now, deadline, repeatable)
+}
+
+// Closed reports whether the connections of the VM have been closed by a planned stop.
+func (c *Clock) Closed(now time.Time) bool {
+	s, begun := c.Stop()
+	return begun && !now.Before(s.CloseAt())
+}
--- a/core/inflight/inflight.go
+++ b/core/inflight/inflight.go
@@ -38,6 +38,14 @@
 	return r.count.Load()
 }
 
+// EndAll cancels all requests, with cause.
+func (r *Register) EndAll(cause error) {
+	r.requests.Range(func(key, _ any) bool {
+		key.(*running).cancel(cause)
+		return true
+	})
+}
+
 // End cancels the requests whose key is withdrawn, with cause. Requests without a
 // key go on.
 func (r *Register) End(withdrawn func(keyID string) bool, cause error) {
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -19,6 +19,7 @@
 	"gopkg.in/tomb.v2"
 
 	"kingcuprill/core/catalogue"
+	"kingcuprill/core/drain"
 	"kingcuprill/core/entry"
 	"kingcuprill/core/fault"
 	"kingcuprill/core/instance"
@@ -59,13 +60,9 @@
 	callerIdleTimeout = 75 * time.Second
 	// headerTimeout bounds the time in which a caller sends its headers.
 	headerTimeout = 10 * time.Second
-	// stopMargin is the time between the end of the last request and the end of
-	// the grace period.
-	stopMargin = 700 * time.Millisecond
-	// drainDivisor sets how long new connections are still accepted in a planned
-	// stop, as callers learn of the stop with a delay: the grace period divided by
-	// twice this number.
-	drainDivisor = 2
+	// acceptDivisor gives the part of the grace period in which new connections are still
+	// accepted in a planned stop, as callers learn of the stop with a delay.
+	acceptDivisor = 4
 	// memoryShare is the part of the VM's memory that is the soft memory limit of
 	// the garbage collector.
 	memoryShare = 0.7
@@ -406,20 +403,20 @@
 const maxHeaderBytes = 12 << 10
 
 // drain makes a planned stop: directories no longer list this VM, requests that
-// still arrive are served, and drain returns after the last request or shortly
-// before the grace period ends.
+// still arrive are served if they can end in time, and drain returns after the last
+// request or shortly before the grace period ends.
 func (v *VM) drain() {
 	v.Log.Info("entry VM begins a planned stop; running requests may end within the grace period", "vm", v.Config.ID, "running", v.front.Running())
 	v.draining.Store(true)
-	end := time.Now().Add(v.Config.Grace - stopMargin)
-	v.front.StopAt(end)
+	stop := drain.Stop{Begun: time.Now(), Accept: v.Config.Grace / acceptDivisor, Grace: v.Config.Grace}
+	v.front.Stop(stop)
 	for _, s := range v.servers {
 		s.CloseAfterAnswers()
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), stop.CloseAt())
 	defer cancel()
-	v.client.ReportState(ctx)
-	time.Sleep(v.Config.Grace / (2 * drainDivisor))
+	go v.client.ReportState(ctx)
+	time.Sleep(time.Until(stop.AcceptUntil()))
 	var group sync.WaitGroup
 	for _, s := range v.servers {
 		group.Go(func() {
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -81,6 +81,7 @@
 	}
 	// Only entry VMs may state that no target has run the request.
 	header.Del(hopNotRun)
+	x.closeInStop(header)
 	x.setOrigin(header)
 	if _, dated := header["Date"]; !dated {
 		// A nil value keeps net/http from adding a Date header: answers carry only
--- a/io/front/ended.go
+++ b/io/front/ended.go
@@ -32,7 +32,7 @@
 // endKind returns why a request ends that is answered by no further try.
 func (x *exchange) endKind(ctx context.Context) endKind {
 	switch {
-	case x.server.stopped(time.Now()):
+	case endedByStop(ctx), x.server.stop.Closed(time.Now()):
 		return endedStop
 	case x.caller.Context().Err() != nil:
 		return endedCallerLeft
@@ -53,7 +53,7 @@
 // writeKind returns why an answer could not be written.
 func (x *exchange) writeKind() endKind {
 	switch {
-	case x.server.stopped(time.Now()):
+	case x.server.stop.Closed(time.Now()):
 		return endedStop
 	case x.caller.Context().Err() != nil:
 		return endedCallerLeft
@@ -77,8 +77,8 @@
 	if x.state != nil {
 		fields = append(fields, "revision_at_arrival", x.state.Revision)
 	}
-	if stop := s.stop.Load(); stop != nil {
-		fields = append(fields, "stop_left", time.Until(stop.end).Round(time.Millisecond))
+	if stop, begun := s.stop.Stop(); begun {
+		fields = append(fields, "stop_left", time.Until(stop.CloseAt()).Round(time.Millisecond))
 	}
 	x.log(message, append(fields, args...)...)
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -96,6 +96,10 @@
 	}
 	result := notRun
 	for x.tries < x.maxTries() {
+		if x.outlastsStop() {
+			x.giveUp(ctx, result, stoppingReason)
+			return
+		}
 		if (x.tries > 0 || x.runs > 0) && !x.mayTryAgain(ctx, result) {
 			break
 		}
@@ -187,6 +191,9 @@
 // giveUp ends the request without an answer of a further target: it refuses it,
 // breaks off a begun answer, or delivers an earlier target's error answer.
 func (x *exchange) giveUp(ctx context.Context, result outcome, reason string) {
+	if endedByStop(ctx) {
+		reason = stoppingReason
+	}
 	switch {
 	case x.caller.Context().Err() != nil:
 		x.end(x.endKind(ctx), "caller has left", "reason", reason)
@@ -195,7 +202,7 @@
 		panic(http.ErrAbortHandler)
 	case x.failure != nil:
 		x.deliverBody(x.failure.response, x.failure.body)
-	case x.runs > 0 && ctx.Err() != nil:
+	case x.runs > 0 && ctx.Err() == context.DeadlineExceeded:
 		x.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline", ended: x.endKind(ctx)})
 	case x.runs > 0:
 		x.refuse(&refusal{status: http.StatusBadGateway, reason: reason, ended: x.endKind(ctx)})
@@ -336,7 +343,7 @@
 	observed := place.Inconclusive
 	defer func() { reserved.Done(observed, time.Now()) }()
 	// The lease is checked again: it may have expired while a place was reserved.
-	if x.keyed && !s.Lease.Valid() || !s.Placer.MaySend(target, time.Now()) {
+	if x.outlastsStop() || x.keyed && !s.Lease.Valid() || !s.Placer.MaySend(target, time.Now()) {
 		x.unsent++
 		return notRun
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"kingcuprill/core/drain"
 	"kingcuprill/core/entry"
 	"kingcuprill/core/instance"
 	"kingcuprill/core/lease"
@@ -416,7 +417,7 @@
 func TestPlannedStop(t *testing.T) {
 	s := startTarget(t, status(200, "", "fine"))
 	w := newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1, Timeout: 5 * time.Second}, s)
-	w.server.stop.Store(&plannedStop{begun: time.Now().Add(-stopGrace - time.Second), end: time.Now().Add(2 * time.Second)})
+	w.server.Stop(drain.Stop{Begun: time.Now().Add(-3 * time.Second), Accept: 2 * time.Second, Grace: 6 * time.Second})
 	if code, _, response := w.ask(t, "k"); code != 503 || response.Header.Get("Retry-After") == "" {
 		t.Errorf("status %d for a request that may outlast the stop", code)
 	}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -14,7 +14,9 @@
 	"time"
 
 	"kingcuprill/core/backoff"
+	"kingcuprill/core/drain"
 	"kingcuprill/core/entry"
+	"kingcuprill/core/inflight"
 	"kingcuprill/core/lease"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
@@ -62,11 +64,11 @@
 	Metrics    *metrics.Metrics
 	Log        *slog.Logger
 
-	stop     atomic.Pointer[plannedStop]
+	stop     drain.Clock
 	budgets  sync.Map                     // budgetKey to *retry.Budget
 	regions  backoff.Tracker[regionRoute] // backoff after a region refused a request
 	partners backoff.Tracker[string]      // backoff after an entry VM of another region has not answered
-	running  atomic.Int64
+	running  inflight.Register
 	crashes  crashChecks
 	// unreadable are the targets whose number of refusals can't be read.
 	unreadable onceEach
@@ -88,35 +90,9 @@
 	retryAfterDivisor = 3
 )
 
-type plannedStop struct {
-	begun, end time.Time
-}
-
-// stopGrace is the time from the begin of a planned stop in which every request
-// is still accepted, because callers learn of the stop with a delay.
-const stopGrace = 2 * time.Second
-
-// StopAt starts a planned stop: this VM will end at the given time. Requests
-// that may run longer are refused after stopGrace.
-func (s *Server) StopAt(end time.Time) {
-	s.stop.Store(&plannedStop{begun: time.Now(), end: end})
-}
-
-// stopped reports whether this VM has ended its planned stop.
-func (s *Server) stopped(now time.Time) bool {
-	stop := s.stop.Load()
-	return stop != nil && !now.Before(stop.end)
-}
-
-// outlastsStop reports whether the request may still run when this VM ends.
-func (x *exchange) outlastsStop() bool {
-	stop := x.server.stop.Load()
-	return stop != nil && x.arrived.Sub(stop.begun) > stopGrace && x.deadline.After(stop.end)
-}
-
 // Running returns the number of requests that are being served.
 func (s *Server) Running() int64 {
-	return s.running.Load()
+	return s.running.Count()
 }
 
 // ServeHTTP serves a request of a caller.
@@ -137,8 +113,8 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, from string) {
-	s.running.Add(1)
-	defer s.running.Add(-1)
+	running, leave := s.running.Enter(r.Context(), "")
+	defer leave()
 	x := &exchange{server: s, writer: w, caller: r, arrived: time.Now(), id: r.Header.Get(s.Headers.RequestID), from: from}
 	s.Metrics.Requests.Inc(1)
 	defer x.settle()
@@ -146,8 +122,12 @@
 		x.refuse(refused)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithDeadline(running, x.deadline)
 	defer cancel()
+	if refused := x.read(ctx); refused != nil {
+		x.refuse(refused)
+		return
+	}
 	if refused := x.takeUp(ctx); refused != nil {
 		x.refuse(refused)
 		return
@@ -170,7 +150,7 @@
 	return kind
 }
 
-// admit finds the route, authenticates the caller and reads the request.
+// admit finds the route and authenticates the caller.
 func (x *exchange) admit() *refusal {
 	s := x.server
 	state := s.State.Read()
@@ -207,24 +187,27 @@
 		}
 	}
 	x.deadline = x.arrived.Add(s.Headers.timeLeft(x.header, route.Timeout))
-	if x.outlastsStop() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: minRetryAfter / 5, notRun: true}
-	}
-	return x.read(state.Plan.Plan.MaxBody)
+	return x.stopRefusal()
 }
 
 // read reads the body and charges the organisation for the request.
-func (x *exchange) read(maxBody int64) *refusal {
-	if maxBody > 0 {
+func (x *exchange) read(ctx context.Context) *refusal {
+	if maxBody := x.state.Plan.Plan.MaxBody; maxBody > 0 {
 		x.caller.Body = http.MaxBytesReader(x.writer, x.caller.Body, maxBody)
 	}
-	body, err := io.ReadAll(x.caller.Body)
+	body, err := x.readWithin(ctx)
 	if _, large := err.(*http.MaxBytesError); large {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", notRun: true}
 	}
+	if errors.Is(err, errLateBody) {
+		return x.lateBodyRefusal(ctx)
+	}
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "body_not_read: " + err.Error(), notRun: true, ended: endedNotRead}
 	}
+	if refused := x.stopRefusal(); refused != nil {
+		return refused
+	}
 	x.body = body
 	x.demand = x.server.Headers.demand(x.header)
 	x.service = x.route.Choose(x.id)
@@ -293,6 +276,7 @@
 	if x.id != "" && s.Headers.RequestID != "" {
 		header.Set(s.Headers.RequestID, x.id)
 	}
+	x.closeInStop(header)
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
--- /dev/null
+++ b/io/front/stopping.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"kingcuprill/core/drain"
+)
+
+const (
+	// stoppingReason is the reason of refusals by a VM in a planned stop.
+	stoppingReason = "stopping"
+	// stoppingRetryAfter is when callers that are refused in a planned stop should go to
+	// another VM.
+	stoppingRetryAfter = 50 * time.Millisecond
+)
+
+// errStopping is the cause for which a planned stop ends requests.
+var errStopping = errors.New("this VM is stopping")
+
+// errLateBody is the error of a body that is not whole when its request ends.
+var errLateBody = errors.New("the body has not come in time")
+
+// Stop starts a planned stop: requests that may run beyond its end are refused, and those
+// that still run shortly before it get an answer.
+func (s *Server) Stop(stop drain.Stop) {
+	s.stop.Begin(stop)
+	time.AfterFunc(time.Until(stop.AnswerBy()), func() { s.running.EndAll(errStopping) })
+}
+
+// endedByStop reports whether a planned stop has ended the request of a context.
+func endedByStop(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errStopping)
+}
+
+// outlastsStop reports whether the request has not run and may still run when this VM
+// ends.
+func (x *exchange) outlastsStop() bool {
+	return x.runs == 0 && !x.server.stop.Takes(time.Now(), x.deadline, x.route.MayRepeat())
+}
+
+// stopRefusal refuses the request if it may still run when this VM ends.
+func (x *exchange) stopRefusal() *refusal {
+	if !x.outlastsStop() {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: stoppingReason, retryAfter: stoppingRetryAfter, notRun: true}
+}
+
+// closeInStop tells the caller during a planned stop to send nothing more on its
+// connection.
+func (x *exchange) closeInStop(header http.Header) {
+	if _, begun := x.server.stop.Stop(); begun {
+		header.Set("Connection", "close")
+	}
+}
+
+// readWithin reads the body until the context ends.
+func (x *exchange) readWithin(ctx context.Context) (body []byte, err error) {
+	controller := http.NewResponseController(x.writer)
+	stop := context.AfterFunc(ctx, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+	body, err = io.ReadAll(x.caller.Body)
+	if !stop() && (endedByStop(ctx) || context.Cause(ctx) == context.DeadlineExceeded) {
+		return nil, errLateBody
+	}
+	return body, err
+}
+
+// lateBodyRefusal refuses a request whose body has not come whole in time.
+func (x *exchange) lateBodyRefusal(ctx context.Context) *refusal {
+	x.writer.Header().Set("Connection", "close")
+	if endedByStop(ctx) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: stoppingReason, retryAfter: stoppingRetryAfter, notRun: true, ended: endedNotRead}
+	}
+	return &refusal{status: http.StatusRequestTimeout, reason: "body_late", notRun: true, ended: endedNotRead}
+}
