Send requests to the other VMs of a region while one of them stops

A VM in a planned stop refuses requests that other regions hand over to it. The sender took this for a refusal by the whole region and sent it no request of the route for a while, although its other VMs serve. It now avoids that VM only, as it does one that has lost its links.

The test failed before: "stopping: the region is in backoff: true".

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -501,9 +501,10 @@
 	}
 }
 
-// A region that refuses one request, as it has crashed targets, still gets others.
-func TestSuspectRequestsAreNoBackoff(t *testing.T) {
-	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, "slow": true} {
+// A region still gets requests when one of its VMs has refused one as it crashes targets, or
+// as that VM stops.
+func TestRefusalsThatAreNotOfTheRegionAreNoBackoff(t *testing.T) {
+	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, stoppingReason: false, "slow": true} {
 		there := startTarget(t, status(503, hopNotRun+": "+reason+"\r\n", ""))
 		here := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1})
 		here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -118,7 +118,7 @@
 	if reason := response.Header.Get(hopNotRun); reason != "" {
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		if reason == linksReason {
+		if reason == linksReason || reason == stoppingReason {
 			x.server.partners.Refused(v.ID, time.Now())
 		} else if reason != quarantinedReason && reason != suspectReason && v.Region != x.server.Region {
 			x.server.regions.Refused(regionRoute{v.Region, x.route.Name}, time.Now())
