Close the connection of a caller that is taken for gone instead of completing its answer

What callers saw: one that closes only its sending side, or whose connection is otherwise taken for closed, got "200 OK" with an empty body that no target had sent, or the begin of a stream that ended as if it were complete.

Cause: the end of a request whose caller has left returned from the handler, and net/http then completes the answer: with status 200 if none was written, or with the last chunk of a begun stream.

Change: all ends that leave an answer incomplete go through one function, after which the handler closes the connection as it is. The project's own interface is not affected: there, an error is written in every case, and a stream lacks its last event.

--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -67,7 +67,7 @@
 	x.writer.WriteHeader(response.StatusCode)
 	x.begun = true
 	if _, err := x.writer.Write(body); err != nil {
-		x.end(x.writeKind(), "caller has left", "status", response.StatusCode)
+		x.abandon(x.writeKind(), "caller has left", "status", response.StatusCode)
 		return
 	}
 	x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
@@ -127,7 +127,7 @@
 		passed = true
 		if err := x.send(controller, response, event); err != nil {
 			response.Finish(false)
-			x.end(x.writeKind(), "caller has left", "reason", err.Error(), "last_event", x.last)
+			x.abandon(x.writeKind(), "caller has left", "reason", err.Error(), "last_event", x.last)
 			return delivered
 		}
 	}
@@ -194,7 +194,7 @@
 	}
 	response.Finish(false)
 	if x.caller.Context().Err() != nil {
-		x.end(x.writeKind(), "caller has left", "last_event", x.last)
+		x.abandon(x.writeKind(), "caller has left", "last_event", x.last)
 		return delivered
 	}
 	x.progress.err, x.lastError = err, err
--- a/io/front/ended.go
+++ b/io/front/ended.go
@@ -83,6 +83,12 @@
 	x.log(message, append(fields, args...)...)
 }
 
+// abandon ends a request whose answer, if any has begun, must not look complete.
+func (x *exchange) abandon(kind endKind, message string, args ...any) {
+	x.abandoned = true
+	x.end(kind, message, args...)
+}
+
 // settle is deferred by the handler: a request must not end unnoticed.
 func (x *exchange) settle() {
 	if !x.ended {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -69,6 +69,7 @@
 	heard     atomic.Int64 // time from the arrival until the last sign of the target, in nanoseconds
 	lastError error        // of the last try that failed
 	ended     bool         // the log line of its end is written
+	abandoned bool         // the connection to the caller must be closed as it is
 }
 
 // failedAnswer is a complete answer with an error status.
@@ -196,10 +197,9 @@
 	}
 	switch {
 	case x.caller.Context().Err() != nil:
-		x.end(x.endKind(ctx), "caller has left", "reason", reason)
+		x.abandon(x.endKind(ctx), "caller has left", "reason", reason)
 	case x.begun:
-		x.end(x.endKind(ctx), "answer is broken off", "reason", reason, "last_event", x.last)
-		panic(http.ErrAbortHandler)
+		x.abandon(x.endKind(ctx), "answer is broken off", "reason", reason, "last_event", x.last)
 	case x.failure != nil:
 		x.deliverBody(x.failure.response, x.failure.body)
 	case x.runs > 0 && ctx.Err() == context.DeadlineExceeded:
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -133,6 +133,9 @@
 		return
 	}
 	x.dispatch(ctx)
+	if x.abandoned {
+		panic(http.ErrAbortHandler) // net/http would complete the answer
+	}
 }
 
 // refusal is an error answer that this VM gives itself.
