Let the same timetable decide what a planned stop of kingcuprilld takes and ends

What callers saw: a booking that its target still ran at the end of timeouts.shutdown ended with a closed connection, and so did one that was sent during the stop, had time left beyond its end and was dispatched all the same. A completion that still ran was cut in the middle.

Cause: as at the entry VMs of the platform. The listener is open for timeouts.drain, nothing asked whether a request could end in time, and the end of timeouts.shutdown closed the connections. A hand-over of the leadership also delayed the answers' "Connection: close" by up to 3 s.

Evidence: acceptance TestScenarios/stop_ends failed: the call during the stop got "EOF" at the end of a stop of 6 s.

Change: the stop uses core/drain. Each dispatch asks whether a request that has not run may still run, also those that other VMs forward and those that waited for tokens, a claim or a target: code overloaded, not_run true. Shortly before the end all running requests are ended: an error with code interrupted and whether they may have run, as the last event of a stream, and outcome_unknown for a booking, whose caller can ask another VM with the same key. An unknown outcome is no longer replaced by the reason for which the request ended, which doesn't tell the caller what to do.

Why it works: every request that was dispatched ends by its deadline or by the time at which all must be answered, and both lie before the connections are closed.

--- a/acceptance/scenario_test.go
+++ b/acceptance/scenario_test.go
@@ -204,7 +204,7 @@
 
 // startCluster starts a cluster and waits until all VMs are active. Options are
 // regions=A,B and vms=N (VMs in each region), control=N (control VMs), delay=D (one way,
-// between regions), and the settings drain, silence, lease, commit and queue_wait.
+// between regions), and the settings drain, shutdown, silence, lease, commit and queue_wait.
 func startCluster(s *scenario, args []string) (string, error) {
 	_, options := parseArgs(args)
 	regions := []string{"kolkata", "siliguri", "durgapur"}
@@ -216,7 +216,7 @@
 		Folder: s.folder, Daemon: daemonPath, Regions: regions, VMs: intOption(options, "vms", 1),
 		ControlVMs: intOption(options, "control", len(regions)), LinkDelay: durationOption(options, "delay", 5*time.Millisecond), Links: true,
 		Settings: cluster.Overrides{
-			Drain: durationOption(options, "drain", 500*time.Millisecond), Silence: durationOption(options, "silence", 500*time.Millisecond),
+			Drain: durationOption(options, "drain", 500*time.Millisecond), Shutdown: durationOption(options, "shutdown", 0), Silence: durationOption(options, "silence", 500*time.Millisecond),
 			Lease: durationOption(options, "lease", 2*time.Second), Commit: durationOption(options, "commit", 3*time.Second),
 			QueueWait: durationOption(options, "queue_wait", 4*time.Second),
 		},
--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -6,8 +6,13 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"kingcuprill/core/fault"
 )
 
+// ErrEnded is the cause for which a planned stop ends the requests that still run.
+var ErrEnded = fault.New(fault.Interrupted, "the VM is stopping and can't wait for the request")
+
 const (
 	// closeDivisor and maxClose give the time in which a process ends after its last
 	// connection is closed.
--- a/core/vmstate/vmstate.go
+++ b/core/vmstate/vmstate.go
@@ -10,6 +10,7 @@
 
 	"kingcuprill/core/burn"
 	"kingcuprill/core/catalogue"
+	"kingcuprill/core/drain"
 	"kingcuprill/core/limit"
 	"kingcuprill/core/membership"
 	"kingcuprill/core/quarantine"
@@ -34,6 +35,7 @@
 	Quarantine *quarantine.List
 	Burn       *burn.Counter
 	Draining   atomic.Bool
+	Stop       drain.Clock // begins with Draining
 }
 
 // New returns the state of a VM that has just started: an empty catalogue and no
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -201,10 +201,10 @@
 }
 
 // contextFailure replaces an error by the reason for which the context ended, such
-// as the withdrawal of a key or the deadline. Other errors are returned as they
-// are.
+// as the withdrawal of a key or the deadline. Other errors, and that of a booking whose
+// outcome is unknown, are returned as they are.
 func contextFailure(ctx context.Context, err error) error {
-	if err == nil || ctx.Err() == nil {
+	if err == nil || ctx.Err() == nil || fault.CodeOf(err) == fault.OutcomeUnknown {
 		return err
 	}
 	if cause := context.Cause(ctx); cause != nil && fault.CodeOf(cause) != fault.Internal {
--- a/io/caller/services.go
+++ b/io/caller/services.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
@@ -80,10 +81,30 @@
 	if key == "" || len(key) > maxIdempotencyKeyBytes {
 		return answer, fault.New(fault.Invalid, "Idempotency-Key: a header of 1 to %d characters is needed on route %q, whose calls may run at most once", maxIdempotencyKeyBytes, in.route.Name)
 	}
-	// The call goes on after its caller disconnects: its outcome must be recorded.
-	return s.Booker.Run(in.r.Context(), book.Call{
+	call := book.Call{
 		Organisation: in.key.Organisation, IdempotencyKey: hashKey(key), DisplayKey: key, Digest: callDigest(request), Request: request,
-	})
+	}
+	// The call goes on after its caller disconnects: its outcome must be recorded.
+	booked := make(chan bookingResult, 1)
+	go func() {
+		answer, err := s.Booker.Run(in.r.Context(), call)
+		booked <- bookingResult{answer, err}
+	}()
+	ended, leave := s.Register.Enter(context.WithoutCancel(in.r.Context()), "")
+	defer leave()
+	select {
+	case result := <-booked:
+		return result.answer, result.err
+	case <-ended.Done():
+		return answer, &exchange.Failure{Final: true, Err: fault.New(fault.OutcomeUnknown,
+			"the booking with idempotency key %q may have run: %v; send it again with the same key to another VM to learn its outcome", key, context.Cause(ended))}
+	}
+}
+
+// bookingResult is what a booking returns.
+type bookingResult struct {
+	answer exchange.Answer
+	err    error
 }
 
 // hashKey returns the hash that is stored on the control VMs in place of an
--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"kingcuprill/core/drain"
 	"kingcuprill/core/raft"
 )
 
@@ -14,16 +15,21 @@
 
 // drain carries out a planned stop without breaking requests off, as long as they
 // end within timeouts.shutdown: it tells the other VMs, hands over the leadership of
-// the control log, accepts requests for timeouts.drain and waits for the rest.
+// the control log, accepts requests for timeouts.drain and waits for the rest. Requests
+// that still run shortly before the end get an error.
 func (d *Daemon) drain() {
 	d.log.Info("VM stops; it takes no requests after timeouts.drain and finishes those that run", "running", d.inFlight.Count())
 	d.vmState.Draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timeouts.Shutdown)
+	stop := drain.Stop{Begun: time.Now(), Accept: d.settings.Timeouts.Drain, Grace: d.settings.Timeouts.Shutdown}
+	d.vmState.Stop.Begin(stop)
+	ender := time.AfterFunc(time.Until(stop.AnswerBy()), func() { d.inFlight.EndAll(drain.ErrEnded) })
+	defer ender.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), stop.CloseAt())
 	defer cancel()
+	d.callers.CloseAfterAnswers()
 	d.gossiper.Leave(ctx)
 	d.handOver(ctx)
-	d.callers.CloseAfterAnswers()
-	d.wait(ctx, d.settings.Timeouts.Drain)
+	d.wait(ctx, time.Until(stop.AcceptUntil()))
 	if err := d.callers.Stop(ctx); err != nil {
 		d.log.Error("planned stop has run out of time (timeouts.shutdown); the requests that still run are cut off", "running", d.inFlight.Count(), "error", err)
 		return
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -278,6 +278,16 @@
 
 var errNoTarget = errors.New("no target serves the route where the request may run")
 
+// outlastsStop reports whether the request has not run and may still run when this VM
+// ends. A generation leaves no trace at an engine, so that its caller may send it again.
+func (r *run) outlastsStop(now time.Time) bool {
+	if r.mayHaveRun || (r.request.Generation != nil && r.request.Generation.ResumeFrom > 0) {
+		return false
+	}
+	repeatable := r.request.Route.Repeatable || r.request.Generation != nil || r.request.Call.Method == http.MethodGet
+	return !r.d.VMState.Stop.Takes(now, r.request.Deadline, repeatable)
+}
+
 // place chooses where the request runs, and waits a bounded time for a target if
 // none is available.
 func (r *run) place(ctx context.Context) (p place, err error) {
@@ -286,6 +296,9 @@
 	}
 	deadline := time.Now().Add(waitForTarget)
 	for {
+		if r.outlastsStop(time.Now()) {
+			return p, fault.New(fault.Overloaded, "VM %s is stopping and may not see the end of the request", r.d.VMState.Self)
+		}
 		p, found, err := r.choose(time.Now())
 		if err != nil || found {
 			return p, err
--- a/io/front/stopping.go
+++ b/io/front/stopping.go
@@ -18,9 +18,6 @@
 	stoppingRetryAfter = 50 * time.Millisecond
 )
 
-// errStopping is the cause for which a planned stop ends requests.
-var errStopping = errors.New("this VM is stopping")
-
 // errLateBody is the error of a body that is not whole when its request ends.
 var errLateBody = errors.New("the body has not come in time")
 
@@ -28,12 +25,12 @@
 // that still run shortly before it get an answer.
 func (s *Server) Stop(stop drain.Stop) {
 	s.stop.Begin(stop)
-	time.AfterFunc(time.Until(stop.AnswerBy()), func() { s.running.EndAll(errStopping) })
+	time.AfterFunc(time.Until(stop.AnswerBy()), func() { s.running.EndAll(drain.ErrEnded) })
 }
 
 // endedByStop reports whether a planned stop has ended the request of a context.
 func endedByStop(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), errStopping)
+	return errors.Is(context.Cause(ctx), drain.ErrEnded)
 }
 
 // outlastsStop reports whether the request has not run and may still run when this VM
