Show that changes of the configuration cut no request

A request takes its plan when it arrives; the lease, the evacuations, the targets and their places are read anew at each try. No logic is changed: the tests guard it.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -134,12 +134,13 @@
 type fixture struct {
 	server *Server
 	front  *httptest.Server
-	leased time.Duration
+	leased atomic.Int64 // nanoseconds
 }
 
 func newFixture(t testing.TB, route plan.Route, targets ...*target) *fixture {
 	t.Helper()
-	w := &fixture{leased: time.Minute}
+	w := &fixture{}
+	w.leased.Store(int64(time.Minute))
 	route.Name, route.Host, route.Prefix = "r", "h", "/a/"
 	route.Splits = []plan.Split{{Service: "s", Weight: 1}}
 	if route.Timeout == 0 {
@@ -163,7 +164,7 @@
 	log := slog.New(slog.DiscardHandler)
 	entries := &atomic.Pointer[[]entry.VM]{}
 	entries.Store(&[]entry.VM{})
-	configurationLease := lease.New(func() time.Duration { return -w.leased }, 0)
+	configurationLease := lease.New(func() time.Duration { return -time.Duration(w.leased.Load()) }, 0)
 	configurationLease.Confirm(0)
 	w.server = &Server{
 		Self: "vm", Region: "region", Headers: testHeaders, State: watch.NewValue(&State{Plan: plan.NewIndex(p)}), Lease: configurationLease,
@@ -312,9 +313,9 @@
 		{name: "no configuration", key: "k", change: func(w *fixture) {
 			w.server.State.Update(func(*State) *State { return &State{} })
 		}, code: 503, again: true},
-		{name: "configuration not confirmed", key: "k", change: func(w *fixture) { w.leased = -time.Second }, code: 503, again: true},
-		{name: "unknown key, configuration not confirmed", key: "x", change: func(w *fixture) { w.leased = -time.Second }, code: 503, again: true},
-		{name: "unknown path, configuration not confirmed", key: "k", path: "/b/", change: func(w *fixture) { w.leased = -time.Second }, code: 503, again: true},
+		{name: "configuration not confirmed", key: "k", change: func(w *fixture) { w.leased.Store(-int64(time.Second)) }, code: 503, again: true},
+		{name: "unknown key, configuration not confirmed", key: "x", change: func(w *fixture) { w.leased.Store(-int64(time.Second)) }, code: 503, again: true},
+		{name: "unknown path, configuration not confirmed", key: "k", path: "/b/", change: func(w *fixture) { w.leased.Store(-int64(time.Second)) }, code: 503, again: true},
 		{name: "over the limit", key: "p", code: 429, again: true},
 		{name: "no target", key: "k", change: func(w *fixture) {
 			w.server.Placer.SetTargets(nil, func(string) string { return "" })
