--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -54,7 +54,7 @@
 		x.recordSound()
 	}
 	if err != nil || x.begun {
-		x.progress.err = err
+		x.progress.err, x.lastError = err, err
 		x.server.Log.Warn("answer of the target has broken off or does not continue the begun stream; the request is retried if possible", "request", x.id, "target", x.target, "error", err, "bytes", len(body))
 		return x.unfinished()
 	}
@@ -69,7 +69,7 @@
 	x.writer.WriteHeader(response.StatusCode)
 	x.begun = true
 	if _, err := x.writer.Write(body); err != nil {
-		x.log("caller has left", "status", response.StatusCode)
+		x.abandon(x.writeKind(), "caller has left", "status", response.StatusCode)
 		return
 	}
 	x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
@@ -83,6 +83,7 @@
 	}
 	// Only entry VMs may state that no target has run the request.
 	header.Del(hopNotRun)
+	x.closeInStop(header)
 	x.setOrigin(header)
 	if _, dated := header["Date"]; !dated {
 		// A nil value keeps net/http from adding a Date header: answers carry only
@@ -120,6 +121,7 @@
 		if err != nil {
 			return x.endStream(response, reserved)
 		}
+		x.heardNow()
 		if reserved != nil {
 			now := time.Now()
 			reserved.Answered(now)
@@ -130,7 +132,7 @@
 		passed = true
 		if err := x.send(controller, response, event); err != nil {
 			response.Finish(false)
-			x.log("caller has left", "reason", err.Error(), "last_event", x.last)
+			x.abandon(x.writeKind(), "caller has left", "reason", err.Error(), "last_event", x.last)
 			return delivered
 		}
 		h.wait(x.eventTimeout())
@@ -201,10 +203,10 @@
 func (x *exchange) breakStream(response *upstream.Response, err error) outcome {
 	response.Finish(false)
 	if x.caller.Context().Err() != nil {
-		x.log("caller has left", "last_event", x.last)
+		x.abandon(x.writeKind(), "caller has left", "last_event", x.last)
 		return delivered
 	}
-	x.progress.err = err
+	x.progress.err, x.lastError = err, err
 	if !errors.Is(err, errNotNeeded) && !errors.Is(err, errOvertaken) {
 		x.server.Log.Warn("stream of the target has broken off; the request is retried if possible", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "parts", x.demand.SharedIDs(), "error", err)
 	}
--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -17,8 +17,6 @@
 	// takeoverAfter is how long an engine may hold a hedged try without a refusal before
 	// the silent try is ended: two engines must not work on one stream for long.
 	takeoverAfter = 300 * time.Millisecond
-	// vmPrefix marks the id of an entry VM in the place of a target's.
-	vmPrefix = "vm:"
 )
 
 var (
@@ -61,6 +59,7 @@
 // startHedge returns the context of a try that stands for a number of runs, and the hedge
 // that begins other tries once its target has been silent for the timeout.
 func (x *exchange) startHedge(ctx context.Context, timeout time.Duration, runs int) (bounded context.Context, h *hedge) {
+	x.heardNow()
 	x.identity() // A hedged try reads it.
 	bounded, end := context.WithCancelCause(ctx)
 	h = &hedge{exchange: x, ctx: ctx, end: end, pending: runs}
@@ -219,15 +218,16 @@
 	defer h.mu.Unlock()
 	h.timer.Stop()
 	h.end(nil)
+	x := h.exchange
 	switch {
 	case h.failed != nil:
 		panic(h.failed)
-	case result == delivered || h.state == tryOvertaken:
+	case h.state == tryOvertaken:
+		x.ended, x.abandoned = h.beside.ended, h.beside.abandoned
 		return delivered
-	case h.spent == nil:
+	case result == delivered || h.spent == nil:
 		return result
 	}
-	x := h.exchange
 	if result == notRun && h.spent.runs > x.runs {
 		result = mayHaveRun
 	}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -14,7 +14,9 @@
 	"time"
 
 	"kingcuprill/core/backoff"
+	"kingcuprill/core/drain"
 	"kingcuprill/core/entry"
+	"kingcuprill/core/inflight"
 	"kingcuprill/core/lease"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
@@ -62,11 +64,11 @@
 	Metrics    *metrics.Metrics
 	Log        *slog.Logger
 
-	stop     atomic.Pointer[plannedStop]
+	stop     drain.Clock
 	budgets  sync.Map                     // budgetKey to *retry.Budget
 	regions  backoff.Tracker[regionRoute] // backoff after a region refused a request
 	partners backoff.Tracker[string]      // backoff after an entry VM of another region has not answered
-	running  atomic.Int64
+	running  inflight.Register
 	crashes  crashChecks
 	// unreadable are the targets whose number of refusals can't be read.
 	unreadable onceEach
@@ -88,29 +90,9 @@
 	retryAfterDivisor = 3
 )
 
-type plannedStop struct {
-	begun, end time.Time
-}
-
-// stopGrace is the time from the begin of a planned stop in which every request
-// is still accepted, because callers learn of the stop with a delay.
-const stopGrace = 2 * time.Second
-
-// StopAt starts a planned stop: this VM will end at the given time. Requests
-// that may run longer are refused after stopGrace.
-func (s *Server) StopAt(end time.Time) {
-	s.stop.Store(&plannedStop{begun: time.Now(), end: end})
-}
-
-// outlastsStop reports whether the request may still run when this VM ends.
-func (x *exchange) outlastsStop() bool {
-	stop := x.server.stop.Load()
-	return stop != nil && x.arrived.Sub(stop.begun) > stopGrace && x.deadline.After(stop.end)
-}
-
 // Running returns the number of requests that are being served.
 func (s *Server) Running() int64 {
-	return s.running.Load()
+	return s.running.Count()
 }
 
 // ServeHTTP serves a request of a caller.
@@ -131,21 +113,29 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, from string) {
-	s.running.Add(1)
-	defer s.running.Add(-1)
+	running, leave := s.running.Enter(r.Context(), "")
+	defer leave()
 	x := &exchange{server: s, writer: w, caller: r, arrived: time.Now(), id: r.Header.Get(s.Headers.RequestID), from: from}
 	s.Metrics.Requests.Inc(1)
+	defer x.settle()
 	if refused := x.admit(); refused != nil {
 		x.refuse(refused)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithDeadline(running, x.deadline)
 	defer cancel()
+	if refused := x.read(ctx); refused != nil {
+		x.refuse(refused)
+		return
+	}
 	if refused := x.takeUp(ctx); refused != nil {
 		x.refuse(refused)
 		return
 	}
 	x.dispatch(ctx)
+	if x.abandoned {
+		panic(http.ErrAbortHandler) // net/http would complete the answer
+	}
 }
 
 // refusal is an error answer that this VM gives itself.
@@ -154,6 +144,7 @@
 	reason     string
 	retryAfter time.Duration // until the caller should retry, 0 if a retry is of no use
 	notRun     bool
+	ended      endKind // if it is no answer to a request that was read
 }
 
 // kind returns the reason without the part that differs between requests.
@@ -162,7 +153,7 @@
 	return kind
 }
 
-// admit finds the route, authenticates the caller and reads the request.
+// admit finds the route and authenticates the caller.
 func (x *exchange) admit() *refusal {
 	s := x.server
 	state := s.State.Read()
@@ -199,23 +190,26 @@
 		}
 	}
 	x.deadline = x.arrived.Add(s.Headers.timeLeft(x.header, route.Timeout))
-	if x.outlastsStop() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: minRetryAfter / 5, notRun: true}
-	}
-	return x.read(state.Plan.Plan.MaxBody)
+	return x.stopRefusal()
 }
 
 // read reads the body and charges the organisation for the request.
-func (x *exchange) read(maxBody int64) *refusal {
-	if maxBody > 0 {
+func (x *exchange) read(ctx context.Context) *refusal {
+	if maxBody := x.state.Plan.Plan.MaxBody; maxBody > 0 {
 		x.caller.Body = http.MaxBytesReader(x.writer, x.caller.Body, maxBody)
 	}
-	body, err := io.ReadAll(x.caller.Body)
+	body, err := x.readWithin(ctx)
 	if _, large := err.(*http.MaxBytesError); large {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", notRun: true}
 	}
+	if errors.Is(err, errLateBody) {
+		return x.lateBodyRefusal(ctx)
+	}
 	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "body_not_read: " + err.Error(), notRun: true}
+		return &refusal{status: http.StatusBadRequest, reason: "body_not_read: " + err.Error(), notRun: true, ended: endedNotRead}
+	}
+	if refused := x.stopRefusal(); refused != nil {
+		return refused
 	}
 	x.body = body
 	x.demand = x.server.Headers.demand(x.header)
@@ -285,6 +279,7 @@
 	if x.id != "" && s.Headers.RequestID != "" {
 		header.Set(s.Headers.RequestID, x.id)
 	}
+	x.closeInStop(header)
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -294,12 +289,18 @@
 	x.writer.WriteHeader(r.status)
 	s.Metrics.Refused.Inc(1)
 	s.Metrics.Count("refused." + strconv.Itoa(r.status) + "." + r.kind())
-	x.log("request is refused", "status", r.status, "reason", r.reason, "retry_after", r.retryAfter, "not_run", r.notRun)
+	fields := []any{"status", r.status, "reason", r.reason, "retry_after", r.retryAfter, "not_run", r.notRun}
+	if r.ended != "" {
+		x.end(r.ended, "request is refused", fields...)
+		return
+	}
+	x.log("request is refused", fields...)
 }
 
 // log writes the log line for the end of a request.
 func (x *exchange) log(message string, args ...any) {
 	s := x.server
+	x.ended = true
 	fields := []any{
 		"request", x.id, "route", x.route.Name, "organisation", x.organisation.Name, "from", x.from,
 		"tries", x.tries, "target", x.target, "took", time.Since(x.arrived).Round(time.Millisecond / 10),
