Leave a VM that stops as much time to end as before

The timetable left 0.5 s between the last connection and the end of the grace, where there were 0.7 s before. On a loaded machine with the race detector, one stop of six ended 8.15 s after its begin with a grace of 8 s, as the timer of its end fired late. All requests are now answered a seventh of the grace, at most 1.2 s, before its end, and all connections closed an eleventh, at most 0.7 s, before it.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -16,13 +16,13 @@
 const (
 	// closeDivisor and maxClose give the time in which a process ends after its last
 	// connection is closed.
-	closeDivisor = 16
-	maxClose     = 500 * time.Millisecond
+	closeDivisor = 11
+	maxClose     = 700 * time.Millisecond
 	// answerDivisor and maxAnswer give the time before the end of the grace period at which
 	// the requests that still run are answered. Answers need processor time too, of which
 	// a VM in a stop may have little.
-	answerDivisor = 8
-	maxAnswer     = time.Second
+	answerDivisor = 7
+	maxAnswer     = 1200 * time.Millisecond
 )
 
 // Stop is a planned stop. The zero value is not used.
