Take streams in the first quarter of a planned stop, even if they may outlast it

Most streams end well before their deadline. Those that still run when the stop ends break off visibly. A request that may run once and whose answer comes whole is still refused if it may outlast the stop.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -49,12 +49,13 @@
 }
 
 // Takes reports whether a request that has not run may be run: its deadline lies within
-// the stop, or it may be repeated elsewhere and its caller may not know of the stop.
-func (s Stop) Takes(now, deadline time.Time, repeatable bool) bool {
+// the stop, or its caller may not know of the stop and can see how far it came if it is
+// ended, as it may be repeated or is a stream.
+func (s Stop) Takes(now, deadline time.Time, mayEnd bool) bool {
 	if !deadline.After(s.AnswerBy()) {
 		return true
 	}
-	return repeatable && now.Before(s.AcceptUntil())
+	return mayEnd && now.Before(s.AcceptUntil())
 }
 
 // Clock holds the planned stop of a VM, once it has begun. It is safe for concurrent use,
@@ -77,9 +78,9 @@
 }
 
 // Takes reports whether a request that has not run may be run.
-func (c *Clock) Takes(now, deadline time.Time, repeatable bool) bool {
+func (c *Clock) Takes(now, deadline time.Time, mayEnd bool) bool {
 	s, begun := c.Stop()
-	return !begun || s.Takes(now, deadline, repeatable)
+	return !begun || s.Takes(now, deadline, mayEnd)
 }
 
 // Closed reports whether the connections of the VM have been closed by a planned stop.
--- a/io/front/stopping.go
+++ b/io/front/stopping.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kingcuprill/core/drain"
+	"kingcuprill/core/plan"
 )
 
 const (
@@ -36,7 +37,7 @@
 // outlastsStop reports whether the request has not run and may still run when this VM
 // ends.
 func (x *exchange) outlastsStop() bool {
-	return x.runs == 0 && !x.server.stop.Takes(time.Now(), x.deadline, x.route.MayRepeat())
+	return x.runs == 0 && !x.server.stop.Takes(time.Now(), x.deadline, x.route.Kind != plan.NonIdempotent)
 }
 
 // stopRefusal refuses the request if it may still run when this VM ends.
