Keep callers in regions that may serve them during planned stops

Cause: the directory knew only VMs that are ready. As soon as no VM of a region was, it named the ready VMs of the best other region, also if that region may serve less than the caller's. Traced from logs: from 10.0 s on, the VMs of both home regions were all in planned stops or about to start, and the only ready VM of the system was one that had come back 1.5 s before in the region that isn't a home. The last VM of a home region still accepted connections until 12.0 s, and the first was ready again at 13.0 s.

Ruled out: lost reports (all control VMs had the states within 0.3 s), and forwarding: requests that came in at a home were placed at home.

Change: a VM reports its address for callers only while it accepts them, that is from its first plan until it closes its listeners; a control VM that hears nothing of it for 4 s takes the address away with the readiness. A VM that isn't ready and has an address makes a planned stop; it counts as accepting for a quarter of the grace period at most, as VMs of earlier releases keep their address. The directory names, in this order: ready VMs of the region; ready VMs of another region that is a home of at least as many routes and organisations; VMs in a planned stop, of the region and then of such another one. While VMs of the region are expected back from planned stops (the grace period and a start), it then gives no addresses, so that callers keep theirs and ask again; else it names the ready VMs of any other region as before. A stopping VM is still not named while others are ready.

The directory of the control VMs takes the same.

Silent VMs lose their address with the readiness (TestSilentEntryVMLosesItsAddress), so that the bound on naming VMs that are gone is as before.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -15,9 +16,11 @@
 	ID            string
 	Region        string
 	DataCentre    string
-	CallerAddress string // host:port for callers
+	CallerAddress string // host:port for callers; empty if the VM accepts no connections of them
 	PeerAddress   string // host:port for other VMs
-	Ready         bool
+	// Ready says that callers should be sent to the VM. One that isn't ready and has an
+	// address for callers makes a planned stop.
+	Ready bool
 	// WithoutTargets says that the VM reaches no target of its region itself.
 	WithoutTargets bool
 }
@@ -41,56 +44,93 @@
 	// HomeCount returns how many routes and organisations have a region among their
 	// home regions, the only ones that may serve them.
 	HomeCount func(region string) int
+	// Stops are the planned stops of these VMs.
+	Stops *Stops
 }
 
 // Resolve returns the addresses that a caller of a region should use, sorted, at
 // most MaxAddresses. They belong to the ready VMs of that region. If it has none
-// and other regions are allowed, they belong to the region with a ready VM that
-// is a home region of the most routes and organisations.
+// and other regions are allowed, they belong to another region that is a home region
+// of at least as many routes and organisations.
+//
+// If there are no such VMs either, they belong to VMs that make a planned stop and
+// still accept connections. Other regions come last, as they would refuse requests
+// that the caller's region may serve, and not while VMs of that region are about to
+// be ready again.
 func (d Directory) Resolve(region string) (addresses []string) {
-	addresses = d.ready(region)
-	if len(addresses) == 0 && d.AllowOtherRegions {
-		addresses = d.ready(d.bestRegion())
+	for _, vms := range [][]VM{d.ready(), d.Stops.Accepting()} {
+		if addresses = d.serving(vms, region); len(addresses) > 0 {
+			return addresses
+		}
+		if addresses = d.others(vms, d.HomeCount(region)); len(addresses) > 0 {
+			return addresses
+		}
 	}
-	slices.Sort(addresses)
-	return addresses
+	if d.Stops.Returning(region) {
+		return nil
+	}
+	return d.others(d.ready(), 0)
 }
 
-func (d Directory) ready(region string) (addresses []string) {
-	for _, v := range Serving(d.VMs, region) {
-		if v.CallerAddress != "" {
-			addresses = append(addresses, v.CallerAddress)
+func (d Directory) ready() (vms []VM) {
+	for _, v := range d.VMs {
+		if v.Ready && v.CallerAddress != "" {
+			vms = append(vms, v)
 		}
 	}
+	return vms
+}
+
+// serving returns the addresses of those of some VMs that serve callers of a region.
+func (d Directory) serving(vms []VM, region string) (addresses []string) {
+	for _, v := range serving(vms, region) {
+		addresses = append(addresses, v.CallerAddress)
+	}
+	slices.Sort(addresses)
 	return addresses
 }
 
+// others returns the addresses of those of some VMs that belong to the region with the
+// highest count of homes. There are none if that is below the least, or if other
+// regions aren't allowed.
+func (d Directory) others(vms []VM, least int) (addresses []string) {
+	if !d.AllowOtherRegions {
+		return nil
+	}
+	best, highest := d.bestRegion(vms)
+	if highest < least {
+		return nil
+	}
+	return d.serving(vms, best)
+}
+
 // Serving returns the ready VMs of a region that take requests of callers, at most
 // MaxAddresses. If there are more, those that are the first to coordinate targets are
 // left out: reservations alone take a large part of a VM's link at a peak.
-func Serving(vms []VM, region string) (serving []VM) {
+func Serving(vms []VM, region string) []VM {
+	return serving(slices.DeleteFunc(slices.Clone(vms), func(v VM) bool { return !v.Ready }), region)
+}
+
+func serving(vms []VM, region string) (chosen []VM) {
 	byID := map[string]VM{}
 	for _, v := range vms {
-		if v.Ready && v.Region == region {
+		if v.Region == region {
 			byID[v.ID] = v
 		}
 	}
 	coordinators := rendezvous.Order(region, slices.Sorted(maps.Keys(byID)))
 	for _, id := range coordinators[max(0, len(coordinators)-MaxAddresses):] {
-		serving = append(serving, byID[id])
+		chosen = append(chosen, byID[id])
 	}
-	return serving
+	return chosen
 }
 
-// bestRegion returns the region with the highest count of homes among those with a
-// ready VM.
-func (d Directory) bestRegion() (best string) {
+// bestRegion returns the region of some VMs with the highest count of homes. The count
+// is -1 if there are no VMs.
+func (d Directory) bestRegion(vms []VM) (best string, highest int) {
 	homes := map[string]int{}
-	highest := -1
-	for _, v := range d.VMs {
-		if !v.Ready {
-			continue
-		}
+	highest = -1
+	for _, v := range vms {
 		if _, known := homes[v.Region]; !known {
 			homes[v.Region] = d.HomeCount(v.Region)
 		}
@@ -98,17 +138,19 @@
 			best, highest = v.Region, homes[v.Region]
 		}
 	}
-	return best
+	return best, highest
 }
 
 // Union returns every VM that any control VM reports, ordered by ID. Reports are
-// keyed by control VM, then by entry VM. A VM is ready if any report says so.
+// keyed by control VM, then by entry VM. A VM is ready, or accepts connections, if any
+// report says so.
 func Union(reports map[string]map[string]VM) []VM {
 	all := map[string]VM{}
 	for _, rows := range reports {
 		for _, row := range rows {
 			if known, found := all[row.ID]; found {
 				row.Ready = row.Ready || known.Ready
+				row.CallerAddress = cmp.Or(row.CallerAddress, known.CallerAddress)
 			}
 			all[row.ID] = row
 		}
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -20,6 +20,7 @@
 	"gopkg.in/tomb.v2"
 
 	"kingcuprill/core/catalogue"
+	"kingcuprill/core/entry"
 	"kingcuprill/core/fault"
 	"kingcuprill/core/instance"
 	"kingcuprill/core/membership"
@@ -73,6 +74,7 @@
 	VMState  *vmstate.State
 	Proposer *propose.Proposer
 	Follow   *follow.Server
+	Stops    *entry.Stops
 	Metrics  *metrics.Metrics
 	Log      *slog.Logger
 
@@ -115,6 +117,7 @@
 	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.Follow = follow.NewServer(v.VMState, epoch, v.registry.Table, v.Proposer.Confirm, v.controlAddresses, log)
+	v.Stops = entry.NewStops(c.Grace)
 	v.streams = streamversion.NewServer(c.PeerAddress, v.controlAddresses, v.peers, log)
 	v.drawer = draw.NewServer(v.replica, v.Proposer, v.peers, v.Follow.SinceConfirmed, log)
 	return v, nil
@@ -329,6 +332,7 @@
 				v.Log.Warn("target sends no heartbeats; entry VMs prefer other targets until it reports again", "target", row.ID, "service", row.Service, "age", now.Sub(row.Heard))
 			}
 			v.Follow.Expire(now)
+			v.Stops.Note(v.Follow.Entries(), now)
 			v.VMState.Quarantine.Expire(now)
 			v.drawer.Observe(now)
 		}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -91,11 +91,13 @@
 	started     time.Time
 	tomb        tomb.Tomb
 	draining    atomic.Bool
+	closing     atomic.Bool // accepts no connections of callers any more
 	state       *watch.Value[front.State]
 	lease       *lease.Lease
 	placer      *place.Placer
 	quota       *quota.Limiter
 	entries     atomic.Pointer[[]entry.VM]
+	stops       *entry.Stops
 	lastSeen    map[string]time.Time // by entry VM: when a control VM last reported it
 	vmCount     atomic.Int64
 	quarantine  *quarantine.List
@@ -112,7 +114,7 @@
 	v := &VM{
 		Options: o, Metrics: metrics.New(), state: watch.NewValue(&front.State{}), placer: place.NewPlacer(c.ID, c.Region),
 		started: time.Now(), lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewLimiter(), lastSeen: map[string]time.Time{},
-		quarantine: quarantine.NewList(),
+		quarantine: quarantine.NewList(), stops: entry.NewStops(c.Grace),
 	}
 	v.placer.Retries = place.Retries{Ratio: c.RetryRatio * retryBudgetShare, Slack: c.RetrySlack * retryBudgetShare}
 	v.entries.Store(&[]entry.VM{})
@@ -158,10 +160,19 @@
 
 func (v *VM) self() entry.VM {
 	c := v.Config
-	return entry.VM{
-		ID: c.ID, Region: c.Region, DataCentre: c.DataCentre, CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress, Ready: v.Ready(),
+	self := entry.VM{
+		ID: c.ID, Region: c.Region, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Ready: v.Ready(),
 		WithoutTargets: v.front.Links.Lost(),
 	}
+	if v.accepts() {
+		self.CallerAddress = c.CallerAddress
+	}
+	return self
+}
+
+// accepts reports whether this VM accepts callers and has a plan to serve them by.
+func (v *VM) accepts() bool {
+	return !v.closing.Load() && v.state.Read().Plan != nil
 }
 
 // neighbour returns the address of another ready VM of the region, at random.
@@ -248,6 +259,7 @@
 	v.quota.SetVMs(count)
 	v.placer.SetRetryVMs(count)
 	v.entries.Store(&vms)
+	v.stops.Note(vms, now)
 }
 
 // applyCrashes takes what a control VM has heard about crashes of targets. One that has
@@ -269,6 +281,7 @@
 func (v *VM) Directory() entry.Directory {
 	d := entry.Directory{
 		VMs: *v.entries.Load(), AllowOtherRegions: v.lease.Valid() && time.Since(v.started) > discoveryTime, HomeCount: func(string) int { return 0 },
+		Stops: v.stops,
 	}
 	if index := v.state.Read().Plan; index != nil {
 		d.HomeCount = index.HomeCount
@@ -420,6 +433,8 @@
 	defer cancel()
 	v.client.ReportState(ctx)
 	time.Sleep(v.Config.Grace / (2 * drainDivisor))
+	v.closing.Store(true)
+	go v.client.ReportState(ctx)
 	var group sync.WaitGroup
 	for _, s := range v.servers {
 		group.Go(func() {
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -327,3 +327,22 @@
 		t.Errorf("the catalogue came after %v, expected within %v", took, most)
 	}
 }
+
+// A VM that dies in a planned stop accepts no connections any more.
+func TestSilentEntryVMLosesItsAddress(t *testing.T) {
+	c := startControl(t, "c", "near")
+	c.server.recordEntry(&vm.EntryVM{Id: "ready", Ready: true, CallerAddress: "r:1"})
+	c.server.recordEntry(&vm.EntryVM{Id: "stops", CallerAddress: "s:1"})
+	c.server.Expire(time.Now().Add(entryTimeout - time.Second))
+	for _, v := range c.server.Entries() {
+		if v.CallerAddress == "" {
+			t.Errorf("%s has lost its address too soon", v.ID)
+		}
+	}
+	c.server.Expire(time.Now().Add(entryTimeout))
+	for _, v := range c.server.Entries() {
+		if v.Ready || v.CallerAddress != "" {
+			t.Errorf("%s is silent and still named: %v", v.ID, v)
+		}
+	}
+}
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -263,14 +263,15 @@
 	s.entries.Put(reported.ID, entry.Seen{VM: reported, At: time.Now()}, changed)
 }
 
-// Expire marks entry VMs that have stopped polling as not ready.
+// Expire marks entry VMs that have stopped polling as not ready, and as accepting no
+// connections of callers.
 func (s *Server) Expire(now time.Time) {
 	for id, seen := range s.entries.Rows() {
-		if !seen.Ready || now.Sub(seen.At) < entryTimeout {
+		if (!seen.Ready && seen.CallerAddress == "") || now.Sub(seen.At) < entryTimeout {
 			continue
 		}
 		s.Log.Warn("entry VM does not poll any more; it counts as not ready", "entry", id, "age", now.Sub(seen.At))
-		seen.Ready = false
+		seen.Ready, seen.CallerAddress = false, ""
 		s.entries.Put(id, seen, true)
 	}
 }
