Tell all VMs of a new service at once

Cause: a data centre's summary is made every second round, and each VM sends a version of it only twice, to VMs chosen at random. Both sends may go to VMs that have it, so that a VM learns of the service only with the next version or the one after that. A request waits 3 s for a target.

Change: when the services or models of a data centre change, the VM that reports for it makes a new summary and sends it to all usable VMs, at most once a second. The other load figures still spread by rounds. Messages and answers with which a VM joins hold all summaries, as a VM that has just started learned of targets just as late.

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -6,12 +6,15 @@
 // the catalogue doesn't show as withdrawn yet, and a load summary of each data centre.
 // None of this needs a quorum. Membership, revisions and withdrawn keys reach every VM
 // eventually; a version of a load summary may miss some, as it is sent a few times only.
+// A summary with another service or model is sent to all VMs at once.
 package gossip
 
 import (
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +37,8 @@
 	indirectProbes      = 2
 	reconnectRounds     = 4 // rounds between tries to reach a dead member or a seed
 	sendsPerSummary     = 2 // times that a VM sends one version of a summary
+	// tellInterval bounds how often changes of the services are sent to all VMs at once.
+	tellInterval = time.Second
 )
 
 // Gossip keeps the membership table of this VM up to date.
@@ -65,6 +70,7 @@
 	ctx := t.Context(context.Background())
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
+	t.Go(func() error { return g.tellServices(t) })
 	g.joinSeeds(ctx)
 	for {
 		select {
@@ -79,7 +85,9 @@
 func (g *Gossip) tick(ctx context.Context) {
 	g.round++
 	g.refreshRevision()
-	g.summarize()
+	if g.round%summaryRounds == 0 && g.reportsForDataCentre() {
+		g.summarize()
+	}
 	reconnect := g.round%reconnectRounds == 0
 	if reconnect || !g.joined.Load() {
 		go g.joinSeeds(ctx)
@@ -104,7 +112,7 @@
 	var group sync.WaitGroup
 	for _, seed := range g.unknownSeeds() {
 		group.Go(func() {
-			message := g.message()
+			message := g.message(true)
 			message.Join = true
 			callCtx, cancel := g.Peers.Bounded(ctx)
 			defer cancel()
@@ -138,11 +146,11 @@
 // exchange exchanges messages with a member. A member that does not answer is tried
 // again over a new connection and probed through others before it is suspected.
 func (g *Gossip) exchange(ctx context.Context, m membership.Member) {
-	if g.send(ctx, m) == nil {
+	if g.send(ctx, m, g.message(false)) == nil {
 		return
 	}
 	g.Peers.DropIdle()
-	if g.send(ctx, m) == nil || g.probeIndirectly(ctx, m) || ctx.Err() != nil {
+	if g.send(ctx, m, g.message(false)) == nil || g.probeIndirectly(ctx, m) || ctx.Err() != nil {
 		return
 	}
 	g.mu.Lock()
@@ -153,10 +161,10 @@
 	}
 }
 
-func (g *Gossip) send(ctx context.Context, m membership.Member) error {
+func (g *Gossip) send(ctx context.Context, m membership.Member, message *vm.GossipMessage) error {
 	callCtx, cancel := g.Peers.Bounded(ctx)
 	defer cancel()
-	answer, err := g.Peers.At(m.PeerAddress).Gossip(callCtx, g.message())
+	answer, err := g.Peers.At(m.PeerAddress).Gossip(callCtx, message)
 	if err != nil {
 		return err
 	}
@@ -190,14 +198,14 @@
 // Probe reports whether another VM answers this one.
 func (g *Gossip) Probe(ctx context.Context, id string) bool {
 	m, known := g.VMState.Members.View.Read().Members[id]
-	return known && g.send(ctx, m) == nil
+	return known && g.send(ctx, m, g.message(false)) == nil
 }
 
 // HandleMessage handles a message of another VM and returns this VM's message. That
-// contains the whole membership table if the other VM joins.
+// contains the whole membership table and all summaries if the other VM joins.
 func (g *Gossip) HandleMessage(message *vm.GossipMessage) *vm.GossipMessage {
 	g.merge(message, false)
-	answer := g.message()
+	answer := g.message(message.GetJoin())
 	if message.GetJoin() {
 		g.mu.Lock()
 		answer.Members = fromMembers(g.VMState.Members.All())
@@ -206,7 +214,9 @@
 	return answer
 }
 
-func (g *Gossip) message() *vm.GossipMessage {
+// message returns a message to another VM. It holds all summaries, or only those whose
+// version hasn't been sent often enough yet.
+func (g *Gossip) message(allSummaries bool) *vm.GossipMessage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	revision := g.updateRevision()
@@ -215,7 +225,10 @@
 	uncommitted := g.Uncommitted()
 	message := &vm.GossipMessage{Withdrawn: uncommitted[:min(len(uncommitted), withdrawnPerMessage)], From: self.ID, Revision: revision, Members: fromMembers(append(rows, self))}
 	for _, s := range g.VMState.Summaries.Read().ByDataCentre {
-		if g.countSend(s) {
+		if time.Since(s.Received) > maxSummaryAge {
+			continue
+		}
+		if g.countSend(s) || allSummaries {
 			message.Summaries = append(message.Summaries, fromSummary(s))
 		}
 	}
@@ -232,7 +245,7 @@
 	if p.version != s.Version {
 		p = sendCount{version: s.Version}
 	}
-	if p.sends >= sendsPerSummary || time.Since(s.Received) > maxSummaryAge {
+	if p.sends >= sendsPerSummary {
 		return false
 	}
 	p.sends++
@@ -284,12 +297,51 @@
 	summaryRounds = 2                // rounds between two versions of a summary
 )
 
-// summarize updates the summary of this data centre if this VM has the lowest id of
-// the usable VMs there.
-func (g *Gossip) summarize() {
-	if g.round%summaryRounds != 0 || !g.reportsForDataCentre() {
-		return
+// tellServices sends a new summary to all VMs at once when its services or models
+// change, until the tomb dies. Requests for them wait only so long for a target.
+func (g *Gossip) tellServices(t *tomb.Tomb) error {
+	ctx := t.Context(context.Background())
+	told := ""
+	for {
+		changed := g.VMState.Targets.View.Changed()
+		if names := g.serviceNames(); names != told && g.reportsForDataCentre() {
+			told = names
+			g.summarize()
+			for _, m := range g.others() {
+				go func() { _ = g.send(ctx, m, g.message(true)) }()
+			}
+		}
+		select {
+		case <-t.Dying():
+			return nil
+		case <-time.After(tellInterval):
+		}
+		select {
+		case <-t.Dying():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// serviceNames returns the services and models of this data centre as one string.
+func (g *Gossip) serviceNames() string {
+	var names []string
+	for _, s := range Services(g.VMState.Targets.View.Read(), time.Now()) {
+		slices.Sort(s.Models)
+		names = append(names, s.Name+"="+strings.Join(s.Models, ","))
 	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
+// others returns the other usable VMs.
+func (g *Gossip) others() []membership.Member {
+	return slices.DeleteFunc(g.VMState.Members.View.Read().Usable(), func(m membership.Member) bool { return m.ID == g.VMState.Self })
+}
+
+// summarize updates the summary of this data centre.
+func (g *Gossip) summarize() {
 	s := summary.Summary{
 		DataCentre: g.VMState.DataCentre, Region: g.VMState.Region, Version: uint64(time.Now().UnixNano()),
 		Services: Services(g.VMState.Targets.View.Read(), time.Now()),
@@ -297,6 +349,8 @@
 	g.VMState.Summaries.Update(func(set *summary.Set) *summary.Set { return set.With(time.Now(), s) })
 }
 
+// reportsForDataCentre reports whether this VM has the lowest id of the usable VMs of
+// its data centre.
 func (g *Gossip) reportsForDataCentre() bool {
 	for _, m := range g.VMState.Members.View.Read().Usable() {
 		if m.DataCentre == g.VMState.DataCentre {
@@ -336,7 +390,7 @@
 // that does not answer is neither tried again nor suspected.
 func (g *Gossip) Announce(ctx context.Context, members []membership.Member) {
 	for _, m := range members {
-		go func() { _ = g.send(ctx, m) }()
+		go func() { _ = g.send(ctx, m, g.message(false)) }()
 	}
 }
 
@@ -349,7 +403,7 @@
 	g.mu.Unlock()
 	var group sync.WaitGroup
 	for _, m := range others {
-		group.Go(func() { _ = g.send(ctx, m) })
+		group.Go(func() { _ = g.send(ctx, m, g.message(false)) })
 	}
 	group.Wait()
 }
