Test the last part, kept connections without new ones, and TCP options

No fault was found.

TestLastPartIsNoEvidence fails if the last part counts ("p:10: status 503, want 200"). TestKeptConnectionsLiveOnWhileNewOnesAreRefused fails without the other VM of the region.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -45,6 +45,8 @@
 	seen    []*http.Request
 	ended   chan struct{}
 	address string
+	// listener accepts new connections; closed, it refuses them and the open ones live on.
+	listener net.Listener
 }
 
 func startTarget(t testing.TB, answers ...func(conn net.Conn, request *http.Request)) *target {
@@ -54,7 +56,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	s := &target{answers: answers, address: listener.Addr().String(), ended: make(chan struct{}, 16)}
+	s := &target{answers: answers, address: listener.Addr().String(), listener: listener, ended: make(chan struct{}, 16)}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -500,6 +502,21 @@
 	}
 }
 
+// The last part of a prompt belongs to the request alone. It is neither taken as a cause
+// of crashes nor looked up among them.
+func TestLastPartIsNoEvidence(t *testing.T) {
+	target := startTarget(t, status(200, "", "fine"))
+	w := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1}, target)
+	for _, boot := range []string{"1", "2"} {
+		w.server.Quarantine.Report(boot, "other/"+boot, quarantine.Request{Service: "s", Organisation: boot, Parts: []string{"p"}, Fingerprint: boot}, true, true)
+	}
+	for parts, want := range map[string]int{"p:10,own:10": http.StatusServiceUnavailable, "own:10,p:10": http.StatusOK, "p:10": http.StatusOK} {
+		if code, _, _ := w.ask(t, "k", "Parts", parts, "Tokens", "20,5"); code != want {
+			t.Errorf("%s: status %d, want %d", parts, code, want)
+		}
+	}
+}
+
 // A region that refuses one request, as it has crashed targets, still gets others.
 func TestSuspectRequestsAreNoBackoff(t *testing.T) {
 	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, "slow": true} {
--- a/io/front/links_test.go
+++ b/io/front/links_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -50,6 +51,41 @@
 	}
 }
 
+// Connections to targets live on while new ones are refused. Callers are served over the
+// kept ones, and over another VM when these aren't enough.
+func TestKeptConnectionsLiveOnWhileNewOnesAreRefused(t *testing.T) {
+	slow := func(conn net.Conn, request *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		status(200, "", "fine")(conn, request)
+	}
+	route := plan.Route{Kind: plan.NonIdempotent, Attempts: 2}
+	neighbour := newFixture(t, route, startTarget(t, slow), startTarget(t, slow))
+	var targets []*target
+	for range 3 {
+		targets = append(targets, startTarget(t, slow))
+	}
+	here := newFixture(t, route, targets...)
+	vms := []entry.VM{neighbour.abroad(t, "region"), {ID: "vm", Region: "region", Ready: true}}
+	here.server.Entries.Store(&vms)
+	for range 12 {
+		here.ask(t, "k")
+	}
+	for _, s := range targets {
+		s.listener.Close()
+	}
+	var group sync.WaitGroup
+	for range 40 {
+		group.Go(func() {
+			begun := time.Now()
+			if code, body, _ := here.ask(t, "k"); code != http.StatusOK || time.Since(begun) > time.Second {
+				t.Errorf("status %d, body %q after %v", code, body, time.Since(begun))
+			}
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	group.Wait()
+}
+
 // A request that may run once was sent over another VM, which lost its answer, while this
 // VM's own links came back. It must not run here.
 func TestRequestThatWentAroundRunsOnce(t *testing.T) {
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -10,8 +10,11 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // peer is a server that counts its connections and requests.
@@ -258,3 +261,26 @@
 		t.Errorf("another request gets %q", body)
 	}
 }
+
+// With TCP_USER_TIMEOUT set, that option and not the number of probes decides when a
+// silent connection ends. A connection to a target has no probes: a pause isn't its end.
+func TestConnectionsHaveNoProbes(t *testing.T) {
+	p := startPeer(t, writeOK)
+	c, err := NewClient(nil).dial(t.Context(), "t", p.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	probes, timeout := 0, 0
+	_ = raw.Control(func(fd uintptr) {
+		probes, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+		timeout, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	})
+	if probes != 0 || timeout != int(ackTimeout.Milliseconds()) {
+		t.Errorf("probes %d, user timeout %d ms", probes, timeout)
+	}
+}
