Apply nothing behind an entry of the log that this build doesn't know

What callers saw: nothing yet. A command that didn't parse ended the process, again at each start.

Cause: a oneof without a known kind is no kind at all; State.Apply and the replica passed over what they had no case for, and unknown fields were dropped.

Ruled out: the write-ahead log and the messages between replicas carry commands as bytes and lose nothing. The withdrawn keys on disk have one kind of record.

It keeps voting and storing the log, so a majority isn't lost, but it doesn't lead, since a leader answers for what it has applied. Its catalogue falls behind the confirmed revision, so that it neither renews leases nor answers reads. The metric held and the log name the entry.

--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -38,6 +38,7 @@
 	lastHardState   HardState
 	persisting      uint64 // last entry returned by Ready to be persisted
 	applying        uint64 // last entry returned by Ready to be applied
+	held            uint64 // first entry that the driver can't apply, 0 for none
 }
 
 // NewNode returns a replica that resumes from its state on disk. The first
@@ -76,6 +77,7 @@
 	Applied         uint64
 	LastIndex       uint64
 	Snapshot        uint64 // index of the newest snapshot
+	Held            uint64 // first entry that the driver can't apply, 0 for none
 	Membership      Membership
 	Match           map[string]uint64 // leader only: last entry known to be on disk, by replica
 	TicksSinceReply map[string]int    // leader only: ticks since the last reply, by replica
@@ -85,7 +87,7 @@
 func (n *Node) Status() Status {
 	status := Status{
 		ID: n.config.ID, Role: n.role, Term: n.term, Leader: n.leader, Commit: n.commit, Applied: n.applied,
-		LastIndex: n.log.lastIndex(), Snapshot: n.log.snapshot.Index, Membership: n.Membership(),
+		LastIndex: n.log.lastIndex(), Snapshot: n.log.snapshot.Index, Held: n.held, Membership: n.Membership(),
 	}
 	if n.role == Leader {
 		status.Match = make(map[string]uint64, len(n.progress))
@@ -111,11 +113,29 @@
 		n.tickLeader()
 		return
 	}
-	if n.electionElapsed >= n.electionTimeout && n.Membership().IsVoter(n.config.ID) {
+	if n.electionElapsed >= n.electionTimeout && n.mayLead() {
 		n.campaign(PreCandidate, false)
 	}
 }
 
+// mayLead reports whether the replica votes and can apply all entries. A leader answers
+// for what it has applied.
+func (n *Node) mayLead() bool {
+	return n.held == 0 && n.Membership().IsVoter(n.config.ID)
+}
+
+// Hold reports, before Advance, that the driver can't apply the entry at an index. The
+// replica then returns no more committed entries and doesn't lead, but votes and keeps the
+// log. A later snapshot ends this.
+func (n *Node) Hold(index uint64) {
+	n.held = index
+	n.applied = index - 1
+	n.applying = n.applied
+	if n.role != Follower {
+		n.becomeFollower(n.term, "")
+	}
+}
+
 func (n *Node) tickLeader() {
 	n.heartbeatElapsed++
 	for id, p := range n.progress {
@@ -165,7 +185,7 @@
 	case HeartbeatReply:
 		n.handleHeartbeatReply(m)
 	case TimeoutNow:
-		if n.Membership().IsVoter(n.config.ID) {
+		if n.mayLead() {
 			n.campaign(Candidate, true)
 		}
 	}
@@ -248,7 +268,7 @@
 		Messages:  n.messages,
 		Reads:     n.readStates,
 	}
-	if n.pendingSnapshot == nil && n.commit > n.applying {
+	if n.pendingSnapshot == nil && n.held == 0 && n.commit > n.applying {
 		// Apply only entries that are on this replica's disk.
 		last := min(n.commit, n.log.stable)
 		ready.Committed = n.log.slice(n.applying+1, last)
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -269,6 +269,7 @@
 		n.applied = snapshot.Index
 		n.applying = snapshot.Index
 		n.persisting = snapshot.Index
+		n.held = 0
 		n.pendingSnapshot = &snapshot
 		reply.LogIndex = snapshot.Index
 	}
--- a/io/codec/control.go
+++ b/io/codec/control.go
@@ -54,8 +54,12 @@
 }
 
 // ToCommand maps a message to a command and computes the digest of a change. It
-// fails if the change can't be encoded.
+// fails with ErrNewer if the message has parts that this build doesn't know, and if the
+// change can't be encoded.
 func ToCommand(m *state.Command) (c control.Command, err error) {
+	if err := checkKnown(m.ProtoReflect()); err != nil {
+		return c, err
+	}
 	c = control.Command{RequestID: m.GetRequestId(), ExpectedRevision: m.GetExpectedRevision(), AnyRevision: m.GetAnyRevision()}
 	switch kind := m.GetKind().(type) {
 	case *state.Command_Change:
@@ -131,7 +135,8 @@
 }
 
 // DecodeState decodes the replicated state from a snapshot. No data gives the
-// empty state. It fails if the data isn't a valid message.
+// empty state. It fails if the data isn't a valid message, and with ErrNewer if it has
+// parts that this build doesn't know.
 func DecodeState(data []byte) (s *control.State, err error) {
 	defer fault.Annotate(&err, "decode the snapshot of the state")
 	s = control.New()
@@ -142,6 +147,9 @@
 	if err := proto.Unmarshal(data, m); err != nil {
 		return nil, err
 	}
+	if err := checkKnown(m.ProtoReflect()); err != nil {
+		return nil, err
+	}
 	s.Catalogue = ToCatalogue(m.GetCatalogue())
 	s.EngineLease = ToLease(m.GetOrders())
 	for _, row := range m.GetBookings() {
--- a/io/codec/raft.go
+++ b/io/codec/raft.go
@@ -1,6 +1,8 @@
 package codec
 
 import (
+	"math"
+
 	"kingcuprill/core/raft"
 	"kingcuprill/rpc/state"
 )
@@ -26,7 +28,8 @@
 
 // ToEntry maps a message to a log entry.
 func ToEntry(m *state.Entry) raft.Entry {
-	e := raft.Entry{Index: m.GetIndex(), Term: m.GetTerm(), Kind: raft.EntryKind(m.GetKind()), Data: m.GetData()}
+	kind := raft.EntryKind(min(m.GetKind(), math.MaxUint8))
+	e := raft.Entry{Index: m.GetIndex(), Term: m.GetTerm(), Kind: kind, Data: m.GetData()}
 	if m.GetMembership() != nil {
 		e.Membership = ptr(ToMembership(m.GetMembership()))
 	}
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -103,15 +103,11 @@
 	}, c.Heartbeat)
 	v.peers = peer.NewUnsigned(c.ID, c.DialThrough...)
 	v.addControlVMs(c.Seeds)
-	v.replica, err = replica.New(replica.Options{
+	v.replica = replica.New(replica.Options{
 		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tickInterval,
 		Transport: &replica.Sender{Address: addressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
 		Published: v.publish,
 	})
-	if err != nil {
-		store.Close()
-		return nil, err
-	}
 	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.Follow = follow.NewServer(v.VMState, epoch, v.registry.Table, v.Proposer.Confirm, v.controlAddresses, log)
@@ -276,6 +272,7 @@
 	v.Metrics.Gauge("revision", func() int64 { return int64(v.VMState.Catalogue.Read().Revision) })
 	v.Metrics.Gauge("term", func() int64 { return int64(v.replica.Status().Term) })
 	v.Metrics.Gauge("commit", func() int64 { return int64(v.replica.Status().Commit) })
+	v.Metrics.Gauge("held", func() int64 { return int64(v.replica.Status().Held) })
 	v.Metrics.Gauge("log_bytes", func() int64 { return v.replica.Status().LogBytes })
 	v.Metrics.Gauge("stream_versions", v.streams.Streams)
 	v.Metrics.Gauge("confirmed_ms_ago", func() int64 { return v.Follow.SinceConfirmed().Milliseconds() })
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -127,15 +127,11 @@
 	d.store = store
 	d.withdrawer.Store = store
 	d.vmState.Withdrawn.Update(func(*withdrawal.Set) *withdrawal.Set { return withdrawal.New(saved.Withdrawn...) })
-	d.replica, err = replica.New(replica.Options{
+	d.replica = replica.New(replica.Options{
 		ID: d.settings.VM.ID, Store: store, Saved: saved, Log: d.log, TickEvery: d.settings.Control.Tick,
 		Transport: &replica.Sender{Address: d.vmState.Members.Address, Peers: d.peers, Log: d.log, Tomb: &d.tomb},
 		Published: func(c *catalogue.Catalogue, change *catalogue.Change) { d.follower.Install(c, change) },
 	})
-	if err != nil {
-		store.Close()
-		return err
-	}
 	d.proposer.Replica = d.replica
 	return nil
 }
--- a/io/replica/apply.go
+++ b/io/replica/apply.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"fmt"
+
 	"google.golang.org/protobuf/proto"
 
 	"kingcuprill/core/control"
@@ -10,27 +12,37 @@
 	"kingcuprill/rpc/state"
 )
 
-func (r *Replica) applyReady(ready raft.Ready) error {
+// applyReady applies the snapshot and the committed entries. It stops before what this
+// build can't apply and takes these entries out of ready: to skip one would let the state
+// differ from that of other replicas from then on.
+func (r *Replica) applyReady(ready *raft.Ready) {
 	if ready.Snapshot != nil {
 		if err := r.restore(*ready.Snapshot); err != nil {
-			return err
+			r.hold(ready.Snapshot.Index+1, err)
+			ready.Committed = nil
 		}
 	}
-	for _, entry := range ready.Committed {
+	for i, entry := range ready.Committed {
 		if err := r.apply(entry); err != nil {
-			return err
+			r.hold(entry.Index, err)
+			ready.Committed = ready.Committed[:i]
+			return
 		}
 	}
-	return nil
+}
+
+func (r *Replica) hold(index uint64, err error) {
+	r.node.Hold(index)
+	r.options.Log.Error("the control log can't be applied further; this replica votes and keeps the log, but doesn't lead until a build that can apply it runs", "entry", index, "error", err)
 }
 
 func (r *Replica) restore(snapshot raft.Snapshot) error {
+	r.captured = nil
 	s, err := codec.DecodeState(snapshot.Data)
 	if err != nil {
 		return err
 	}
 	r.state = s
-	r.captured = nil
 	for index, w := range r.pendingProposals {
 		if index <= snapshot.Index {
 			w.answer <- proposalAnswer{err: fault.New(fault.OutcomeUnknown, "the control log was replaced by a snapshot before the result of the command was known")}
@@ -44,10 +56,14 @@
 func (r *Replica) apply(entry raft.Entry) (err error) {
 	defer fault.Annotate(&err, "apply entry %d of the control log", entry.Index)
 	result := control.Result{Revision: r.state.Catalogue.Revision}
-	if entry.Kind == raft.EntryCommand {
+	switch entry.Kind {
+	case raft.EntryNoop, raft.EntryMembership:
+	case raft.EntryCommand:
 		if result, err = r.applyCommand(entry.Data); err != nil {
 			return err
 		}
+	default:
+		return fmt.Errorf("kind %d of entry: %w", entry.Kind, codec.ErrNewer)
 	}
 	r.answer(entry, result)
 	r.captureSnapshot(entry.Index)
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -118,11 +118,10 @@
 }
 
 // New returns a replica that starts from the saved contents of its data folder.
-func New(options Options) (r *Replica, err error) {
-	defer fault.Annotate(&err, "start replica %s", options.ID)
-	s, err := codec.DecodeState(options.Saved.Snapshot.Data)
-	if err != nil {
-		return nil, err
+func New(options Options) (r *Replica) {
+	s, unreadable := codec.DecodeState(options.Saved.Snapshot.Data)
+	if unreadable != nil {
+		s = control.New()
 	}
 	r = &Replica{
 		options:          options,
@@ -138,13 +137,17 @@
 		MaxBatchEntries: maxBatchEntries, MaxInFlight: maxInFlight, Random: rand.IntN,
 	}
 	r.node = raft.NewNode(config, options.Saved.HardState, options.Saved.Snapshot, options.Saved.Entries)
+	if unreadable != nil {
+		r.hold(options.Saved.Snapshot.Index+1, unreadable)
+	}
 	r.publishStatus()
 	options.Published(r.state.Catalogue, nil)
-	return r, nil
+	return r
 }
 
 // Run drives the replica until the tomb dies. It returns an error when the disk can
-// no longer be trusted (disk.ErrSync) or a committed entry or snapshot can't be applied.
+// no longer be trusted (disk.ErrSync). When a committed entry or snapshot can't be applied,
+// it runs on without applying any (see Status.Held).
 func (r *Replica) Run(t *tomb.Tomb) error {
 	ticker := time.NewTicker(r.options.TickEvery)
 	defer ticker.Stop()
@@ -202,9 +205,7 @@
 			return err
 		}
 		r.send(ready.Messages)
-		if err := r.applyReady(ready); err != nil {
-			return err
-		}
+		r.applyReady(&ready)
 		r.node.Advance(ready)
 		r.answerReads(ready.Reads)
 		r.compact(ready.HardState)
