Refuse commands that the leader couldn't apply

What callers saw: a change or a booking of a kind that only a newer build knows, proposed through a VM with that build to a leader without it, was answered as done and had no effect there; a replica with the newer build carried it out.

Cause: the leader put the command's bytes into the log without a look at them.

Evidence: TestNewerCommandIsNotCommitted, on the code before: "result {Revision:0 ...}, error <nil>, want one of code invalid" for an unknown kind, an unknown field and an empty command. With replicas that hold at such an entry it is worse: the leader takes itself out ("plan 0 is in force, this replica is not the leader of the control log, want plan 3"). All of it passes since.

Ruled out: operators' changes; io/operator validates them in the VM that takes them, and an unknown kind is refused there.

Change: the leader refuses such a command as invalid, which promises that it has not been and won't be carried out, and leads on.

--- a/io/replica/builds_test.go
+++ b/io/replica/builds_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"context"
 	"log/slog"
 	"path/filepath"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"gopkg.in/tomb.v2"
 
 	"kingcuprill/core/catalogue"
+	"kingcuprill/core/fault"
 	"kingcuprill/core/raft"
 	"kingcuprill/io/disk"
 	"kingcuprill/io/replica"
@@ -146,3 +148,29 @@
 		}
 	})
 }
+
+// TestNewerCommandIsNotCommitted proposes a command of a newer build to a leader that
+// couldn't apply it. The leader must refuse it and lead on.
+func TestNewerCommandIsNotCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, contents := saved(t, nil)
+		r, inForce := run(t, store, contents)
+		time.Sleep(5 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		for _, change := range []func(*state.Command){
+			func(c *state.Command) { c.Kind = nil },
+			func(c *state.Command) { c.Kind = nil; c.ProtoReflect().SetUnknown(unknown()) },
+			func(c *state.Command) { c.GetChange().ProtoReflect().SetUnknown(unknown()) },
+		} {
+			command := putPlan(2)
+			change(command)
+			if result, err := r.Propose(ctx, command); fault.CodeOf(err) != fault.Invalid {
+				t.Errorf("result %+v, error %v, want one of code %s", result, err, fault.Invalid)
+			}
+		}
+		if _, err := r.Propose(ctx, putPlan(3)); err != nil || inForce() != 3 {
+			t.Errorf("plan %d is in force, error %v, want plan 3", inForce(), err)
+		}
+	})
+}
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -315,6 +315,10 @@
 }
 
 func (r *Replica) propose(p proposal) {
+	if err := checkCommand(p.command); err != nil {
+		p.answer <- proposalAnswer{err: err}
+		return
+	}
 	r.setCommandTime(p.command)
 	data, err := proto.Marshal(p.command)
 	if err != nil {
@@ -333,6 +337,17 @@
 	r.pendingProposals[index] = pendingProposal{term: term, answer: p.answer}
 }
 
+// checkCommand refuses a command that this replica couldn't apply once it is committed.
+func checkCommand(command *state.Command) error {
+	if _, err := codec.ToCommand(command); err != nil {
+		return fault.New(fault.Invalid, "the leader of the control log can't apply the command: %v; propose it when all control VMs run the newer build", err)
+	}
+	if command.GetKind() == nil {
+		return fault.New(fault.Invalid, "the command is empty")
+	}
+	return nil
+}
+
 // setCommandTime sets the time of a command on the ledger's clock (see
 // booking.Ledger), for commands that have one.
 func (r *Replica) setCommandTime(command *state.Command) {
