--- a/acceptance/scenario_test.go
+++ b/acceptance/scenario_test.go
@@ -23,6 +23,7 @@
 	"kingcuprill/io/rig/cluster"
 	"kingcuprill/io/rig/fakeengine"
 	"kingcuprill/io/rig/fakeservice"
+	"kingcuprill/io/rig/production"
 )
 
 const (
@@ -86,7 +87,7 @@
 	commandFuncs = map[string]commandFunc{
 		"cluster": startCluster, "engine": startEngine, "desk": startService, "kc": runClient, "grant": grantKey,
 		"complete": complete, "call": callService, "get": getStatus, "background": startBackground, "tokens": awaitTokens, "await": awaitRequest,
-		"signal": signalVM, "ended": waitExit, "restart": restartVM, "cut": cutRegion, "heal": healRegion, "silence-open": silenceOpen,
+		"build": chooseBuild, "signal": signalVM, "ended": waitExit, "restart": restartVM, "cut": cutRegion, "heal": healRegion, "silence-open": silenceOpen,
 		"leave": leaveTarget, "crash": crashEngine, "runs": checkRuns, "saw": checkPrompt, "leaked": checkLeak,
 		"limit": setLimit, "flood": flood, "arrivals": checkArrivals, "fault": setFault, "vms": listVMs, "wipe": removeData,
 		"crashes": checkCrashes, "logged": checkLogged, "settled": checkSettled, "format": formatVM, "damage": corruptLog, "stored": checkStored,
@@ -202,11 +203,12 @@
 	return fallback
 }
 
-// startCluster starts a cluster and waits until all VMs are active. Options are
+// startCluster starts a cluster and waits until all VMs are active, with the production
+// build if an argument is production. Options are
 // regions=A,B and vms=N (VMs in each region), control=N (control VMs), delay=D (one way,
 // between regions), and the settings drain, silence, lease, commit and queue_wait.
 func startCluster(s *scenario, args []string) (string, error) {
-	_, options := parseArgs(args)
+	positional, options := parseArgs(args)
 	regions := []string{"kolkata", "siliguri", "durgapur"}
 	if options["regions"] != "" {
 		regions = strings.Split(options["regions"], ",")
@@ -226,6 +228,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
+	if slices.Contains(positional, "production") {
+		if _, err := chooseBuild(s, positional); err != nil {
+			return "", err
+		}
+	}
 	if err := s.cluster.Start(ctx); err != nil {
 		return "", err
 	}
@@ -462,6 +469,20 @@
 	return "", s.cluster.Wait(s.cluster.VM(args[0]), requestTimeout)
 }
 
+var buildProduction = sync.OnceValues(func() (string, error) {
+	return production.Build(filepath.Join(filepath.Dir(daemonPath), "production"), "kingcuprilld")
+})
+
+// chooseBuild selects the build of the daemons that are started from now on: production
+// or current.
+func chooseBuild(s *scenario, args []string) (out string, err error) {
+	s.cluster.Options.Daemon = daemonPath
+	if args[0] == "production" {
+		s.cluster.Options.Daemon, err = buildProduction()
+	}
+	return s.cluster.Options.Daemon, err
+}
+
 // restartVM starts a stopped VM and waits until it is ready, unless a second
 // argument is given: VM [nowait].
 func restartVM(s *scenario, args []string) (string, error) {
