--- a/io/rig/production/production.go
+++ b/io/rig/production/production.go
@@ -65,6 +65,16 @@
 	return commit, nil
 }
 
+// File returns the content of a file in the production version of a repository.
+func File(root, name string) (content string, err error) {
+	defer fault.Annotate(&err, "read %s of the production version", name)
+	commit, err := Commit(root)
+	if err != nil {
+		return "", err
+	}
+	return git(root, "", "show", commit+":"+name)
+}
+
 // checkOut writes the files of a commit to a folder. It uses an index of its own, so that
 // the working tree and its index stay as they are.
 func checkOut(root, commit, folder string) error {
