Renew no lease on a catalogue that isn't in force as a whole

What callers saw: where an entry VM couldn't decode the newest plan, as one that another build has accepted, it served on by the one before for as long as that lasted, with keys that had been withdrawn since. Evacuations that came with or after that plan had no effect there. A catalogue with parts that only a newer build knows was cut down to the rest, and the lease was renewed on that.

Cause: the lease asked whether the newest revision had come, not whether it was in force.

Change: whoever puts a catalogue in force says whether all of it is. Otherwise the lease ends, as on a VM that is cut off, until a later catalogue comes that can be. Evacuations hold in any case.

--- a/io/codec/newer.go
+++ b/io/codec/newer.go
@@ -4,11 +4,18 @@
 	"errors"
 
 	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"kingcuprill/rpc/state"
 )
 
 // ErrNewer reports a message with parts that this build doesn't know.
 var ErrNewer = errors.New("a newer build has written it: it has parts that this build does not know")
 
+// CheckCatalogue returns ErrNewer if a catalogue has parts that this build doesn't know.
+func CheckCatalogue(m *state.Catalogue) error {
+	return checkKnown(m.ProtoReflect())
+}
+
 // checkKnown returns ErrNewer if the message, or one inside it, has fields that this
 // build doesn't know.
 func checkKnown(message protoreflect.Message) (err error) {
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -186,19 +186,24 @@
 	return !v.draining.Load() && v.state.Read().Plan != nil
 }
 
-func (v *VM) applyCatalogue(c *catalogue.Catalogue) {
+// applyCatalogue puts a catalogue in force. If its plan can't be decoded, the one before
+// stays, and the error says why.
+func (v *VM) applyCatalogue(c *catalogue.Catalogue) (err error) {
+	defer fault.Annotate(&err, "decode plan %d", c.Plan.Version)
 	old := v.state.Read()
 	next := &front.State{Plan: old.Plan, Revision: c.Revision, Evacuated: c.Evacuated}
 	if c.Plan.Version > 0 && (old.Plan == nil || c.Plan.Version > old.Plan.Plan.Version) {
 		decoded, err := v.Decode(c.Plan.Document)
 		if err != nil {
-			v.Log.Error("plan can't be decoded; the previous catalogue stays in force", "plan", c.Plan.Version, "error", err)
-			return
+			// Evacuations and the revision hold all the same.
+			v.state.Update(func(*front.State) *front.State { return next })
+			return err
 		}
 		next.Plan = plan.NewIndex(decoded)
 	}
 	v.state.Update(func(*front.State) *front.State { return next })
 	v.Log.Info("catalogue is in force", "revision", c.Revision, "plan", c.Plan.Version, "before", old.Revision, "evacuated", len(c.Evacuated))
+	return nil
 }
 
 func (v *VM) applyTargets(rows map[string]instance.Registration, remote []follow.RemoteTargets) {
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"slices"
@@ -50,8 +51,9 @@
 	Log   *slog.Logger
 	// Self returns the current state of this VM.
 	Self func() entry.VM
-	// OnCatalogue is called with each catalogue that is newer than the one before.
-	OnCatalogue func(c *catalogue.Catalogue)
+	// OnCatalogue is called with each catalogue that is newer than the one before. It
+	// returns an error if not all of it is in force; the lease is then not renewed.
+	OnCatalogue func(c *catalogue.Catalogue) error
 	// OnTargets is called with all known targets of this region, by id, and the number
 	// of usable targets in the other data centres.
 	OnTargets func(rows map[string]instance.Registration, remote []RemoteTargets)
@@ -67,6 +69,7 @@
 	seeds     []string
 	polls     map[string]context.CancelFunc // by control VM's peer address
 	revision  uint64
+	unusable  error // why the catalogue of this revision isn't in force as a whole
 	newer     chan struct{} // closed when a newer catalogue arrives
 	fleet     *instance.Fleet
 	entries   map[string]map[string]entry.VM // by control VM and id
@@ -220,12 +223,20 @@
 	}
 	has := c.awaitRevision(ctx, answer.GetRevision())
 	seen.needsCatalogue = !has
-	if has && answer.GetConfirmed() {
+	if has && answer.GetConfirmed() && c.isInForce() {
 		c.Lease.Confirm(sent)
 	}
 	return nil
 }
 
+// isInForce reports whether all of the newest catalogue that has come is in force. The one
+// before may have keys that are withdrawn, so that no lease may be had on it.
+func (c *Client) isInForce() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unusable == nil
+}
+
 // awaitRevision waits until this VM has a revision that a control VM has
 // announced, and reports whether it has. Only the nearest control VM sends it, so
 // that a catalogue is transferred once and not by each of them.
@@ -252,7 +263,8 @@
 func (c *Client) apply(address string, answer *vm.FollowResponse, seen *cursor) (err error) {
 	var catalogue *catalogue.Catalogue
 	if packed := answer.GetCatalogue(); len(packed) > 0 {
-		if catalogue, err = decompress(packed); err != nil {
+		catalogue, err = decompress(packed)
+		if err != nil && !errors.Is(err, codec.ErrNewer) {
 			return err
 		}
 	}
@@ -261,7 +273,9 @@
 	now := time.Now()
 	if catalogue != nil && catalogue.Revision > c.revision {
 		c.revision = catalogue.Revision
-		c.OnCatalogue(catalogue)
+		if c.unusable = errors.Join(err, c.OnCatalogue(catalogue)); c.unusable != nil {
+			c.Log.Error("the newest catalogue can't be put in force as a whole; the lease is not renewed until one can", "revision", c.revision, "error", c.unusable)
+		}
 		close(c.newer)
 		c.newer = make(chan struct{})
 	}
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -99,6 +100,9 @@
 	})
 }
 
+// unusable is a document that followers can't put in force.
+const unusable = "unusable"
+
 // follower is an entry VM that follows some control VMs.
 type follower struct {
 	*Client
@@ -118,10 +122,14 @@
 	f.Client = &Client{
 		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: slog.New(slog.DiscardHandler),
 		Self: func() entry.VM { return entry.VM{ID: "e", Region: "near", Ready: true} },
-		OnCatalogue: func(c *catalogue.Catalogue) {
+		OnCatalogue: func(c *catalogue.Catalogue) error {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.document = string(c.Plan.Document)
+			if f.document == unusable {
+				return errors.New("it can't be put in force")
+			}
+			return nil
 		},
 		OnTargets: func(rows map[string]instance.Registration, remote []RemoteTargets) {
 			f.mu.Lock()
--- a/io/follow/packed.go
+++ b/io/follow/packed.go
@@ -44,6 +44,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return compressBytes(raw)
+}
+
+func compressBytes(raw []byte) (data []byte, err error) {
 	var out bytes.Buffer
 	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
 	if err != nil {
@@ -58,6 +62,8 @@
 	return out.Bytes(), nil
 }
 
+// decompress returns a catalogue. With an error that is codec.ErrNewer, it is the part
+// that this build knows.
 func decompress(data []byte) (c *catalogue.Catalogue, err error) {
 	defer fault.Annotate(&err, "decompress a catalogue")
 	r, err := gzip.NewReader(bytes.NewReader(data))
@@ -75,5 +81,5 @@
 	if err := proto.Unmarshal(raw, &message); err != nil {
 		return nil, err
 	}
-	return codec.ToCatalogue(&message), nil
+	return codec.ToCatalogue(&message), codec.CheckCatalogue(&message)
 }
