--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -69,7 +69,7 @@
 	seeds     []string
 	polls     map[string]context.CancelFunc // by control VM's peer address
 	revision  uint64
-	unusable  error // why the catalogue of this revision isn't in force as a whole
+	unusable  error         // why the catalogue of this revision isn't in force as a whole
 	newer     chan struct{} // closed when a newer catalogue arrives
 	fleet     *instance.Fleet
 	entries   map[string]map[string]entry.VM // by control VM and id
