--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -63,6 +63,11 @@
 	trial         bool               // it runs apart from other requests with its suspect parts
 	progress      answerProgress     // of the answer of this VM's last try
 
+	heard     time.Duration // from the arrival until the last sign of the target
+	lastError error         // of the last try that failed
+	ended     bool          // the log line of its end is written
+	abandoned bool          // the connection to the caller must be closed as it is
+
 	behind   *hedge // of the try that this exchange runs beside, nil if there is none
 	silentVM string // entry VM at which that try waits
 }
@@ -95,6 +100,10 @@
 // allowed. result is the outcome of the tries so far.
 func (x *exchange) tryTargets(ctx context.Context, result outcome) {
 	for x.tries < x.maxTries() {
+		if x.outlastsStop() {
+			x.giveUp(ctx, result, stoppingReason)
+			return
+		}
 		if (x.tries > 0 || x.runs > 0) && !x.mayTryAgain(ctx, result) {
 			break
 		}
@@ -191,18 +200,20 @@
 		x.server.Log.Debug("no further target takes the request; it stays at its silent one", "request", x.id, "reason", reason)
 		return
 	}
+	if endedByStop(ctx) {
+		reason = stoppingReason
+	}
 	switch {
 	case x.caller.Context().Err() != nil:
-		x.log("caller has left", "reason", reason)
+		x.abandon(x.endKind(ctx), "caller has left", "reason", reason)
 	case x.begun:
-		x.log("answer is broken off", "reason", reason, "last_event", x.last)
-		panic(http.ErrAbortHandler)
+		x.abandon(x.endKind(ctx), "answer is broken off", "reason", reason, "last_event", x.last)
 	case x.failure != nil:
 		x.deliverBody(x.failure.response, x.failure.body)
-	case x.runs > 0 && ctx.Err() != nil:
-		x.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline"})
+	case x.runs > 0 && ctx.Err() == context.DeadlineExceeded:
+		x.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline", ended: x.endKind(ctx)})
 	case x.runs > 0:
-		x.refuse(&refusal{status: http.StatusBadGateway, reason: reason})
+		x.refuse(&refusal{status: http.StatusBadGateway, reason: reason, ended: x.endKind(ctx)})
 	default:
 		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: x.retryAfter(), notRun: true})
 	}
@@ -264,6 +275,7 @@
 		return x.countRuns(sent, runs)
 	}
 	x.server.Metrics.Count("tries.failed")
+	x.lastError = err
 	x.server.Log.Warn("try has failed without an answer; the request is retried if possible", "request", x.id, "target", x.target, "try", x.tries, "sent", sent, "parts", x.demand.SharedIDs(), "error", err)
 	return x.countRuns(sent, runs)
 }
@@ -330,7 +342,7 @@
 	x.target = target
 	x.excluded = append(x.excluded, target)
 	// The lease is checked again: it may have expired while a place was reserved.
-	if x.keyed && !x.server.Lease.Valid() || !x.server.Placer.MaySend(target, time.Now()) {
+	if x.outlastsStop() || x.keyed && !x.server.Lease.Valid() || !x.server.Placer.MaySend(target, time.Now()) {
 		x.unsent++
 		reserved.Done(place.Inconclusive, time.Now())
 		return notRun
@@ -396,9 +408,10 @@
 		}
 		return x.deliver(h, response, nil)
 	}
-	if !h.deliver() {
+	if !h.goOn() {
 		return x.endWithout(response, errOvertaken)
 	}
+	x.heardNow()
 	x.runs += runs
 	if reserved == nil {
 		x.answering = x.answeringVersion(response)
@@ -411,7 +424,7 @@
 // take takes the right to deliver the part of the answer that has come. It returns an
 // error if another try has it.
 func (x *exchange) take(h *hedge) error {
-	if !h.deliver() {
+	if !h.goOn() {
 		return errOvertaken
 	}
 	if !x.claimAnswer() {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"kingcuprill/core/drain"
 	"kingcuprill/core/entry"
 	"kingcuprill/core/instance"
 	"kingcuprill/core/lease"
@@ -133,12 +134,13 @@
 type fixture struct {
 	server *Server
 	front  *httptest.Server
-	leased time.Duration
+	leased atomic.Int64 // nanoseconds
 }
 
 func newFixture(t testing.TB, route plan.Route, targets ...*target) *fixture {
 	t.Helper()
-	w := &fixture{leased: time.Minute}
+	w := &fixture{}
+	w.leased.Store(int64(time.Minute))
 	route.Name, route.Host, route.Prefix = "r", "h", "/a/"
 	route.Splits = []plan.Split{{Service: "s", Weight: 1}}
 	if route.Timeout == 0 {
@@ -162,7 +164,7 @@
 	log := slog.New(slog.DiscardHandler)
 	entries := &atomic.Pointer[[]entry.VM]{}
 	entries.Store(&[]entry.VM{})
-	configurationLease := lease.New(func() time.Duration { return -w.leased }, 0)
+	configurationLease := lease.New(func() time.Duration { return -time.Duration(w.leased.Load()) }, 0)
 	configurationLease.Confirm(0)
 	w.server = &Server{
 		Self: "vm", Region: "region", Headers: testHeaders, State: watch.NewValue(&State{Plan: plan.NewIndex(p)}), Lease: configurationLease,
@@ -311,9 +313,9 @@
 		{name: "no configuration", key: "k", change: func(w *fixture) {
 			w.server.State.Update(func(*State) *State { return &State{} })
 		}, code: 503, again: true},
-		{name: "configuration not confirmed", key: "k", change: func(w *fixture) { w.leased = -time.Second }, code: 503, again: true},
-		{name: "unknown key, configuration not confirmed", key: "x", change: func(w *fixture) { w.leased = -time.Second }, code: 503, again: true},
-		{name: "unknown path, configuration not confirmed", key: "k", path: "/b/", change: func(w *fixture) { w.leased = -time.Second }, code: 503, again: true},
+		{name: "configuration not confirmed", key: "k", change: func(w *fixture) { w.leased.Store(-int64(time.Second)) }, code: 503, again: true},
+		{name: "unknown key, configuration not confirmed", key: "x", change: func(w *fixture) { w.leased.Store(-int64(time.Second)) }, code: 503, again: true},
+		{name: "unknown path, configuration not confirmed", key: "k", path: "/b/", change: func(w *fixture) { w.leased.Store(-int64(time.Second)) }, code: 503, again: true},
 		{name: "over the limit", key: "p", code: 429, again: true},
 		{name: "no target", key: "k", change: func(w *fixture) {
 			w.server.Placer.SetTargets(nil, func(string) string { return "" })
@@ -416,7 +418,7 @@
 func TestPlannedStop(t *testing.T) {
 	s := startTarget(t, status(200, "", "fine"))
 	w := newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1, Timeout: 5 * time.Second}, s)
-	w.server.stop.Store(&plannedStop{begun: time.Now().Add(-stopGrace - time.Second), end: time.Now().Add(2 * time.Second)})
+	w.server.Stop(drain.Stop{Begun: time.Now().Add(-3 * time.Second), Accept: 2 * time.Second, Grace: 6 * time.Second})
 	if code, _, response := w.ask(t, "k"); code != 503 || response.Header.Get("Retry-After") == "" {
 		t.Errorf("status %d for a request that may outlast the stop", code)
 	}
@@ -500,9 +502,10 @@
 	}
 }
 
-// A region that refuses one request, as it has crashed targets, still gets others.
-func TestSuspectRequestsAreNoBackoff(t *testing.T) {
-	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, "slow": true} {
+// A region still gets requests when one of its VMs has refused one as it crashes targets, or
+// as that VM stops.
+func TestRefusalsThatAreNotOfTheRegionAreNoBackoff(t *testing.T) {
+	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, stoppingReason: false, "slow": true} {
 		there := startTarget(t, status(503, hopNotRun+": "+reason+"\r\n", ""))
 		here := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1})
 		here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
