--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -118,11 +118,10 @@
 }
 
 // New returns a replica that starts from the saved contents of its data folder.
-func New(options Options) (r *Replica, err error) {
-	defer fault.Annotate(&err, "start replica %s", options.ID)
-	s, err := codec.DecodeState(options.Saved.Snapshot.Data)
-	if err != nil {
-		return nil, err
+func New(options Options) (r *Replica) {
+	s, unreadable := codec.DecodeState(options.Saved.Snapshot.Data)
+	if unreadable != nil {
+		s = control.New()
 	}
 	r = &Replica{
 		options:          options,
@@ -138,13 +137,17 @@
 		MaxBatchEntries: maxBatchEntries, MaxInFlight: maxInFlight, Random: rand.IntN,
 	}
 	r.node = raft.NewNode(config, options.Saved.HardState, options.Saved.Snapshot, options.Saved.Entries)
+	if unreadable != nil {
+		r.hold(options.Saved.Snapshot.Index+1, unreadable)
+	}
 	r.publishStatus()
 	options.Published(r.state.Catalogue, nil)
-	return r, nil
+	return r
 }
 
 // Run drives the replica until the tomb dies. It returns an error when the disk can
-// no longer be trusted (disk.ErrSync) or a committed entry or snapshot can't be applied.
+// no longer be trusted (disk.ErrSync). When a committed entry or snapshot can't be applied,
+// it runs on without applying any (see Status.Held).
 func (r *Replica) Run(t *tomb.Tomb) error {
 	ticker := time.NewTicker(r.options.TickEvery)
 	defer ticker.Stop()
@@ -202,9 +205,7 @@
 			return err
 		}
 		r.send(ready.Messages)
-		if err := r.applyReady(ready); err != nil {
-			return err
-		}
+		r.applyReady(&ready)
 		r.node.Advance(ready)
 		r.answerReads(ready.Reads)
 		r.compact(ready.HardState)
@@ -314,6 +315,10 @@
 }
 
 func (r *Replica) propose(p proposal) {
+	if err := checkCommand(p.command); err != nil {
+		p.answer <- proposalAnswer{err: err}
+		return
+	}
 	r.setCommandTime(p.command)
 	data, err := proto.Marshal(p.command)
 	if err != nil {
@@ -332,6 +337,17 @@
 	r.pendingProposals[index] = pendingProposal{term: term, answer: p.answer}
 }
 
+// checkCommand refuses a command that this replica couldn't apply once it is committed.
+func checkCommand(command *state.Command) error {
+	if _, err := codec.ToCommand(command); err != nil {
+		return fault.New(fault.Invalid, "the leader of the control log can't apply the command: %v; propose it when all control VMs run the newer build", err)
+	}
+	if command.GetKind() == nil {
+		return fault.New(fault.Invalid, "the command is empty")
+	}
+	return nil
+}
+
 // setCommandTime sets the time of a command on the ledger's clock (see
 // booking.Ledger), for commands that have one.
 func (r *Replica) setCommandTime(command *state.Command) {
