Numbers that no duration holds keep their sign

What callers saw: nothing yet; found by feeding odd numbers. A number of milliseconds or seconds of another format became a duration by a plain conversion. Its result for a number out of range differs between kinds of processors: the largest duration on arm64, the smallest one on x86-64. There a wait for tokens of a rate limit that was beyond 292 years was below 0, which counts as none, and a time-out of 1e308 ms was one below 0; on arm64 the same time-out overflowed as soon as anything was added to it.

Cause: the range isn't checked before the conversion.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -11,6 +11,7 @@
 
 	"kingcuprill/core/instance"
 	"kingcuprill/core/retry"
+	"kingcuprill/core/units"
 )
 
 const (
@@ -318,7 +319,7 @@
 	}
 	if r.Now.Before(t.ColdUntil) && r.ColdRate > 0 {
 		senders := float64(min(len(p.allVMs), coldSenders))
-		t.nextCold = r.Now.Add(time.Duration(senders / r.ColdRate * float64(time.Second)))
+		t.nextCold = r.Now.Add(units.Seconds(senders / r.ColdRate))
 	}
 	return a
 }
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -18,6 +18,8 @@
 import (
 	"sync"
 	"time"
+
+	"kingcuprill/core/units"
 )
 
 // Limit is an organisation's limit over all VMs.
@@ -54,7 +56,7 @@
 	if missing <= 0 {
 		return 0
 	}
-	return time.Duration(missing / limit.RatePerSecond * float64(time.Second))
+	return units.Seconds(missing / limit.RatePerSecond)
 }
 
 // Pool holds the leader's buckets, one for each organisation. It is safe for
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -313,3 +313,14 @@
 		}
 	}
 }
+
+// A wait that no duration holds must not turn into none.
+func TestWaitBeyondDurationsIsRefused(t *testing.T) {
+	p := NewPool()
+	start := time.Unix(1_800_000_000, 0)
+	p.StartTerm(1, start)
+	limit := Limit{RatePerSecond: 1e-9, Burst: 1e300}
+	if granted, wait := p.Draw(1, "o", limit, 1e200, 1e200, start); granted > 0 || wait <= 0 || 2*wait <= 0 {
+		t.Errorf("granted %v, wait %v", granted, wait)
+	}
+}
--- a/core/targetlimit/targetlimit.go
+++ b/core/targetlimit/targetlimit.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"kingcuprill/core/units"
 )
 
 // Header is the name of the header in which the targets of the daemons name their
@@ -121,7 +123,7 @@
 	if l.saved >= 1 {
 		return 0
 	}
-	return time.Duration((1 - l.saved) / l.rate() * float64(time.Second))
+	return units.Seconds((1 - l.saved) / l.rate())
 }
 
 // Saved returns the part of the requests that can be saved up that is, from 0 to 1.
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"kingcuprill/core/place"
+	"kingcuprill/core/units"
 )
 
 // Headers are the names of the HTTP headers that callers, targets and this system
@@ -110,5 +111,5 @@
 	if err != nil || milliseconds < 0 {
 		return longest
 	}
-	return min(longest, time.Duration(milliseconds*float64(time.Millisecond)))
+	return min(longest, units.Milliseconds(milliseconds))
 }
--- a/io/front/pause.go
+++ b/io/front/pause.go
@@ -1,12 +1,12 @@
 package front
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"kingcuprill/core/units"
 	"kingcuprill/io/upstream"
 )
 
@@ -20,7 +20,7 @@
 	if err != nil || !(seconds > 0) {
 		return
 	}
-	wait := time.Duration(min(seconds*float64(time.Second), math.MaxInt64/2))
+	wait := units.Seconds(seconds)
 	x.server.Placer.Pause(target, wait, time.Now())
 	x.server.Log.Info("target has refused a request and wants none of this VM for a while", "request", x.id, "target", target, "wait", wait)
 }
