--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 )
 
 // Code classifies an error for programs. Its text is part of the public
@@ -66,3 +67,12 @@
 		*err = fmt.Errorf("%s: %w", fmt.Sprintf(format, args...), *err)
 	}
 }
+
+// Quote quotes a value for an error or a log line. It shortens one of more than 60 bytes.
+func Quote(value string) string {
+	const longest = 60 // bytes
+	if len(value) <= longest {
+		return strconv.Quote(value)
+	}
+	return strconv.Quote(value[:longest]) + fmt.Sprintf(" (%d bytes)", len(value))
+}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -8,6 +8,7 @@
 package instance
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -26,7 +27,11 @@
 
 // String returns the state in lower case.
 func (s State) String() string {
-	return [...]string{"silent", "ready", "draining", "left"}[s]
+	names := [...]string{"silent", "ready", "draining", "left"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return fmt.Sprintf("state(%d)", uint8(s))
 }
 
 // Registration is a target's description of itself, from its newest report.
