Leave out rows of targets that can't be, where entry VMs read them

What callers saw: nothing yet; found by asking what an entry VM does with a row that an older control VM has taken. It kept all of them: a port beyond 65535 or 0 and addresses that are none went to the placer and were dialled; a negative or huge number of slots, a target that is cold or leaves in 200 years, and one last heard in the future counted as such; a state beyond the known ones was cut to a byte, so that 257 was "ready". A row with the id of a sound target and an unknown state, which is the higher one, took that target out of service. Printing such a state ended the process.

Cause: the decoder maps fields and nobody looked at the values.

Change: the client checks each row by the rule of the control VM's door (instance.Registration.Check), leaves the others out with one line for each answer, and goes on; the codec keeps a state beyond a byte unknown and takes no time in the future as the last heartbeat.

A test of the polls had targets without addresses, which are none now; it gives them one.

--- a/io/codec/follow.go
+++ b/io/codec/follow.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"math"
 	"time"
 
 	"kingcuprill/core/entry"
@@ -41,12 +42,13 @@
 	return m
 }
 
-// ToRegistration maps a message that was received at now to a registration.
+// ToRegistration maps a message that was received at now to a registration. It may be one
+// that Registration.Check refuses.
 func ToRegistration(m *vm.Registration, now time.Time) instance.Registration {
 	r := instance.Registration{
 		ID: m.GetId(), Service: m.GetService(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Version: m.GetVersion(),
-		Slots: int(m.GetSlots()), State: instance.State(m.GetState()), Born: m.GetBornUnixMilliseconds(), Sequence: m.GetSequence(),
-		Heard: now.Add(-time.Duration(m.GetHeardNanoseconds())),
+		Slots: int(m.GetSlots()), State: instance.State(min(m.GetState(), math.MaxUint8)), Born: m.GetBornUnixMilliseconds(), Sequence: m.GetSequence(),
+		Heard: now.Add(-time.Duration(max(0, m.GetHeardNanoseconds()))),
 	}
 	if m.GetColdNanoseconds() > 0 {
 		r.ColdUntil = now.Add(time.Duration(m.GetColdNanoseconds()))
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -281,14 +281,28 @@
 	if len(answer.GetTargets()) == 0 && !answer.GetWhole() {
 		return
 	}
-	rows := make([]instance.Registration, 0, len(answer.GetTargets()))
-	for _, m := range answer.GetTargets() {
-		rows = append(rows, codec.ToRegistration(m, now))
-	}
-	c.fleet.Update(address, answer.GetEpoch(), rows, now)
+	c.fleet.Update(address, answer.GetEpoch(), c.registrations(address, answer.GetTargets(), now), now)
 	c.publishTargets(now)
 }
 
+// registrations returns the targets that a control VM has sent, without rows that no
+// target has.
+func (c *Client) registrations(address string, messages []*vm.Registration, now time.Time) (rows []instance.Registration) {
+	var odd error
+	for _, m := range messages {
+		row := codec.ToRegistration(m, now)
+		if err := row.Check(now); err != nil {
+			odd = err
+			continue
+		}
+		rows = append(rows, row)
+	}
+	if odd != nil {
+		c.Log.Warn("control VM has sent targets that can't be; they are left out", "control", address, "count", len(messages)-len(rows), "last_error", odd)
+	}
+	return rows
+}
+
 func (c *Client) applyEntries(address string, answer *vm.FollowResponse) {
 	if len(answer.GetEntries()) == 0 {
 		return
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -113,10 +113,15 @@
 }
 
 func startFollower(t *testing.T, controls ...*control) *follower {
+	t.Helper()
+	return startLoggedFollower(t, slog.New(slog.DiscardHandler), controls...)
+}
+
+func startLoggedFollower(t *testing.T, log *slog.Logger, controls ...*control) *follower {
 	t.Helper()
 	f := &follower{crashes: map[string]quarantine.Crash{}}
 	f.Client = &Client{
-		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: slog.New(slog.DiscardHandler),
+		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: log,
 		Self: func() entry.VM { return entry.VM{ID: "e", Region: "near", Ready: true} },
 		OnCatalogue: func(c *catalogue.Catalogue) {
 			f.mu.Lock()
@@ -236,10 +241,10 @@
 	}
 	far.server.recordEntry(&vm.EntryVM{Id: "known-there-only", Region: "abroad", Ready: true})
 	put := func(id, dataCentre string, state instance.State) {
-		far.server.Targets.Put(id, instance.Registration{ID: id, Service: "s", DataCentre: dataCentre, State: state}, true)
+		far.server.Targets.Put(id, instance.Registration{ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: dataCentre, State: state}, true)
 	}
 	put("own", "near", instance.Ready)
-	put("ended", "", instance.Left)
+	far.server.Targets.Put("ended", instance.Registration{ID: "ended", State: instance.Left}, true)
 	for i := range 40 {
 		put(fmt.Sprint("other-", i), "abroad", instance.Ready)
 	}
