Take only the head of the answer for it, and bound it

What callers saw: a target stopped in the middle of its answer's head and closed, after an informational head (103), and callers got a 200 with an empty body, framed as whole.

Cause: the client of targets and of other entry VMs took the first head that came for that of the answer. One with status 103 (or 100, 101, 0 to 99) and the id of the request was passed on as the answer; net/http then sent it as an informational one and added a 200 with no body. The bytes of a head were not bounded either.

Change: informational heads before the answer's are left out, a status below 100 and 101, which nobody asked for, are no answer; all heads together have at most 256 KiB.

Why it works: what remains is a head that net/http has read to its blank line, with a final status; its body is read with its length, its chunks or to the end of the connection as before.

Ruled out, as the tables hold: answers with a length, chunks, or as streams, cut after any byte, in order or by a reset, at a target, at a target of another region and between entry VMs, come as 502, 504 or a broken connection, never as a success, 429 or 503, and run once. An answer with neither length nor chunks ends with its connection, which is all that marks its end (RFC 9112, section 8): ended in order after the head, it counts as whole, ended by a reset it doesn't.

--- /dev/null
+++ b/io/front/cut_test.go
@@ -0,0 +1,137 @@
+package front
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"kingcuprill/core/entry"
+	"kingcuprill/core/place"
+	"kingcuprill/core/plan"
+)
+
+// writing returns a target's function that writes a text, with ID replaced by the id of
+// the request, and ends the connection, in order or with a reset.
+func writing(text string, inOrder bool) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		_, _ = conn.Write([]byte(strings.ReplaceAll(text, "ID", request.Header.Get("Id"))))
+		if !inOrder {
+			time.Sleep(5 * time.Millisecond) // a reset discards what wasn't read
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
+// wholeAnswers are answers of sound targets, by how they end.
+var wholeAnswers = map[string]string{
+	"length":          "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: x\r\nContent-Length: 4\r\n\r\nfine",
+	"chunks":          "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nfi\r\n2\r\nne\r\n0\r\n\r\n",
+	"connection":      "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: x\r\n\r\nfine",
+	"stream, chunks":  "HTTP/1.1 200 OK\r\nId: ID\r\n" + streamHeader + "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\n",
+	"stream, length":  "HTTP/1.1 200 OK\r\nId: ID\r\n" + streamHeader + "Content-Length: 14\r\n\r\nid: 1\n\nid: 2\n\n",
+	"stream, no ends": "HTTP/1.1 200 OK\r\nId: ID\r\n" + streamHeader + "\r\nid: 1\n\nid: 2\n\n",
+	"informational":   "HTTP/1.1 103 Early Hints\r\nId: ID\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 4\r\n\r\nfine",
+	"line feeds":      "HTTP/1.1 200 OK\nId: ID\nContent-Length: 4\n\nfine",
+}
+
+// endsInOrder reports whether a caller can't tell a cut answer from a whole one: it has
+// neither length nor chunks, and its connection ends in order after the head. A stream
+// must have ended after an event.
+func endsInOrder(name, part string) bool {
+	_, body, found := strings.Cut(part, "\r\n\r\n")
+	switch name {
+	case "connection":
+		return found
+	case "stream, no ends":
+		return found && strings.HasSuffix(body, "\n\n")
+	}
+	return false
+}
+
+// viaHop returns a fixture without targets that forwards requests to an entry VM.
+func viaHop(t *testing.T, route plan.Route, address string) *fixture {
+	t.Helper()
+	here := newFixture(t, route)
+	here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
+	here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: address, Ready: true}})
+	return here
+}
+
+// doors returns how a request comes to a target: directly, through an entry VM of its
+// region, and to an entry VM whose own answer is the scripted one.
+var doors = map[string]func(t *testing.T, route plan.Route, s *target) *fixture{
+	"target": func(t *testing.T, route plan.Route, s *target) *fixture {
+		return newFixture(t, route, s, s)
+	},
+	"target of another region": func(t *testing.T, route plan.Route, s *target) *fixture {
+		there := newFixture(t, route, s, s)
+		hop := httptest.NewServer(http.HandlerFunc(there.server.ServeForwarded))
+		t.Cleanup(hop.Close)
+		return viaHop(t, route, hop.Listener.Addr().String())
+	},
+	"entry VM of another region": func(t *testing.T, route plan.Route, s *target) *fixture {
+		return viaHop(t, route, s.address)
+	},
+}
+
+// An answer that is cut anywhere must not come to the caller as a whole one, nor as a
+// refusal of a request that may have run, nor let the request run again.
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for name, whole := range wholeAnswers {
+		for door, open := range doors {
+			t.Run(name+", "+door, func(t *testing.T) {
+				t.Parallel()
+				kind := plan.NonIdempotent
+				if strings.HasPrefix(name, "stream") {
+					kind = plan.Stream
+				}
+				route := plan.Route{Kind: kind, Attempts: 3}
+				for length := range len(whole) {
+					for _, inOrder := range []bool{true, false} {
+						s := startTarget(t, writing(whole[:length], inOrder))
+						code, body, _ := open(t, route, s).ask(t, "k")
+						allowed := code == 0 || code == http.StatusBadGateway || code == http.StatusGatewayTimeout
+						if !allowed && !(inOrder && endsInOrder(name, whole[:length])) {
+							t.Errorf("%q, in order %v: status %d, body %q", whole[:length], inOrder, code, body)
+						}
+						if got := s.count(); got != 1 {
+							t.Errorf("%q, in order %v: sent %d times", whole[:length], inOrder, got)
+						}
+					}
+				}
+				s := startTarget(t, writing(whole, true))
+				if code, _, _ := open(t, route, s).ask(t, "k"); code != http.StatusOK {
+					t.Errorf("the whole answer came with status %d", code)
+				}
+			})
+		}
+	}
+}
+
+// A head that stops, or has no end, must be bounded by the deadline of the request.
+func TestHeadWithoutEndIsBoundedByTheDeadline(t *testing.T) {
+	for name, more := range map[string]string{"stops": "", "goes on": "A: b\r\n", "goes on with heads": "\r\nHTTP/1.1 103 X\r\nId: 7\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startTarget(t, func(conn net.Conn, _ *http.Request) {
+				_, _ = conn.Write([]byte("HTTP/1.1 103 OK\r\nId: 7\r\n"))
+				for range 3000 {
+					time.Sleep(time.Millisecond)
+					if _, err := conn.Write([]byte(more)); err != nil {
+						return
+					}
+				}
+			})
+			w := newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 3, Timeout: 600 * time.Millisecond}, s, s)
+			begun := time.Now()
+			code, _, _ := w.ask(t, "k")
+			if took := time.Since(begun); code != http.StatusGatewayTimeout || took > 2*time.Second || s.count() != 1 {
+				t.Errorf("status %d after %v, sent %d times", code, took, s.count())
+			}
+		})
+	}
+}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -135,8 +135,7 @@
 	if err := <-conn.arrived; err != nil {
 		return nil, fmt.Errorf("no answer: %w", err)
 	}
-	parsed, err = http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
-	if err != nil {
+	if parsed, err = conn.readHead(request.Method); err != nil {
 		return nil, fmt.Errorf("the answer's header can't be read: %w", err)
 	}
 	if request.EchoHeader != "" && parsed.Header.Get(request.EchoHeader) != request.EchoValue {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -14,6 +16,8 @@
 const (
 	readBuffer  = 4 << 10 // bytes
 	writeBuffer = 4 << 10 // bytes
+	// maxHead bounds the head of an answer, with the informational ones before it.
+	maxHead = 256 << 10 // bytes
 	// ackTimeout is how long sent bytes may stay without a TCP acknowledgement
 	// before the connection counts as broken.
 	ackTimeout = 3 * time.Second
@@ -28,6 +32,7 @@
 // bytes are noticed before the next request is sent.
 type conn struct {
 	net.Conn
+	source *boundedReader // of reader
 	reader *bufio.Reader
 	writer *bufio.Writer
 
@@ -42,8 +47,9 @@
 }
 
 func newConn(raw net.Conn) *conn {
+	source := &boundedReader{source: raw, left: unbounded}
 	c := &conn{
-		Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), writer: bufio.NewWriterSize(raw, writeBuffer),
+		Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBuffer), writer: bufio.NewWriterSize(raw, writeBuffer),
 		arrived: make(chan error, 1), resume: make(chan struct{}, 1),
 	}
 	go c.watch()
@@ -77,6 +83,26 @@
 	}
 }
 
+// readHead reads the head of the answer to a request, within maxHead bytes. Informational
+// answers may precede it (RFC 9110, section 15.2); they are left out. It must be called
+// after arrived.
+func (c *conn) readHead(method string) (head *http.Response, err error) {
+	c.source.left = maxHead
+	defer func() { c.source.left = unbounded }()
+	for {
+		head, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case head.StatusCode >= http.StatusOK:
+			return head, nil
+		case head.StatusCode < http.StatusContinue || head.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("status %d is that of no answer", head.StatusCode)
+		}
+	}
+}
+
 // expect must be called before a request is sent. It returns false if the
 // connection is broken.
 func (c *conn) expect() bool {
