A status that no answer has is a failure on the calls interface, too

A service that answered with status 0, 99 or 101 counted as having answered the call; net/http can't pass such a status on and closed the connection of the caller, and a call that may run once was recorded with it. An engine with such a status counted as one that has certainly not run the job, which then ran elsewhere. A VM passed on an answer of another VM with status 0, 101 or -5.

Evidence, before: TestStatusOfNoAnswerIsAFailure failed for 000, 099 and 101, TestStatusOfNoAnswerIsNoRefusal for the same three, and the last part of TestCutAnswersAreNotWhole in io/forward for 0, 101 and -5.

Change: the three clients take such a status for a failure of a request that may have run.

Ruled out, as the new tables hold: answers of services, streams of engines and answers between VMs, cut after any byte, in order or (services) by a reset, are failures of requests that may have run, and run once. Heads cut after an informational one were refused here before: net/http's client leaves out informational heads and bounds them. Requests that carry an Idempotency-Key aren't sent again by that client, as it opens a connection for each.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -221,6 +221,9 @@
 // that was used before, an answer that doesn't name its exchange may be a copy of an
 // earlier one: it doesn't show that this job has not run.
 func (s *stream) statusFailure(response answer) error {
+	if response.StatusCode < http.StatusOK {
+		return &exchange.Failure{Err: fmt.Errorf("target %s answered status %d, which is that of no answer", s.target.ID, response.StatusCode)}
+	}
 	err := fault.New(fault.Overloaded, "target %s answered status %d", s.target.ID, response.StatusCode)
 	final := response.StatusCode >= 400 && response.StatusCode < 500 && response.StatusCode != http.StatusTooManyRequests
 	if final {
--- a/io/forward/client.go
+++ b/io/forward/client.go
@@ -91,6 +91,9 @@
 	if frame.GetErrorCode() != "" {
 		return answer, toFailure(frame)
 	}
+	if frame.GetStatus() < http.StatusOK {
+		return answer, &exchange.Failure{Err: fmt.Errorf("vm %s: status %d is that of no answer", m.ID, frame.GetStatus())}
+	}
 	return exchange.Answer{Status: int(frame.GetStatus()), Headers: toHeaders(frame.GetHeaders()), Body: frame.GetBody()}, nil
 }
 
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -75,6 +75,9 @@
 
 // read reads an answer of at most limits.max_answer_bytes.
 func (c *Client) read(response *http.Response) (answer exchange.Answer, err error) {
+	if response.StatusCode < http.StatusOK {
+		return answer, &exchange.Failure{Err: fmt.Errorf("status %d is that of no answer", response.StatusCode)}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxAnswer+1))
 	if err != nil {
 		return answer, &exchange.Failure{Err: err}
