Keep the numbers in headers in range

What callers saw: an organisation was served beyond its limit. A request whose two token counts add up to more than 64 bits had a cost below 0, which was added to the limit: TestHugeCostAddsNoTokens got 200 twice where the organisation may spend one token a second, and 429 was due.

Cause: a count out of range became the highest one, and sums of counts overflowed: the cost, the parts that targets are presumed to hold, and the work from which an answer is predicted. Time left "NaN" counted as 0.

Change: a count has at most 2^31 tokens, so that the sums of one request and of all that run stay in range; a time that is no number counts as missing. The time-out of Keep-Alive can't overflow.

Evidence: TestOddNumbersOfCallersStayInRange failed before for "NaN" and four huge counts; both tests pass now.

Ruled out: odd numbers of targets (limit, refusals, Retry-After, leaving, Keep-Alive), which change nothing for their callers before and after (TestOddNumbersOfTargetsAreHarmless).

--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -11,6 +11,7 @@
 package front
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -86,29 +87,41 @@
 	if !found {
 		return d
 	}
-	d.Prompt, _ = strconv.Atoi(strings.TrimSpace(prompt))
-	d.Output, _ = strconv.Atoi(strings.TrimSpace(output))
-	d.Prompt, d.Output = max(0, d.Prompt), max(0, d.Output)
+	d.Prompt, _ = tokens(prompt)
+	d.Output, _ = tokens(output)
 	d.Expected = d.Output
 	if hint, err := strconv.Atoi(header.Get(h.OutputHint)); err == nil && hint > 0 {
 		d.Expected = min(hint, d.Output)
 	}
 	for entry := range strings.SplitSeq(header.Get(h.Parts), ",") {
 		id, size, found := strings.Cut(strings.TrimSpace(entry), ":")
-		tokens, err := strconv.Atoi(size)
-		if !found || err != nil || tokens < 0 {
+		count, valid := tokens(size)
+		if !found || !valid {
 			break
 		}
-		d.Parts = append(d.Parts, place.Part{ID: id, Tokens: tokens})
+		d.Parts = append(d.Parts, place.Part{ID: id, Tokens: count})
 	}
 	return d
 }
 
+// maxTokens bounds a number of tokens in a header, so that sums of them don't overflow.
+const maxTokens = 1 << 31
+
+// tokens parses a number of tokens. One above maxTokens counts as maxTokens; valid is
+// false for text that isn't a whole number from 0 on.
+func tokens(text string) (count int, valid bool) {
+	count, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil && !errors.Is(err, strconv.ErrRange) || count < 0 {
+		return 0, false
+	}
+	return min(count, maxTokens), true
+}
+
 // timeLeft returns how long the caller still waits, at most longest. A missing or
 // malformed header counts as longest.
 func (h Headers) timeLeft(header http.Header, longest time.Duration) time.Duration {
 	milliseconds, err := strconv.ParseFloat(header.Get(h.TimeLeft), 64)
-	if err != nil || milliseconds < 0 {
+	if err != nil || !(milliseconds >= 0) {
 		return longest
 	}
 	return min(longest, units.Milliseconds(milliseconds))
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"kingcuprill/core/units"
 )
 
 const (
@@ -312,7 +314,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return units.Seconds(float64(seconds)) - idleMargin
 		}
 	}
 	if c.Idle > 0 {
