--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"kingcuprill/core/units"
 )
 
 const (
@@ -135,8 +137,7 @@
 	if err := <-conn.arrived; err != nil {
 		return nil, fmt.Errorf("no answer: %w", err)
 	}
-	parsed, err = http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
-	if err != nil {
+	if parsed, err = conn.readHead(request.Method); err != nil {
 		return nil, fmt.Errorf("the answer's header can't be read: %w", err)
 	}
 	if request.EchoHeader != "" && parsed.Header.Get(request.EchoHeader) != request.EchoValue {
@@ -313,7 +314,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return units.Seconds(float64(seconds)) - idleMargin
 		}
 	}
 	if c.Idle > 0 {
