Let only VMs that are ready in the view of all coordinate targets

Callers saw nothing. A target that names a limit of 2.5 or 10 requests a second got up to 31 and 85 in 4 s (20 and 65 are allowed) from VMs that knew the limit, while one of a few VMs stopped as planned and still had requests of its own.

Cause: a VM counted itself among the coordinators of its region whatever the others knew, so one that stops went on giving out the whole limit of its targets to its own requests, for as long as it had any, beside the VM that had taken them over. The class: one's own state taken for the shared one.

Evidence: TestLimitHoldsWhileCoordinatorsChange, in virtual time, tells each VM up to 1.5 s late of VMs that leave, come and are replaced.

Ruled out: late views alone. VMs that come, and views up to 1.5 s apart, kept the bound before the change, and the half share of a new coordinator is enough.

Change: the coordinators are chosen among the VMs that are reported as ready. A VM that starts or stops is not among them, and asks the others like any VM; it is only if no VM is ready. Then all VMs with the same report choose the same coordinators.

--- a/core/place/coordinate.go
+++ b/core/place/coordinate.go
@@ -98,10 +98,10 @@
 		}
 	}
 	count := max(minCoordinators, (targets+targetsPerCoordinator-1)/targetsPerCoordinator)
-	count = min(count, len(p.readyVMs))
+	count = min(count, len(p.eligibleVMs))
 	changed := len(p.coordinators) != count
 	if changed {
-		p.coordinators = rendezvous.Order(p.Region, p.readyVMs)[:count]
+		p.coordinators = rendezvous.Order(p.Region, p.eligibleVMs)[:count]
 	}
 	for _, t := range p.targets {
 		if !changed && t.coordinator != "" {
--- a/core/place/limits_test.go
+++ b/core/place/limits_test.go
@@ -21,6 +21,8 @@
 	rows    map[string]instance.Registration
 	limits  map[string]float64 // by target
 	sends   map[string][]time.Time
+	told    *told
+	counted map[string][]time.Time // sends of VMs that know the limit
 	served  int
 	refused int
 }
@@ -28,7 +30,7 @@
 func newLimitedRegion(seed uint64, vms, targets int, limits map[string]float64) *limitedRegion {
 	g := &limitedRegion{
 		random: rand.New(rand.NewPCG(seed, 1)), placers: map[string]*Placer{}, rows: map[string]instance.Registration{}, limits: limits,
-		sends: map[string][]time.Time{},
+		sends: map[string][]time.Time{}, counted: map[string][]time.Time{}, told: &told{at: map[[2]string]time.Time{}},
 	}
 	for i := range targets {
 		id := fmt.Sprint("t", i)
@@ -85,10 +87,16 @@
 	target, _ := assigned.Where()
 	sent := time.Now()
 	g.sends[target] = append(g.sends[target], sent)
+	if g.told.counts(vm, target) {
+		g.counted[target] = append(g.counted[target], sent)
+	}
 	time.AfterFunc(50*time.Millisecond, func() {
 		rate, named := g.limits[target]
 		n := targetlimit.Notice{Named: named, Rate: rate}
 		own.ObserveLimit(target, n, sent, time.Now())
+		if named {
+			g.told.learn(vm, target)
+		}
 		if g.intN(10) > 0 { // else the report is lost
 			assigned.ObserveLimit(n, time.Now())
 		}
@@ -122,14 +130,15 @@
 	return assigned
 }
 
-// most returns the largest number of requests to a target in 4s, from a time on.
-func (g *limitedRegion) most(target string, from time.Time) (most int) {
-	for i, begin := range g.sends[target] {
+// most returns the largest number of requests in 4s, from a time on.
+func most(sends []time.Time, from time.Time) (most int) {
+	for i, begin := range sends {
 		count := 0
-		for _, at := range g.sends[target][i:] {
-			if at.Sub(begin) < 4*time.Second {
-				count++
+		for _, at := range sends[i:] {
+			if at.Sub(begin) >= 4*time.Second {
+				break
 			}
+			count++
 		}
 		if !begin.Before(from) {
 			most = max(most, count)
@@ -159,7 +168,7 @@
 				}
 				for target, rate := range limits {
 					allowed := int(platformShare*4*rate) + platformSlack
-					if most := g.most(target, begun.Add(5*time.Second)); most > allowed {
+					if most := most(g.sends[target], begun.Add(5*time.Second)); most > allowed {
 						t.Errorf("%d VMs, seed %d: %s got %d requests in 4 s, %d are allowed", vms, seed, target, most, allowed)
 					}
 					if got, least := len(g.sends[target]), int(40*rate*0.5); got < least {
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -48,6 +48,7 @@
 	budgets      map[string]*retry.Budget // by service that this VM coordinates
 	readyVMs     []string                 // ready entry VMs of the region, this one included
 	allVMs       []string                 // all entry VMs of the region, ready or not
+	eligibleVMs  []string                 // ready entry VMs as others see them: without this one while it starts or stops
 	coordinators []string                 // ready entry VMs that coordinate the targets of the region
 }
 
@@ -56,7 +57,7 @@
 	return &Placer{
 		Self: self, Region: region, started: time.Now(), targets: map[string]*Target{}, models: map[string]*latencyModel{},
 		refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, away: awayCounts{},
-		readyVMs: []string{self}, allVMs: []string{self},
+		readyVMs: []string{self}, allVMs: []string{self}, eligibleVMs: []string{self},
 	}
 }
 
@@ -66,9 +67,13 @@
 func (p *Placer) SetVMs(ready, known []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before := p.readyVMs
+	before := p.eligibleVMs
 	p.readyVMs, p.allVMs = p.withSelf(ready), p.withSelf(known)
-	if slices.Equal(before, p.readyVMs) {
+	p.eligibleVMs = slices.Sorted(slices.Values(ready))
+	if len(ready) == 0 {
+		p.eligibleVMs = p.readyVMs
+	}
+	if slices.Equal(before, p.eligibleVMs) {
 		return
 	}
 	p.coordinators = nil
