--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -15,7 +15,6 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -74,13 +73,11 @@
 	mayHaveRun bool // a target may have run the request
 
 	identity quarantine.Request
-	suspect  bool      // a target has crashed that was about to answer the request or one like it
-	suspects []string  // its suspect parts
-	reported bool      // the VM that forwarded the request takes it for suspect
-	onTrial  []string  // parts that its trial has reserved, nil without a trial
-	begun    time.Time // first token of the attempt, zero before it
-	mark     uint64    // of the quarantine list, from then
-	sound    bool      // the attempt has cleared the prompt
+	suspect  bool     // a target has crashed that was about to answer the request or one like it
+	suspects []string // its suspect parts
+	reported bool     // the VM that forwarded the request takes it for suspect
+	onTrial  []string // parts that its trial has reserved, nil without a trial
+	followed followed // of the last attempt here
 }
 
 func (d *Dispatcher) newRun(request exchange.Request, suspect bool) *run {
@@ -104,29 +101,21 @@
 // order, over all attempts. The error is an *exchange.Failure.
 func (d *Dispatcher) Generate(ctx context.Context, request exchange.Request, suspect bool, sink func(exchange.Token) error) (usage exchange.Usage, err error) {
 	r := d.newRun(request, suspect)
-	var text strings.Builder
-	text.WriteString(request.Generation.ResumeText)
-	next := request.Generation.ResumeFrom
-	same, version := request.Generation.SameVersion, request.Generation.Version
-	deliver := func(t exchange.Token) error {
-		if !same {
-			same, version = true, t.Version
-		}
-		next++
-		text.WriteString(t.Text)
-		return sink(t)
-	}
+	return r.generate(ctx, newOutput(r, *request.Generation, sink))
+}
+
+// generate makes attempts until one has ended the generation or no further one is
+// allowed.
+func (r *run) generate(ctx context.Context, out *output) (usage exchange.Usage, err error) {
 	for {
-		generation := *request.Generation
-		generation.ResumeFrom, generation.ResumeText = next, text.String()
-		generation.SameVersion, generation.Version = same, version
-		r.routing.SameVersion, r.routing.Version = same, version
-		r.request.Generation = &generation
+		left := out.left()
+		r.request.Generation = &left
+		r.routing.SameVersion, r.routing.Version = left.SameVersion, left.Version
 		place, err := r.place(ctx)
 		if err != nil {
 			return usage, r.failure(err)
 		}
-		usage, err = r.generateAt(ctx, place, deliver)
+		usage, err = r.generateAt(ctx, place, out)
 		if err == nil {
 			r.recordSuccess()
 			return usage, nil
@@ -178,31 +167,31 @@
 	return fmt.Sprintf("%s.%s.%d", r.request.ID, r.d.VMState.Self, r.attempt)
 }
 
-func (r *run) generateAt(ctx context.Context, p place, sink func(exchange.Token) error) (usage exchange.Usage, err error) {
+// generateAt makes one attempt.
+func (r *run) generateAt(ctx context.Context, p place, out *output) (usage exchange.Usage, err error) {
 	r.attempt++
-	if p.target == nil {
-		request := r.request
-		usage, err = r.d.Forward.Generate(ctx, p.vm, request, r.suspect, sink)
-		r.recordForwarded(p, err)
-		return usage, err
+	if p.target != nil {
+		return r.generateLocally(ctx, p, out)
 	}
-	live := p.target.Live
-	live.InFlight.Add(1)
-	defer live.InFlight.Add(-1)
-	defer r.endTrial(live) // begun by r.choose, if the request is suspect
-	live.Prefixes.Add(r.routing.Prefixes...)
+	usage, err = r.d.Forward.Generate(ctx, p.vm, r.request, r.suspect, out.writer(r))
+	if err == nil && !out.finish(r) {
+		err = &exchange.Failure{Err: errOvertaken}
+	}
+	r.recordForwarded(p, err)
+	return usage, err
+}
+
+// job returns the job of the current attempt.
+func (r *run) job(t *target.Target, onSilence func()) engine.Job {
 	sent := time.Now()
-	job := engine.Job{ExchangeID: r.attemptID(), Priority: r.request.Route.Priority, Generation: *r.request.Generation, OnHead: func(header http.Header) { r.noteLimit(p.target, header, sent) }}
+	job := engine.Job{
+		ExchangeID: r.attemptID(), Priority: r.request.Route.Priority, Generation: *r.request.Generation,
+		OnHead: func(header http.Header) { r.noteLimit(t, header, sent) }, OnSilence: onSilence,
+	}
 	if r.request.Route.SendOrganisation {
 		job.Organisation = r.request.Organisation
 	}
-	ofVersion := func(t exchange.Token) error {
-		t.Version = p.target.Version
-		return sink(t)
-	}
-	usage, err = r.d.Engine.Generate(ctx, p.target, job, r.followTokens(ofVersion))
-	r.recordLocal(ctx, p.target, err)
-	return usage, err
+	return job
 }
 
 func (r *run) callAt(ctx context.Context, p place) (answer exchange.Answer, err error) {
@@ -250,17 +239,7 @@
 // mayRetry reports whether another attempt is made after a failure. It takes the
 // retry from the budget.
 func (r *run) mayRetry(ctx context.Context, p place, err error) bool {
-	if ctx.Err() != nil || exchange.Final(err) || r.attempt >= r.attemptLimit() {
-		return false
-	}
-	refused := r.judge()
-	if !r.request.Route.Repeatable && r.mayHaveRun {
-		return false
-	}
-	if refused {
-		return false
-	}
-	if !r.d.budget(r.request.Route.Name).Retry() {
+	if exchange.Final(err) || !r.mayAttempt(ctx) {
 		return false
 	}
 	r.routing.Avoid = append(r.routing.Avoid, p.id())
@@ -269,6 +248,19 @@
 	return true
 }
 
+// mayAttempt reports whether the bounds allow another attempt, and takes it from the
+// retry budget.
+func (r *run) mayAttempt(ctx context.Context) bool {
+	if ctx.Err() != nil || r.attempt >= r.attemptLimit() {
+		return false
+	}
+	refused := r.judge()
+	if !r.request.Route.Repeatable && r.mayHaveRun {
+		return false
+	}
+	return !refused && r.d.budget(r.request.Route.Name).Retry()
+}
+
 func (r *run) attemptLimit() int {
 	if r.request.Path.MayForward() {
 		return maxAttempts
--- a/io/dispatch/quarantine.go
+++ b/io/dispatch/quarantine.go
@@ -91,19 +91,25 @@
 	r.onTrial = nil
 }
 
+// followed is what the tokens of one attempt say about the prompt.
+type followed struct {
+	begun time.Time // first token, zero before it
+	mark  uint64    // of the quarantine list, from then
+	sound bool      // they have cleared the prompt
+}
+
 // followTokens returns a sink that clears the request's prompt once the generation has
 // gone on for a while.
-func (r *run) followTokens(sink func(exchange.Token) error) func(exchange.Token) error {
+func (r *run) followTokens(f *followed, sink func(exchange.Token) error) func(exchange.Token) error {
 	list := r.d.VMState.Quarantine
-	r.begun, r.sound = time.Time{}, false
 	return func(t exchange.Token) error {
 		now := time.Now()
-		if r.begun.IsZero() {
-			r.begun, r.mark = now, list.Mark()
+		if f.begun.IsZero() {
+			f.begun, f.mark = now, list.Mark()
 		}
-		if !r.sound && now.Sub(r.begun) >= soundAfter {
-			r.sound = true
-			list.Sound(r.mark, r.identity)
+		if !f.sound && now.Sub(f.begun) >= soundAfter {
+			f.sound = true
+			list.Sound(f.mark, r.identity)
 		}
 		return sink(t)
 	}
@@ -111,15 +117,15 @@
 
 // recordSuccess clears the prompt of a generation that has ended well.
 func (r *run) recordSuccess() {
-	if !r.begun.IsZero() && !r.sound {
-		r.d.VMState.Quarantine.Sound(r.mark, r.identity)
+	if !r.followed.begun.IsZero() && !r.followed.sound {
+		r.d.VMState.Quarantine.Sound(r.followed.mark, r.identity)
 	}
 }
 
 // checkCrash checks over a new connection whether the target has crashed while it
 // ran the request, and if so records the request as a possible cause.
 func (r *run) checkCrash(ctx context.Context, t *target.Target) {
-	if !r.begun.IsZero() && time.Since(r.begun) >= soundAfter {
+	if !r.followed.begun.IsZero() && time.Since(r.followed.begun) >= soundAfter {
 		return
 	}
 	health := r.d.Engine.Health(ctx, t.Address)
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -79,7 +79,7 @@
 	ReadHeader time.Duration // until the header of a request is read
 	Dial       time.Duration
 	Peer       time.Duration // one call between VMs
-	FirstToken time.Duration // until an engine sends the first token of an answer
+	FirstToken time.Duration // until another engine is asked beside one that has sent no token
 	Silence    time.Duration // without an event from an engine, after which the engine is asked for its progress
 	Drain      time.Duration // in which a VM that stops still accepts requests
 	Shutdown   time.Duration // a planned stop as a whole, Drain included
