Test that targets get what they name when their limits change

In virtual time, with 1, 7 and 60 VMs, lost calls and reports: a limit goes from 50 requests a second to 0.4, 10, none, 2.5 and 0.1. The bound holds from a second after each change, and the target gets at least half of what it names. The present code passes: that a limit is left behind by a new one, or outlives its end, is ruled out.

--- a/core/place/limits_test.go
+++ b/core/place/limits_test.go
@@ -15,7 +15,7 @@
 // limitedRegion is a region of VMs that each place requests at the same targets, some of
 // which name a limit. Calls between VMs are at times lost.
 type limitedRegion struct {
-	mu      sync.Mutex // guards random, as answers come beside new requests
+	mu      sync.Mutex // guards random and limits, as answers come beside new requests
 	random  *rand.Rand
 	placers map[string]*Placer
 	rows    map[string]instance.Registration
@@ -91,7 +91,9 @@
 		g.counted[target] = append(g.counted[target], sent)
 	}
 	time.AfterFunc(50*time.Millisecond, func() {
+		g.mu.Lock()
 		rate, named := g.limits[target]
+		g.mu.Unlock()
 		n := targetlimit.Notice{Named: named, Rate: rate}
 		own.ObserveLimit(target, n, sent, time.Now())
 		if named {
@@ -184,6 +186,39 @@
 	}
 }
 
+// A target names another limit than before, or none for a while. It gets what it names,
+// from a second after it has.
+func TestLimitFollowsWhatTheTargetNames(t *testing.T) {
+	const allowedShare, allowedSlack, window = 1.5, 5, 4 * time.Second
+	steps := []float64{50, 0.4, 10, -1, 2.5, 0.1} // requests per second, -1 for none
+	for _, vms := range []int{1, 7, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newLimitedRegion(1, vms, 9, map[string]float64{})
+			for _, rate := range steps {
+				g.mu.Lock()
+				g.limits["t0"] = rate
+				if rate < 0 {
+					delete(g.limits, "t0")
+				}
+				g.mu.Unlock()
+				begun, before := time.Now(), len(g.sends["t0"])
+				for time.Since(begun) < 10*time.Second {
+					g.send(fmt.Sprint("vm", g.intN(vms)))
+					time.Sleep(5 * time.Millisecond)
+				}
+				allowed := int(allowedShare*rate*window.Seconds()) + allowedSlack
+				if most := most(g.sends["t0"], begun.Add(time.Second)); rate >= 0 && most > allowed {
+					t.Errorf("%d VMs, limit %v: %d requests in %v, %d are allowed", vms, rate, most, window, allowed)
+				}
+				if got, least := len(g.sends["t0"])-before, int(10*min(rate, 20)/2); got < least || rate < 0 && got < 50 {
+					t.Errorf("%d VMs, limit %v: only %d requests in 10 s", vms, rate, got)
+				}
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // A target that bounds the number of its requests is kept for the large ones while
 // others have room for the small ones.
 func TestLimitIsKeptForLargeRequests(t *testing.T) {
