Count this VM among the ready ones in the test of coordinators

Since coordinators are chosen among the VMs that are ready in the view of all; the test left its own VM out of that view, so that it coordinated no target. What it checks is unchanged.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -544,7 +544,7 @@
 	w.server.State.Update(func(*State) *State { return &State{Plan: plan.NewIndex(p)} })
 	w.server.Coordinators = coordinator.NewClient(peer.NewUnsigned("vm"), w.server.Log)
 	w.server.Entries.Store(&[]entry.VM{{ID: vm, Region: "region", PeerAddress: address, Ready: true}})
-	w.server.Placer.SetVMs([]string{vm}, []string{vm})
+	w.server.Placer.SetVMs([]string{"vm", vm}, []string{"vm", vm})
 }
 
 // Requests run at targets that the other VM of the region has reserved. When that
