Blame no VM for a request whose own time is short

What callers saw: nothing by itself; requests were not forwarded to a region for 150 to 600 ms, and refused if no other one could take them, after a request with a short time left had ended there.

Cause: an entry VM that didn't answer a forwarded request was put into backoff, also when the time of the request itself had ended, after 400 ms say. Its target was still at work.

Change: an error that comes with the end of the request's own time, within the least time of a try (1 s), says nothing about the VM. Connections that fail and longer waits do as before. The circuits of targets need several failures and aren't changed.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -533,6 +533,23 @@
 	}
 }
 
+// A request whose own time ends soon says nothing about the VM that it was forwarded to.
+// One that waits for long in vain does.
+func TestShortRequestsBlameNoVM(t *testing.T) {
+	for left, blamed := range map[string]bool{"400": false, "1500": true} {
+		silent := startTarget(t, func(net.Conn, *http.Request) {})
+		here := newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1})
+		here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
+		here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: silent.address, Ready: true}})
+		if code, _, _ := here.ask(t, "k", testHeaders.TimeLeft, left); code != http.StatusGatewayTimeout {
+			t.Errorf("%s ms left: status %d", left, code)
+		}
+		if got := here.server.partners.InBackoff("there", time.Now()); got != blamed {
+			t.Errorf("%s ms left: the VM is in backoff: %v", left, got)
+		}
+	}
+}
+
 func (w *fixture) coordinated(t *testing.T, vm, address string) {
 	t.Helper()
 	state := *w.server.State.Read()
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -110,14 +110,25 @@
 	return h.finish(x.tryVM(bounded, h, v, header))
 }
 
+// blamesVM reports whether an error after some time says something about the VM that the
+// request was forwarded to: not if the caller has left, or the request's own time has
+// ended before an answer could be expected.
+func (x *exchange) blamesVM(err error, after time.Duration) bool {
+	if x.caller.Context().Err() != nil || errors.Is(err, errNotNeeded) {
+		return false
+	}
+	return after >= minTryTimeout || time.Now().Before(x.deadline)
+}
+
 // tryVM sends the request to an entry VM and delivers the answer.
 func (x *exchange) tryVM(ctx context.Context, h *hedge, v entry.VM, header http.Header) outcome {
+	begun := time.Now()
 	stopClaim := x.claimLater(takeoverAfter + 2*interRegionLatency)
 	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
 	stopClaim()
 	if err != nil {
 		h.leave()
-		if x.caller.Context().Err() == nil && !errors.Is(err, errNotNeeded) {
+		if x.blamesVM(err, time.Since(begun)) {
 			x.server.partners.Refused(v.ID, time.Now())
 		}
 		return x.recordConnectionError(err, x.forwardedRuns())
