--- a/core/place/limits_test.go
+++ b/core/place/limits_test.go
@@ -15,12 +15,14 @@
 // limitedRegion is a region of VMs that each place requests at the same targets, some of
 // which name a limit. Calls between VMs are at times lost.
 type limitedRegion struct {
-	mu      sync.Mutex // guards random, as answers come beside new requests
+	mu      sync.Mutex // guards random and limits, as answers come beside new requests
 	random  *rand.Rand
 	placers map[string]*Placer
 	rows    map[string]instance.Registration
 	limits  map[string]float64 // by target
 	sends   map[string][]time.Time
+	told    *told
+	counted map[string][]time.Time // sends of VMs that know the limit
 	served  int
 	refused int
 }
@@ -28,7 +30,7 @@
 func newLimitedRegion(seed uint64, vms, targets int, limits map[string]float64) *limitedRegion {
 	g := &limitedRegion{
 		random: rand.New(rand.NewPCG(seed, 1)), placers: map[string]*Placer{}, rows: map[string]instance.Registration{}, limits: limits,
-		sends: map[string][]time.Time{},
+		sends: map[string][]time.Time{}, counted: map[string][]time.Time{}, told: &told{at: map[[2]string]time.Time{}},
 	}
 	for i := range targets {
 		id := fmt.Sprint("t", i)
@@ -85,10 +87,18 @@
 	target, _ := assigned.Where()
 	sent := time.Now()
 	g.sends[target] = append(g.sends[target], sent)
+	if g.told.counts(vm, target) {
+		g.counted[target] = append(g.counted[target], sent)
+	}
 	time.AfterFunc(50*time.Millisecond, func() {
+		g.mu.Lock()
 		rate, named := g.limits[target]
+		g.mu.Unlock()
 		n := targetlimit.Notice{Named: named, Rate: rate}
 		own.ObserveLimit(target, n, sent, time.Now())
+		if named {
+			g.told.learn(vm, target)
+		}
 		if g.intN(10) > 0 { // else the report is lost
 			assigned.ObserveLimit(n, time.Now())
 		}
@@ -122,14 +132,15 @@
 	return assigned
 }
 
-// most returns the largest number of requests to a target in 4s, from a time on.
-func (g *limitedRegion) most(target string, from time.Time) (most int) {
-	for i, begin := range g.sends[target] {
+// most returns the largest number of requests in 4s, from a time on.
+func most(sends []time.Time, from time.Time) (most int) {
+	for i, begin := range sends {
 		count := 0
-		for _, at := range g.sends[target][i:] {
-			if at.Sub(begin) < 4*time.Second {
-				count++
+		for _, at := range sends[i:] {
+			if at.Sub(begin) >= 4*time.Second {
+				break
 			}
+			count++
 		}
 		if !begin.Before(from) {
 			most = max(most, count)
@@ -159,7 +170,7 @@
 				}
 				for target, rate := range limits {
 					allowed := int(platformShare*4*rate) + platformSlack
-					if most := g.most(target, begun.Add(5*time.Second)); most > allowed {
+					if most := most(g.sends[target], begun.Add(5*time.Second)); most > allowed {
 						t.Errorf("%d VMs, seed %d: %s got %d requests in 4 s, %d are allowed", vms, seed, target, most, allowed)
 					}
 					if got, least := len(g.sends[target]), int(40*rate*0.5); got < least {
@@ -175,6 +186,39 @@
 	}
 }
 
+// A target names another limit than before, or none for a while. It gets what it names,
+// from a second after it has.
+func TestLimitFollowsWhatTheTargetNames(t *testing.T) {
+	const allowedShare, allowedSlack, window = 1.5, 5, 4 * time.Second
+	steps := []float64{50, 0.4, 10, -1, 2.5, 0.1} // requests per second, -1 for none
+	for _, vms := range []int{1, 7, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newLimitedRegion(1, vms, 9, map[string]float64{})
+			for _, rate := range steps {
+				g.mu.Lock()
+				g.limits["t0"] = rate
+				if rate < 0 {
+					delete(g.limits, "t0")
+				}
+				g.mu.Unlock()
+				begun, before := time.Now(), len(g.sends["t0"])
+				for time.Since(begun) < 10*time.Second {
+					g.send(fmt.Sprint("vm", g.intN(vms)))
+					time.Sleep(5 * time.Millisecond)
+				}
+				allowed := int(allowedShare*rate*window.Seconds()) + allowedSlack
+				if most := most(g.sends["t0"], begun.Add(time.Second)); rate >= 0 && most > allowed {
+					t.Errorf("%d VMs, limit %v: %d requests in %v, %d are allowed", vms, rate, most, window, allowed)
+				}
+				if got, least := len(g.sends["t0"])-before, int(10*min(rate, 20)/2); got < least || rate < 0 && got < 50 {
+					t.Errorf("%d VMs, limit %v: only %d requests in 10 s", vms, rate, got)
+				}
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // A target that bounds the number of its requests is kept for the large ones while
 // others have room for the small ones.
 func TestLimitIsKeptForLargeRequests(t *testing.T) {
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -20,6 +20,7 @@
 	"gopkg.in/tomb.v2"
 
 	"kingcuprill/core/catalogue"
+	"kingcuprill/core/entry"
 	"kingcuprill/core/fault"
 	"kingcuprill/core/instance"
 	"kingcuprill/core/membership"
@@ -73,6 +74,7 @@
 	VMState  *vmstate.State
 	Proposer *propose.Proposer
 	Follow   *follow.Server
+	Stops    *entry.Stops
 	Metrics  *metrics.Metrics
 	Log      *slog.Logger
 
@@ -103,18 +105,15 @@
 	}, c.Heartbeat)
 	v.peers = peer.NewUnsigned(c.ID, c.DialThrough...)
 	v.addControlVMs(c.Seeds)
-	v.replica, err = replica.New(replica.Options{
+	v.replica = replica.New(replica.Options{
 		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tickInterval,
 		Transport: &replica.Sender{Address: addressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
 		Published: v.publish,
 	})
-	if err != nil {
-		store.Close()
-		return nil, err
-	}
 	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.Follow = follow.NewServer(v.VMState, epoch, v.registry.Table, v.Proposer.Confirm, v.controlAddresses, log)
+	v.Stops = entry.NewStops(c.Grace)
 	v.streams = streamversion.NewServer(c.PeerAddress, v.controlAddresses, v.peers, log)
 	v.drawer = draw.NewServer(v.replica, v.Proposer, v.peers, v.Follow.SinceConfirmed, log)
 	return v, nil
@@ -276,6 +275,7 @@
 	v.Metrics.Gauge("revision", func() int64 { return int64(v.VMState.Catalogue.Read().Revision) })
 	v.Metrics.Gauge("term", func() int64 { return int64(v.replica.Status().Term) })
 	v.Metrics.Gauge("commit", func() int64 { return int64(v.replica.Status().Commit) })
+	v.Metrics.Gauge("held", func() int64 { return int64(v.replica.Status().Held) })
 	v.Metrics.Gauge("log_bytes", func() int64 { return v.replica.Status().LogBytes })
 	v.Metrics.Gauge("stream_versions", v.streams.Streams)
 	v.Metrics.Gauge("confirmed_ms_ago", func() int64 { return v.Follow.SinceConfirmed().Milliseconds() })
@@ -329,6 +329,7 @@
 				v.Log.Warn("target sends no heartbeats; entry VMs prefer other targets until it reports again", "target", row.ID, "service", row.Service, "age", now.Sub(row.Heard))
 			}
 			v.Follow.Expire(now)
+			v.Stops.Note(v.Follow.Entries(), now)
 			v.VMState.Quarantine.Expire(now)
 			v.drawer.Observe(now)
 		}
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -99,6 +100,9 @@
 	})
 }
 
+// unusable is a document that followers can't put in force.
+const unusable = "unusable"
+
 // follower is an entry VM that follows some control VMs.
 type follower struct {
 	*Client
@@ -113,15 +117,24 @@
 }
 
 func startFollower(t *testing.T, controls ...*control) *follower {
+	t.Helper()
+	return startLoggedFollower(t, slog.New(slog.DiscardHandler), controls...)
+}
+
+func startLoggedFollower(t *testing.T, log *slog.Logger, controls ...*control) *follower {
 	t.Helper()
 	f := &follower{crashes: map[string]quarantine.Crash{}}
 	f.Client = &Client{
-		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: slog.New(slog.DiscardHandler),
+		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: log,
 		Self: func() entry.VM { return entry.VM{ID: "e", Region: "near", Ready: true} },
-		OnCatalogue: func(c *catalogue.Catalogue) {
+		OnCatalogue: func(c *catalogue.Catalogue) error {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.document = string(c.Plan.Document)
+			if f.document == unusable {
+				return errors.New("it can't be put in force")
+			}
+			return nil
 		},
 		OnTargets: func(rows map[string]instance.Registration, remote []RemoteTargets) {
 			f.mu.Lock()
@@ -236,10 +249,10 @@
 	}
 	far.server.recordEntry(&vm.EntryVM{Id: "known-there-only", Region: "abroad", Ready: true})
 	put := func(id, dataCentre string, state instance.State) {
-		far.server.Targets.Put(id, instance.Registration{ID: id, Service: "s", DataCentre: dataCentre, State: state}, true)
+		far.server.Targets.Put(id, instance.Registration{ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: dataCentre, State: state}, true)
 	}
 	put("own", "near", instance.Ready)
-	put("ended", "", instance.Left)
+	far.server.Targets.Put("ended", instance.Registration{ID: "ended", State: instance.Left}, true)
 	for i := range 40 {
 		put(fmt.Sprint("other-", i), "abroad", instance.Ready)
 	}
@@ -327,3 +340,22 @@
 		t.Errorf("the catalogue came after %v, expected within %v", took, most)
 	}
 }
+
+// A VM that dies in a planned stop accepts no connections any more.
+func TestSilentEntryVMLosesItsAddress(t *testing.T) {
+	c := startControl(t, "c", "near")
+	c.server.recordEntry(&vm.EntryVM{Id: "ready", Ready: true, CallerAddress: "r:1"})
+	c.server.recordEntry(&vm.EntryVM{Id: "stops", CallerAddress: "s:1"})
+	c.server.Expire(time.Now().Add(entryTimeout - time.Second))
+	for _, v := range c.server.Entries() {
+		if v.CallerAddress == "" {
+			t.Errorf("%s has lost its address too soon", v.ID)
+		}
+	}
+	c.server.Expire(time.Now().Add(entryTimeout))
+	for _, v := range c.server.Entries() {
+		if v.Ready || v.CallerAddress != "" {
+			t.Errorf("%s is silent and still named: %v", v.ID, v)
+		}
+	}
+}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -46,6 +46,8 @@
 	seen    []*http.Request
 	ended   chan struct{}
 	address string
+	// listener accepts new connections; closed, it refuses them and the open ones live on.
+	listener net.Listener
 }
 
 func startTarget(t testing.TB, answers ...func(conn net.Conn, request *http.Request)) *target {
@@ -55,7 +57,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	s := &target{answers: answers, address: listener.Addr().String(), ended: make(chan struct{}, 16)}
+	s := &target{answers: answers, address: listener.Addr().String(), listener: listener, ended: make(chan struct{}, 16)}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -502,6 +504,21 @@
 	}
 }
 
+// The last part of a prompt belongs to the request alone. It is neither taken as a cause
+// of crashes nor looked up among them.
+func TestLastPartIsNoEvidence(t *testing.T) {
+	target := startTarget(t, status(200, "", "fine"))
+	w := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1}, target)
+	for _, boot := range []string{"1", "2"} {
+		w.server.Quarantine.Report(boot, "other/"+boot, quarantine.Request{Service: "s", Organisation: boot, Parts: []string{"p"}, Fingerprint: boot}, true, true)
+	}
+	for parts, want := range map[string]int{"p:10,own:10": http.StatusServiceUnavailable, "own:10,p:10": http.StatusOK, "p:10": http.StatusOK} {
+		if code, _, _ := w.ask(t, "k", "Parts", parts, "Tokens", "20,5"); code != want {
+			t.Errorf("%s: status %d, want %d", parts, code, want)
+		}
+	}
+}
+
 // A region still gets requests when one of its VMs has refused one as it crashes targets, or
 // as that VM stops.
 func TestRefusalsThatAreNotOfTheRegionAreNoBackoff(t *testing.T) {
@@ -519,6 +536,23 @@
 	}
 }
 
+// A request whose own time ends soon says nothing about the VM that it was forwarded to.
+// One that waits for long in vain does.
+func TestShortRequestsBlameNoVM(t *testing.T) {
+	for left, blamed := range map[string]bool{"400": false, "1500": true} {
+		silent := startTarget(t, func(net.Conn, *http.Request) {})
+		here := newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1})
+		here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
+		here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: silent.address, Ready: true}})
+		if code, _, _ := here.ask(t, "k", testHeaders.TimeLeft, left); code != http.StatusGatewayTimeout {
+			t.Errorf("%s ms left: status %d", left, code)
+		}
+		if got := here.server.partners.InBackoff("there", time.Now()); got != blamed {
+			t.Errorf("%s ms left: the VM is in backoff: %v", left, got)
+		}
+	}
+}
+
 func (w *fixture) coordinated(t *testing.T, vm, address string) {
 	t.Helper()
 	state := *w.server.State.Read()
@@ -527,7 +561,7 @@
 	w.server.State.Update(func(*State) *State { return &State{Plan: plan.NewIndex(p)} })
 	w.server.Coordinators = coordinator.NewClient(peer.NewUnsigned("vm"), w.server.Log)
 	w.server.Entries.Store(&[]entry.VM{{ID: vm, Region: "region", PeerAddress: address, Ready: true}})
-	w.server.Placer.SetVMs([]string{vm}, []string{vm})
+	w.server.Placer.SetVMs([]string{"vm", vm}, []string{"vm", vm})
 }
 
 // Requests run at targets that the other VM of the region has reserved. When that
