Refuse announcements that no target makes, at the daemons too

What callers saw: nothing yet; the cause of the registrations, looked for at the project's own interface. It took port 0, 0.0.0.0 and multicast addresses, ids and other names of 100,000 bytes or with control characters, which then stand in each log line and listing, and loads below 0. Capacities of 2^31-1 were taken, of which two add up to -2 in the summary that other data centres get.

Evidence: TestOddAnnouncementIsRefused failed before for 15 announcements that were taken and 4 refusals of 100,000 bytes.

Change: names, address (core/address, as for registrations), capacity and load are checked with their fields; errors are short.

Ruled out: nesting, numbers beyond their type, fractions, wrong types, text that isn't UTF-8, repeated fields, cut and oversized bodies were refused before; the test holds that.

--- a/core/instance/check.go
+++ b/core/instance/check.go
@@ -1,9 +1,9 @@
 package instance
 
 import (
-	"net/netip"
 	"time"
 
+	"kingcuprill/core/address"
 	"kingcuprill/core/fault"
 	"kingcuprill/core/name"
 )
@@ -38,7 +38,7 @@
 	if err := r.checkNames(); err != nil {
 		return err
 	}
-	if err := checkAddress(r.Address); err != nil {
+	if _, err := address.Parse(r.Address); err != nil {
 		return err
 	}
 	return r.checkNumbers(now)
@@ -72,14 +72,3 @@
 	}
 	return nil
 }
-
-func checkAddress(value string) error {
-	address, err := netip.ParseAddrPort(value)
-	if err != nil {
-		return fault.New(fault.Invalid, "address: %s must be IP:port", fault.Quote(value))
-	}
-	if address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
-		return fault.New(fault.Invalid, "address: %s is none that can be dialled", fault.Quote(value))
-	}
-	return nil
-}
--- a/io/announce/server.go
+++ b/io/announce/server.go
@@ -13,16 +13,23 @@
 	"strconv"
 	"time"
 
+	"kingcuprill/core/address"
 	"kingcuprill/core/fault"
 	"kingcuprill/core/membership"
+	"kingcuprill/core/name"
 	"kingcuprill/core/target"
 	"kingcuprill/core/vmstate"
 	"kingcuprill/io/peer"
 	rpc "kingcuprill/rpc/target"
 )
 
-// maxBodyBytes bounds the body of one call.
-const maxBodyBytes = 1 << 20
+const (
+	// maxBodyBytes bounds the body of one call.
+	maxBodyBytes = 1 << 20
+	// maxRequests bounds the requests that a target runs concurrently. VMs add up the
+	// capacities of a data centre.
+	maxRequests = 1 << 20
+)
 
 // Server serves the calls of targets.
 type Server struct {
@@ -55,28 +62,50 @@
 // check refuses an announcement that is incomplete or invalid, is of another data
 // centre, or has an address that isn't permitted for targets.
 func (s *Server) check(r *rpc.AnnounceRequest) error {
-	if r.GetId() == "" || r.GetBootId() == "" || r.GetService() == "" {
-		return fault.New(fault.Invalid, "id %q, boot_id %q and service %q must all be set", r.GetId(), r.GetBootId(), r.GetService())
+	if err := checkNames(r); err != nil {
+		return err
 	}
 	if kind := target.Kind(r.GetKind()); kind != target.Engine && kind != target.Service {
-		return fault.New(fault.Invalid, "kind: %q must be %q or %q", kind, target.Engine, target.Service)
+		return fault.New(fault.Invalid, "kind: %s must be %q or %q", fault.Quote(string(kind)), target.Engine, target.Service)
 	}
 	if r.GetDataCentre() != s.VMState.DataCentre || r.GetRegion() != s.VMState.Region {
-		return fault.New(fault.Forbidden, "data_centre: a target of %q in region %q must announce itself to the VMs there, not to those of %q",
-			r.GetDataCentre(), r.GetRegion(), s.VMState.DataCentre)
+		return fault.New(fault.Forbidden, "data_centre: a target of %s in region %s must announce itself to the VMs there, not to those of %q",
+			fault.Quote(r.GetDataCentre()), fault.Quote(r.GetRegion()), s.VMState.DataCentre)
+	}
+	if r.GetCapacity() <= 0 || r.GetCapacity() > maxRequests {
+		return fault.New(fault.Invalid, "capacity: %d must be from 1 to %d", r.GetCapacity(), maxRequests)
 	}
-	if r.GetCapacity() <= 0 {
-		return fault.New(fault.Invalid, "capacity: %d must be above 0", r.GetCapacity())
+	if r.GetRunning() < 0 || r.GetWaiting() < 0 {
+		return fault.New(fault.Invalid, "running: %d and waiting: %d must not be below 0", r.GetRunning(), r.GetWaiting())
 	}
 	return s.checkAddress(r.GetAddress())
 }
 
+// checkNames refuses names that can't be. The version may be unknown.
+func checkNames(r *rpc.AnnounceRequest) error {
+	names := map[string]string{"id": r.GetId(), "boot_id": r.GetBootId(), "service": r.GetService()}
+	if r.GetVersion() != "" {
+		names["version"] = r.GetVersion()
+	}
+	for field, value := range names {
+		if err := name.Check(field, value); err != nil {
+			return err
+		}
+	}
+	for _, value := range slices.Concat(r.GetModels(), r.GetAdapters()) {
+		if err := name.Check("models and adapters", value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Server) checkAddress(value string) error {
-	address, err := netip.ParseAddrPort(value)
+	parsed, err := address.Parse(value)
 	if err != nil {
-		return fault.New(fault.Invalid, "address: %q must be an IP address and port", value)
+		return err
 	}
-	inside := slices.ContainsFunc(s.Networks, func(n netip.Prefix) bool { return n.Contains(address.Addr()) })
+	inside := slices.ContainsFunc(s.Networks, func(n netip.Prefix) bool { return n.Contains(parsed.Addr()) })
 	if !inside {
 		return fault.New(fault.Forbidden, "address: %q is outside targets.permitted_networks", value)
 	}
