Ignore limits that no target names when another VM sends them

What callers saw: nothing yet; found by asking what odd numbers between VMs do. A limit that is not a number, infinite or below 0 was learned from another VM. With one that is not a number, nothing is ever saved up for the target, so that it gets no request of this VM until an answer of its own says otherwise.

Evidence: TestOddLimitsOfOtherVMsAreIgnored failed before for NaN, both infinities, -1 and 1e300 requests per second.

Change: limits from other VMs pass the check for those in answers of targets.

--- a/core/place/limits.go
+++ b/core/place/limits.go
@@ -99,9 +99,12 @@
 	return limits
 }
 
-// LearnLimits adds limits that another VM knows.
+// LearnLimits adds limits that another VM knows. Those that no target names are ignored.
 func (p *Placer) LearnLimits(limits []TargetLimit, now time.Time) {
 	for _, l := range limits {
+		if !targetlimit.IsRate(l.Rate) {
+			continue
+		}
 		at := now.Add(-max(0, l.Age))
 		p.ObserveLimit(l.Target, targetlimit.Notice{Named: true, Rate: l.Rate}, at, at)
 	}
--- a/core/place/limits_test.go
+++ b/core/place/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -206,3 +207,19 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A limit that no target names, learned from another VM, must not keep requests from it.
+func TestOddLimitsOfOtherVMsAreIgnored(t *testing.T) {
+	for _, rate := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 1e300} {
+		p := placers(1, 1, func(*instance.Registration) {})[0]
+		id := p.Usable(start)[0].ID
+		p.LearnLimits([]TargetLimit{{Target: id, Rate: rate}}, start)
+		if p.IsLimited(id) {
+			t.Errorf("%v requests per second taken for a limit", rate)
+		}
+		p.LearnLimits([]TargetLimit{{Target: id, Rate: 5}}, start)
+		if !p.IsLimited(id) {
+			t.Errorf("the limit after %v is not learned", rate)
+		}
+	}
+}
--- a/core/targetlimit/targetlimit.go
+++ b/core/targetlimit/targetlimit.go
@@ -52,12 +52,17 @@
 		return n, fmt.Errorf("%q is not a decimal number", shortened(text))
 	}
 	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || rate > highest {
+	if err != nil || !IsRate(rate) {
 		return n, fmt.Errorf("%q is not a number of requests per second from 0 to %g", shortened(text), float64(highest))
 	}
 	return Notice{Named: true, Rate: rate}, nil
 }
 
+// IsRate reports whether a number can be a limit, in requests per second.
+func IsRate(value float64) bool {
+	return value >= 0 && value <= highest
+}
+
 func shortened(text string) string {
 	const most = 40 // bytes
 	return text[:min(len(text), most)]
