--- a/io/front/links_test.go
+++ b/io/front/links_test.go
@@ -11,18 +11,14 @@
 	"kingcuprill/core/entry"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
+	"kingcuprill/io/rig/closedport"
 )
 
 // unreachable returns targets that don't listen.
 func unreachable(t *testing.T, count int) (targets []*target) {
 	t.Helper()
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listener.Close()
-		targets = append(targets, &target{address: listener.Addr().String()})
+		targets = append(targets, &target{address: closedport.New(t)})
 	}
 	return targets
 }
@@ -71,7 +67,7 @@
 		here.ask(t, "k")
 	}
 	for _, s := range targets {
-		s.listener.Close()
+		closedport.Close(t, s.listener)
 	}
 	var group sync.WaitGroup
 	for range 40 {
--- a/io/targetlink/monitor_test.go
+++ b/io/targetlink/monitor_test.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"kingcuprill/core/place"
+	"kingcuprill/io/rig/closedport"
 	"kingcuprill/io/rig/eventually"
 	"kingcuprill/io/upstream"
 )
@@ -58,7 +59,7 @@
 		t.Fatal("silent targets count as not reached")
 	}
 	for _, listener := range listeners {
-		listener.Close()
+		defer closedport.Close(t, listener)()
 	}
 	time.Sleep(recently + 50*time.Millisecond)
 	m.CheckSilence()
@@ -76,9 +77,7 @@
 // other is known.
 func TestOneTargetThatRefuses(t *testing.T) {
 	good := listen(t, "127.0.0.1:0")
-	bad := listen(t, "127.0.0.1:0")
-	bad.Close()
-	known := []place.Address{{ID: "bad", Address: bad.Addr().String()}, {ID: "good", Address: good.Addr().String()}}
+	known := []place.Address{{ID: "bad", Address: closedport.New(t)}, {ID: "good", Address: good.Addr().String()}}
 	m := NewMonitor(upstream.NewClient(nil), func() []place.Address { return known }, slog.New(slog.DiscardHandler))
 	for range 5 {
 		if err := m.Targets.Connect(t.Context(), "bad", known[0].Address); err == nil {
@@ -98,9 +97,7 @@
 // and its links don't count as lost.
 func TestSlowVMKeepsItsLinks(t *testing.T) {
 	reachable := listen(t, "127.0.0.1:0")
-	gone := listen(t, "127.0.0.1:0")
-	gone.Close()
-	for address, lost := range map[string]bool{reachable.Addr().String(): true, gone.Addr().String(): false} {
+	for address, lost := range map[string]bool{reachable.Addr().String(): true, closedport.New(t): false} {
 		known := []place.Address{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 		m := NewMonitor(upstream.NewClient(nil), func() []place.Address { return known }, slog.New(slog.DiscardHandler))
 		m.Neighbour = func() (string, bool) { return address, true }
