End no handler before its hedged tries when the caller leaves

What callers saw: nothing yet; found in a review. When the caller of a begun stream left while a hedged try ran beside the silent one, the end of the silent try counted as delivered. Its hedge then didn't wait for the hedged try, so that the handler ended while that try could still claim the answer and write to the response. net/http uses the buffers of an ended response for other connections. The end was logged and counted by a try that may not own the answer, too.

Cause: breakStream ended the request itself, without asking who owns the answer.

Ruled out: tries that end after a complete answer. goOn has taken their right to answer.

Change: a stream that breaks off since the caller has left is unfinished like others. giveUp ends the request, once, and only for the owner of the answer; finish waits for the hedged try, which the same context ends. Such a try says nothing about its target any more; it counted as its success.

--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -202,12 +202,8 @@
 // breakStream handles the end of a stream that has broken off.
 func (x *exchange) breakStream(response *upstream.Response, err error) outcome {
 	response.Finish(false)
-	if x.caller.Context().Err() != nil {
-		x.abandon(x.writeKind(), "caller has left", "last_event", x.last)
-		return delivered
-	}
 	x.progress.err, x.lastError = err, err
-	if !errors.Is(err, errNotNeeded) && !errors.Is(err, errOvertaken) {
+	if x.caller.Context().Err() == nil && !errors.Is(err, errNotNeeded) && !errors.Is(err, errOvertaken) {
 		x.server.Log.Warn("stream of the target has broken off; the request is retried if possible", "request", x.id, "target", x.target, "last_event", x.last, "begun", x.begun, "parts", x.demand.SharedIDs(), "error", err)
 	}
 	return x.unfinished()
