Let only requests that were sent take a stream over

What callers saw: the stream of a sound engine that was silent for a second was broken off.

Cause: a hedged try at an engine takes the right to answer after 300 ms without a refusal, as two engines must not work on one stream for long. The time began before the connection, which may take 600 ms. If it didn't come about, the silent engine was ended for a request that was never sent, and nothing went on in its place.

Evidence: the test, in which connections to the other engine hang, failed before, hedge_test.go: status 0, body "id: 1\ndata: 1\n\n" hedge_test.go: the silent engine was ended

Ruled out: services other than engines. Their tries take the right only with a part of the answer.

Change: the time begins when there is a connection and the request is about to be sent, at targets and at other VMs. upstream.Request.OnSend tells that.

Why it works: until then no second engine can work on the stream.

Measured: the test passes with the race detector.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -360,8 +360,10 @@
 	sent := time.Now()
 	links := x.watchLinks(ctx, h)
 	defer links.stop()
-	stopClaim := x.claimLater(takeoverAfter)
-	response, err := x.sendWatched(ctx, links.connecting, target, address, x.targetHeader(target, reserved.Source()))
+	request := x.request(x.targetHeader(target, reserved.Source()))
+	onSend, stopClaim := x.claimLater(takeoverAfter)
+	request.Connecting, request.OnSend = links.connecting, onSend
+	response, err := x.sendWatched(ctx, target, address, request)
 	stopClaim()
 	if err != nil {
 		h.leave()
--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -300,11 +300,18 @@
 }
 
 // claimLater takes the right to answer the caller if an engine doesn't refuse the hedged
-// try for a while, as it then works on the stream. stop ends that.
-func (x *exchange) claimLater(after time.Duration) (stop func() bool) {
+// try for a while after it was sent, as it then works on the stream. stop ends that.
+func (x *exchange) claimLater(after time.Duration) (onSend, stop func()) {
 	service, _ := x.state.Plan.Service(x.service)
 	if x.behind == nil || x.route.Kind != plan.Stream || service.MemoryTokens == 0 {
-		return func() bool { return true }
+		return nil, func() {}
 	}
-	return time.AfterFunc(after, func() { x.claimAnswer() }).Stop
+	var timer *time.Timer
+	onSend = func() { timer = time.AfterFunc(after, func() { x.claimAnswer() }) }
+	stop = func() {
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+	return onSend, stop
 }
--- a/io/front/hedge_test.go
+++ b/io/front/hedge_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"kingcuprill/core/plan"
 )
 
@@ -55,3 +60,49 @@
 		t.Error("no hedged try has ended")
 	}
 }
+
+// An engine is silent and goes on, while no connection to another one comes about. The
+// silent one was ended for a request that was never sent.
+func TestUnsentRequestsTakeNoStreamOver(t *testing.T) {
+	t.Parallel()
+	const pause = 1200 * time.Millisecond
+	first := startTarget(t, pausing(plan.Stream, pause, false))
+	w := newFixture(t, plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2, MaxGap: 100 * time.Millisecond}, first, full(t))
+	w.server.Placer.Pause("t1", pause/4, time.Now())
+	w.server.State.Update(func(s *State) *State {
+		p := s.Plan.Plan
+		p.Services[0].MemoryTokens = 1 << 20
+		return &State{Plan: plan.NewIndex(p)}
+	})
+	if code, body, _ := w.ask(t, "k"); code != http.StatusOK {
+		t.Errorf("status %d, body %q", code, body)
+	}
+	if ended := w.server.Metrics.Registry.Get("hedges.won"); ended != nil {
+		t.Error("the silent engine was ended")
+	}
+}
+
+// full returns a target to which connections don't come about.
+func full(t *testing.T) *target {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	err = errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0))
+	bound, nameErr := unix.Getsockname(fd)
+	if err = errors.Join(err, nameErr); err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+	for range 4 { // the queue of the listener takes one or two
+		conn, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return &target{address: address}
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+	t.Fatal("connections come about")
+	return nil
+}
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -123,8 +123,10 @@
 // tryVM sends the request to an entry VM and delivers the answer.
 func (x *exchange) tryVM(ctx context.Context, h *hedge, v entry.VM, header http.Header) outcome {
 	begun := time.Now()
-	stopClaim := x.claimLater(takeoverAfter + 2*interRegionLatency)
-	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
+	request := x.request(header)
+	onSend, stopClaim := x.claimLater(takeoverAfter + 2*interRegionLatency)
+	request.OnSend = onSend
+	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, request)
 	stopClaim()
 	if err != nil {
 		h.leave()
--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -159,9 +159,7 @@
 
 // sendWatched sends the request to a target and waits for the head of the answer. It
 // takes the request back if it turns out to crash targets, before it crashes this one.
-func (x *exchange) sendWatched(ctx, connecting context.Context, target, address string, header http.Header) (*upstream.Response, error) {
-	request := x.request(header)
-	request.Connecting = connecting
+func (x *exchange) sendWatched(ctx context.Context, target, address string, request upstream.Request) (*upstream.Response, error) {
 	if x.trial || x.origin.known {
 		return x.server.Targets.Do(ctx, target, address, request)
 	}
