Count no run for a silent target that refuses later

What callers saw: 502 without Retry-After in place of 503, for a request that has not run.

Cause: a hedged try is a copy of the exchange that counts the silent one as a run. If that one was refused in the end without having run, the copy's number was taken over all the same. It cost an attempt, and unsent tries of the silent exchange were forgotten.

Evidence: the test failed before, hedge_test.go: status 502, body ""

Change: the hedge takes back the runs that it counted for a try that has not run, and keeps the unsent tries.

Why it works: a try without a run has never gone on, so that the hedge's own number is still the one that it lent to the copies.

Measured: the test passes with the race detector.

--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -49,6 +49,7 @@
 	state   hedgeState
 	timer   *time.Timer
 	pending int                     // runs for which the try stands and that its exchange doesn't count yet
+	unsent  int                     // unsent tries of the exchange before this one
 	beside  *exchange               // of the hedged try that may have the answer, nil if there is none
 	cancel  context.CancelCauseFunc // ends it
 	done    chan struct{}           // closed when the last hedged try has ended, nil before the first
@@ -62,7 +63,7 @@
 	x.heardNow()
 	x.identity() // A hedged try reads it.
 	bounded, end := context.WithCancelCause(ctx)
-	h = &hedge{exchange: x, ctx: ctx, end: end, pending: runs}
+	h = &hedge{exchange: x, ctx: ctx, end: end, pending: runs, unsent: x.unsent}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.timer = time.AfterFunc(timeout, h.begin)
@@ -228,10 +229,22 @@
 	case result == delivered || h.spent == nil:
 		return result
 	}
-	if result == notRun && h.spent.runs > x.runs {
-		result = mayHaveRun
+	return h.takeSpent(result)
+}
+
+// takeSpent adds the tries of the hedged tries to those of the exchange. It returns the
+// outcome of all.
+func (h *hedge) takeSpent(result outcome) outcome {
+	x := h.exchange
+	runs, unsent := x.runs, x.unsent-h.unsent
+	if result == notRun {
+		h.spent.runs -= h.pending
 	}
 	x.takeTries(h.spent)
+	x.unsent += unsent
+	if result == notRun && x.runs > runs {
+		return mayHaveRun
+	}
 	return result
 }
 
--- a/io/front/hedge_test.go
+++ b/io/front/hedge_test.go
@@ -106,3 +106,16 @@
 	t.Fatal("connections come about")
 	return nil
 }
+
+// A silent target refuses a request without running it, while no other one was found. The
+// refusal counted as a run, so that the caller wasn't told that the request has not run.
+func TestLateRefusalsAreNoRuns(t *testing.T) {
+	t.Parallel()
+	w := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 2}, startTarget(t, func(conn net.Conn, request *http.Request) {
+		time.Sleep(1800 * time.Millisecond)
+		status(503, "Not-Run: 1\r\n", "")(conn, request)
+	}))
+	if code, body, _ := w.ask(t, "k"); code != http.StatusServiceUnavailable {
+		t.Errorf("status %d, body %q", code, body)
+	}
+}
