Leave requests that may not run again to a silent VM

What callers saw: an unknown outcome, though the VM that the request was forwarded to had run it and answered a little later.

Cause: a request that was forwarded on the project's own interface was given up when the other VM sent no header within timeouts.peer, 1 to 2 s, or no frame for 4 s. It is the cause of answers that end by silence: the sign doesn't tell a sound VM from a failed one, and nothing took the place of a request that may not run again.

Ruled out: the hop of plain routes.

Change: both timers run only for routes whose requests may be repeated. Others are left to the VM until their deadline, or until its connection ends.

Not changed: repeatable requests are still given up for that and retried one after the other, not beside the silent VM.

--- a/io/forward/client.go
+++ b/io/forward/client.go
@@ -41,12 +41,12 @@
 // each once. suspect marks a request that may crash its target. Errors are of type
 // *exchange.Failure.
 func (c *Client) Generate(ctx context.Context, m membership.Member, request exchange.Request, suspect bool, sink func(exchange.Token) error) (usage exchange.Usage, err error) {
-	response, err := c.post(ctx, m, GeneratePath, c.newMessage(request, suspect))
+	response, err := c.post(ctx, m, GeneratePath, request, suspect)
 	if err != nil {
 		return usage, err
 	}
 	defer response.Body.Close()
-	frames := &frameReader{reader: newReader(response.Body), body: response.Body}
+	frames := newFrameReader(response.Body, request.Route.Repeatable)
 	next := request.Generation.ResumeFrom
 	for {
 		frame, err := frames.next()
@@ -75,12 +75,12 @@
 // Call runs a call to a plain service at VM m. Errors are of type
 // *exchange.Failure.
 func (c *Client) Call(ctx context.Context, m membership.Member, request exchange.Request) (answer exchange.Answer, err error) {
-	response, err := c.post(ctx, m, CallPath, c.newMessage(request, false))
+	response, err := c.post(ctx, m, CallPath, request, false)
 	if err != nil {
 		return answer, err
 	}
 	defer response.Body.Close()
-	frames := &frameReader{reader: newReader(response.Body), body: response.Body}
+	frames := newFrameReader(response.Body, request.Route.Repeatable)
 	frame, err := frames.next()
 	if err != nil {
 		return answer, &exchange.Failure{Err: fmt.Errorf("vm %s: %w", m.ID, err)}
@@ -97,10 +97,10 @@
 	return exchange.Answer{Status: int(frame.GetStatus()), Headers: toHeaders(frame.GetHeaders()), Body: frame.GetBody()}, nil
 }
 
-// post sends a message and waits for the response header. The response's body must
+// post sends a request and waits for the response header. The response's body must
 // be closed.
-func (c *Client) post(ctx context.Context, m membership.Member, path string, message *vm.ForwardRequest) (*http.Response, error) {
-	body, err := proto.Marshal(message)
+func (c *Client) post(ctx context.Context, m membership.Member, path string, forwarded exchange.Request, suspect bool) (*http.Response, error) {
+	body, err := proto.Marshal(c.newMessage(forwarded, suspect))
 	if err != nil {
 		return nil, &exchange.Failure{NotRun: true, Final: true, Err: err}
 	}
@@ -111,9 +111,9 @@
 		return nil, &exchange.Failure{NotRun: true, Final: true, Err: err}
 	}
 	// A VM sends the response header before it runs the request.
-	headerTimer := time.AfterFunc(c.Peers.Timeouts.Peer, cancel)
+	stopTimer := afterSilence(forwarded.Route.Repeatable, c.Peers.Timeouts.Peer, cancel)
 	response, err := c.Peers.HTTP().Do(request)
-	if !headerTimer.Stop() && err == nil {
+	if !stopTimer() && err == nil {
 		response.Body.Close()
 		err = errSilent
 	}
--- a/io/forward/frames.go
+++ b/io/forward/frames.go
@@ -24,19 +24,35 @@
 	return bufio.NewReader(r)
 }
 
-// frameReader reads frames, and closes the body after silenceTimeout without one.
+// afterSilence calls end if a VM is silent for a time. A request that may not be repeated
+// is left to it until the deadline: the VM may go on, and nothing takes its place. stop
+// returns false if end was called.
+func afterSilence(repeatable bool, silence time.Duration, end func()) (stop func() bool) {
+	if !repeatable {
+		return func() bool { return true }
+	}
+	return time.AfterFunc(silence, end).Stop
+}
+
+// frameReader reads frames. If the request may be repeated, it closes the body after
+// silenceTimeout without one.
 type frameReader struct {
-	reader *bufio.Reader
-	body   io.Closer
+	reader     *bufio.Reader
+	body       io.Closer
+	repeatable bool
+}
+
+func newFrameReader(body io.ReadCloser, repeatable bool) *frameReader {
+	return &frameReader{reader: newReader(body), body: body, repeatable: repeatable}
 }
 
 // next returns the next frame that isn't a keep-alive.
 func (f *frameReader) next() (frame *vm.ForwardFrame, err error) {
 	for {
-		timer := time.AfterFunc(silenceTimeout, func() { f.body.Close() })
+		stop := afterSilence(f.repeatable, silenceTimeout, func() { f.body.Close() })
 		frame = &vm.ForwardFrame{}
 		err = readFrame(f.reader, frame)
-		if !timer.Stop() && err != nil {
+		if !stop() && err != nil {
 			return nil, errSilent
 		}
 		if err != nil {
