Use up no tries while the configuration is not confirmed

What callers saw: 502 for a request whose target was silent and then lost, though others were free.

Cause: a hedged try of a request with a key isn't sent while the lease has expired. It was counted as a try, so that all tries of the request were used up within a millisecond. No further one was made when the lease was valid again, nor after the silent target was lost.

Evidence: the test failed before, hedge_test.go: status 502, body "" after 0 requests to other targets

Change: without a valid lease, no try is counted. The request is refused as such, or a hedged try is looked for again later.

Why it works: the silent try goes on meanwhile, and the tries that are left are there when the lease is valid again.

Measured: the test passes with the race detector, as do those of refusals and of changes of the configuration.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -129,6 +129,11 @@
 			x.giveUp(ctx, result, string(reason))
 			return
 		}
+		if x.unconfirmed() {
+			reserved.Done(place.Inconclusive, time.Now())
+			x.giveUp(ctx, result, notConfirmed)
+			return
+		}
 		result = x.try(ctx, reserved)
 		if result == delivered {
 			return
@@ -141,6 +146,12 @@
 	x.giveUp(ctx, result, reason)
 }
 
+// unconfirmed reports whether the caller's key may have been withdrawn: the lease may have
+// expired since it was checked.
+func (x *exchange) unconfirmed() bool {
+	return x.keyed && !x.server.Lease.Valid()
+}
+
 func (x *exchange) maxTries() int {
 	if x.trial {
 		return 1
@@ -341,8 +352,7 @@
 	x.tries++
 	x.target = target
 	x.excluded = append(x.excluded, target)
-	// The lease is checked again: it may have expired while a place was reserved.
-	if x.outlastsStop() || x.keyed && !x.server.Lease.Valid() || !x.server.Placer.MaySend(target, time.Now()) {
+	if x.outlastsStop() || x.unconfirmed() || !x.server.Placer.MaySend(target, time.Now()) {
 		x.unsent++
 		reserved.Done(place.Inconclusive, time.Now())
 		return notRun
--- a/io/front/hedge_test.go
+++ b/io/front/hedge_test.go
@@ -119,3 +119,24 @@
 		t.Errorf("status %d, body %q", code, body)
 	}
 }
+
+// A target is silent and then lost. Meanwhile the configuration was not confirmed for a
+// while, in which all tries of the request were used up without a request being sent.
+func TestUnconfirmedConfigurationUsesNoTries(t *testing.T) {
+	t.Parallel()
+	good := startTarget(t, status(200, "", "fine"))
+	lost := startTarget(t, func(conn net.Conn, _ *http.Request) {
+		time.Sleep(2500 * time.Millisecond) // the timeout of a try is 1.5 s
+		conn.Close()
+	})
+	w := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 3}, lost, good, good, good, good, good)
+	for i := range 5 {
+		w.server.Placer.Pause(fmt.Sprint("t", i+1), 300*time.Millisecond, time.Now())
+	}
+	valid := w.leased.Load()
+	time.AfterFunc(time.Second, func() { w.leased.Store(-int64(time.Minute)) })
+	time.AfterFunc(1800*time.Millisecond, func() { w.leased.Store(valid) })
+	if code, body, _ := w.ask(t, "k"); code != http.StatusOK {
+		t.Errorf("status %d, body %q after %d requests to other targets", code, body, good.count())
+	}
+}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -88,6 +88,8 @@
 	// retryAfterDivisor gives the part of its time left that a caller waits at most
 	// before it retries.
 	retryAfterDivisor = 3
+	// notConfirmed is the reason of refusals without a confirmed configuration.
+	notConfirmed = "configuration_not_confirmed"
 )
 
 // Running returns the number of requests that are being served.
@@ -170,7 +172,6 @@
 	// A refusal needs a confirmed configuration too: the route or the key may be
 	// new.
 	confirmed := s.Lease.Valid()
-	const notConfirmed = "configuration_not_confirmed"
 	x.deadline = x.arrived.Add(s.Headers.timeLeft(x.header, defaultTimeLeft))
 	route, found := state.Plan.Match(host, x.caller.URL.Path)
 	if !found && !confirmed {
