Test that two VMs that hedge one request keep its attempts

It can't run more often than the route allows: the first VM counts all runs that it has handed over while the second one waits. The test fails if it could, and if neither VM hedged. It passes for streams and whole answers, silent before the head and in the middle, with one to four attempts, and for requests that may run once.

--- a/io/front/hedge_test.go
+++ b/io/front/hedge_test.go
@@ -14,6 +14,8 @@
 
 	"golang.org/x/sys/unix"
 
+	"kingcuprill/core/entry"
+	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 )
 
@@ -120,6 +122,43 @@
 	}
 }
 
+// Two VMs look for further targets for one request whose targets are all silent, the one
+// that forwards it and the one that it was forwarded to. It must not run more often than its
+// route allows, and its answer is whole.
+func TestHopsThatHedgeKeepTheAttempts(t *testing.T) {
+	for _, kind := range []plan.Kind{plan.Stream, plan.Idempotent, plan.NonIdempotent} {
+		for _, beforeHead := range []bool{true, false} {
+			for _, attempts := range []int{1, 2, 3, 4} {
+				t.Run(fmt.Sprintf("%v before head %v %d attempts", kind, beforeHead, attempts), func(t *testing.T) {
+					t.Parallel()
+					route := plan.Route{Kind: kind, Resumable: kind == plan.Stream, Attempts: attempts, MaxGap: 300 * time.Millisecond, Timeout: 8 * time.Second}
+					s := startTarget(t, pausing(kind, 3*time.Second, beforeHead))
+					first, second, here := newFixture(t, route, s, s, s), newFixture(t, route, s, s, s), newFixture(t, route)
+					here.server.Placer.SetRemote([]place.Remote{
+						{Service: "s", DataCentre: "first", Region: "first", Targets: 3},
+						{Service: "s", DataCentre: "second", Region: "second", Targets: 3},
+					})
+					here.server.Entries.Store(&[]entry.VM{first.abroad(t, "first"), second.abroad(t, "second")})
+					want := "fine"
+					if kind == plan.Stream {
+						want = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
+					}
+					if code, body, _ := here.ask(t, "k"); code != http.StatusOK || body != want {
+						t.Errorf("status %d, body %q", code, body)
+					}
+					most := attempts
+					if kind == plan.NonIdempotent {
+						most = 1
+					}
+					if s.count() > most || s.count() < min(most, 2) {
+						t.Errorf("%d runs, want %d to %d", s.count(), min(most, 2), most)
+					}
+				})
+			}
+		}
+	}
+}
+
 // A target is silent and then lost. Meanwhile the configuration was not confirmed for a
 // while, in which all tries of the request were used up without a request being sent.
 func TestUnconfirmedConfigurationUsesNoTries(t *testing.T) {
