Answer at the end of planned stops without looking for blame

What callers saw: requests that a planned stop ends, as their targets are still silent, were answered up to several hundred milliseconds late, of the time that is left for it.

Cause: a try that the stop had ended was taken for a failure of its target. Before the answer, the VM made new connections to other targets to find out whether it reaches them.

The log had "this VM reaches no other one" just before the answer.

Ruled out, by the same test: a hedged try beside a stop outlives it, or the request ends twice. Both tries run in the context that the stop ends, and only the owner of the answer ends the request.

Change: a try that this VM's stop has ended says nothing about its target.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -377,7 +377,7 @@
 	stopClaim()
 	if err != nil {
 		h.leave()
-		observed = x.blame(target, err)
+		observed = x.blame(ctx, target, err)
 		x.recordBreak(target, address, false, err)
 		result := x.recordConnectionError(err, 1)
 		if result == notRun {
@@ -400,7 +400,7 @@
 	case result == delivered:
 		observed = place.Success
 	default:
-		observed = x.blame(target, x.progress.err)
+		observed = x.blame(ctx, target, x.progress.err)
 	}
 	if x.progress.mayHaveCrashed() {
 		x.recordBreak(target, address, x.progress.began.IsZero(), x.progress.err)
--- a/io/front/hedge_test.go
+++ b/io/front/hedge_test.go
@@ -9,14 +9,17 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"kingcuprill/core/drain"
 	"kingcuprill/core/entry"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
+	"kingcuprill/io/rig/eventually"
 )
 
 // slowLog takes long for the line of a try that has failed.
@@ -179,3 +182,39 @@
 		t.Errorf("status %d, body %q after %d requests to other targets", code, body, good.count())
 	}
 }
+
+// A planned stop ends a request that two targets have, both silent. It ended late, as the VM
+// first found out whether the targets were to blame.
+func TestStopsEndHedgedRequestsOnce(t *testing.T) {
+	for _, kind := range []plan.Kind{plan.Stream, plan.Idempotent} {
+		for _, beforeHead := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%v before head %v", kind, beforeHead), func(t *testing.T) {
+				t.Parallel()
+				const begin, grace = 1800 * time.Millisecond, 4 * time.Second
+				s := startTarget(t, pausing(kind, 4*(begin+grace), beforeHead))
+				w := newFixture(t, plan.Route{Kind: kind, Resumable: kind == plan.Stream, Attempts: 2, Timeout: 10 * time.Second}, s, s)
+				logged, begun := &lockedBuffer{}, time.Now()
+				w.server.Log = slog.New(slog.NewTextHandler(logged, nil))
+				var dials, before atomic.Int64
+				onDial := w.server.Targets.OnDial
+				w.server.Targets.OnDial = func(peer string, err error) {
+					dials.Add(1)
+					onDial(peer, err)
+				}
+				time.AfterFunc(begin, func() { w.server.Stop(drain.Stop{Begun: time.Now(), Grace: grace}) })
+				time.AfterFunc(begin+grace/2, func() { before.Store(dials.Load()) })
+				code, body, _ := w.ask(t, "k")
+				if took := time.Since(begun); code == http.StatusOK || took > begin+grace || s.count() != 2 {
+					t.Errorf("status %d, body %q after %v and %d runs", code, body, took, s.count())
+				}
+				eventually.Until(t, "the request has ended", func() bool { return w.server.Running() == 0 })
+				if dials.Load() != before.Load() {
+					t.Errorf("%d connections are made before the answer, to find out about the targets", dials.Load()-before.Load())
+				}
+				if kinds := strings.Join(logged.kinds(), " "); kinds != string(endedStop) {
+					t.Errorf("logged kinds %q", kinds)
+				}
+			})
+		}
+	}
+}
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -94,10 +94,10 @@
 	}}
 }
 
-// blame returns what a failed try says about its target: nothing, if this VM doesn't
-// reach other targets either.
-func (x *exchange) blame(target string, err error) place.Result {
-	if x.caller.Context().Err() != nil || errors.Is(err, errSuspect) || errors.Is(err, errLinksLost) || errors.Is(err, errNotNeeded) {
+// blame returns what a failed try says about its target: nothing, if this VM has ended it or
+// doesn't reach other targets either.
+func (x *exchange) blame(ctx context.Context, target string, err error) place.Result {
+	if endedByStop(ctx) || x.caller.Context().Err() != nil || errors.Is(err, errSuspect) || errors.Is(err, errLinksLost) || errors.Is(err, errNotNeeded) {
 		return place.Inconclusive
 	}
 	if !x.server.Links.ReachesOther(target) {
