Take a token of a generation only if it is the next one

Two runs may compete for the next token while an engine is silent. No case is known in which that happened.

--- a/io/dispatch/silence.go
+++ b/io/dispatch/silence.go
@@ -45,8 +45,8 @@
 	return func(t exchange.Token) error {
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		if !o.claim(r) {
-			return errOvertaken
+		if t.Index != o.generation.ResumeFrom || !o.claim(r) {
+			return errOvertaken // another run has brought this token
 		}
 		if !o.generation.SameVersion {
 			o.generation.SameVersion, o.generation.Version = true, t.Version
