Take the time between regions off the bound only for requests from there

A request that a VM of the same region handed over, as that one has lost its links, was refused 60 ms sooner than an own one: the bound on late answers took the time between regions off each forwarded request. The test failed before ('from "neighbour": bound 890ms, want 950ms').

--- a/io/front/links_test.go
+++ b/io/front/links_test.go
@@ -120,3 +120,19 @@
 		}
 	}
 }
+
+// A request that a VM of the same region hands over has not come from another region, and
+// isn't refused sooner for that time.
+func TestNeighboursRequestsHaveTheWholeBound(t *testing.T) {
+	w := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1})
+	w.server.Entries.Store(&[]entry.VM{{ID: "neighbour", Region: "region"}, {ID: "abroad", Region: "abroad"}})
+	const objective = time.Second
+	own := time.Duration(boundShare * float64(objective))
+	for from, want := range map[string]time.Duration{"": own, "neighbour": own, "abroad": own - interRegionLatency, "unknown": own - interRegionLatency} {
+		now := time.Now()
+		x := &exchange{server: w.server, arrived: now, from: from, route: plan.Route{Objective: objective}}
+		if got := x.bound(now); got != want {
+			t.Errorf("from %q: bound %v, want %v", from, got, want)
+		}
+	}
+}
--- a/io/front/timing.go
+++ b/io/front/timing.go
@@ -35,12 +35,18 @@
 		return max(1, x.deadline.Sub(now)/continuedDivisor)
 	}
 	left := time.Duration(boundShare*float64(x.route.Objective)) - now.Sub(x.arrived)
-	if x.from != "" {
+	if x.from != "" && !x.fromNeighbour() {
 		left -= interRegionLatency
 	}
 	return max(1, left)
 }
 
+// fromNeighbour reports whether a VM of this region has forwarded the request.
+func (x *exchange) fromNeighbour() bool {
+	sender, known := x.entry(x.from)
+	return known && sender.Region == x.server.Region
+}
+
 // tryTimeout returns how long a target may take to begin its answer before another one is
 // tried beside it.
 func (x *exchange) tryTimeout() time.Duration {
