--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -23,8 +23,17 @@
 	// a VM in a stop may have little.
 	answerDivisor = 7
 	maxAnswer     = 1200 * time.Millisecond
+	// acceptDivisor gives the part of the grace period in which new connections are still
+	// accepted, as callers learn of the stop with a delay.
+	acceptDivisor = 4
 )
 
+// AcceptFor returns how long an entry VM accepts connections in a planned stop with a
+// grace period.
+func AcceptFor(grace time.Duration) time.Duration {
+	return grace / acceptDivisor
+}
+
 // Stop is a planned stop. The zero value is not used.
 type Stop struct {
 	Begun  time.Time
--- a/core/entry/stops.go
+++ b/core/entry/stops.go
@@ -4,16 +4,13 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
 
-const (
-	// startTime covers the start of a VM after a planned stop until it is ready again.
-	startTime = 2 * time.Second
-	// acceptDivisor gives the part of the grace period for which a VM counts as accepting
-	// connections. One that ends or is an earlier release doesn't report the end of it.
-	acceptDivisor = 4
+	"kingcuprill/core/drain"
 )
 
+// startTime covers the start of a VM after a planned stop until it is ready again.
+const startTime = 2 * time.Second
+
 // Stops remembers the VMs that make planned stops until they are ready again. It is safe
 // for concurrent use.
 type Stops struct {
@@ -64,14 +61,15 @@
 }
 
 // accepts records the begin of a VM's planned stop and reports whether it still accepts
-// connections. The caller holds mu.
+// connections. One that has ended, or is of an earlier release, doesn't tell the end of it.
+// The caller holds mu.
 func (s *Stops) accepts(v VM, now time.Time) bool {
 	began, known := s.began[v.ID]
 	if !known {
 		began = stop{region: v.Region, at: now}
 		s.began[v.ID] = began
 	}
-	return now.Sub(began.at) < s.grace/acceptDivisor
+	return now.Sub(began.at) < drain.AcceptFor(s.grace)
 }
 
 // Accepting returns the VMs that make planned stops and still accept connections.
--- a/io/entryvm/serve.go
+++ b/io/entryvm/serve.go
@@ -18,9 +18,6 @@
 	callerIdleTimeout = 75 * time.Second
 	// headerTimeout bounds the time in which a caller sends its headers.
 	headerTimeout = 10 * time.Second
-	// acceptDivisor gives the part of the grace period in which new connections are still
-	// accepted in a planned stop, as callers learn of the stop with a delay.
-	acceptDivisor = 4
 )
 
 func (v *VM) listen(readiness, directory http.Handler) error {
@@ -100,7 +97,7 @@
 func (v *VM) drain() {
 	v.Log.Info("entry VM begins a planned stop; running requests may end within the grace period", "vm", v.Config.ID, "running", v.front.Running())
 	v.draining.Store(true)
-	stop := drain.Stop{Begun: time.Now(), Accept: v.Config.Grace / acceptDivisor, Grace: v.Config.Grace}
+	stop := drain.Stop{Begun: time.Now(), Accept: drain.AcceptFor(v.Config.Grace), Grace: v.Config.Grace}
 	v.front.Stop(stop)
 	for _, s := range v.servers {
 		s.CloseAfterAnswers()
