review: finish the harness of the scripts

The platform, operator, clients, runners and links of the scripts. A run keeps one of its loopback addresses taken, so that runs side by side don't share addresses.

--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -288,6 +288,7 @@
 		w.note("%s is cut off from the control machines (silent)", cutOff.name)
 		for _, p := range cutOff.through {
 			p.set(true)
+			time.AfterFunc(5*time.Second, func() { p.set(false) })
 		}
 	}
 	leaving.state.Store("draining")
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -14,7 +14,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -39,6 +41,7 @@
 	"directory":  directory,
 	"forwarding": forwarding,
 	"draining":   draining,
+	"replacing":  replacing,
 }
 
 func main() {
@@ -79,8 +82,13 @@
 		w.note("held: %s", v.text)
 		done <- exitHeld
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	select {
 	case code = <-done:
+	case <-signals:
+		w.note("the case can't run: it was interrupted")
+		code = exitCannot
 	case <-time.After(longest):
 		w.note("the case can't run: it took longer than %v", longest)
 		code = exitCannot
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // proxy is a link between two machines. While it is cut, it carries no bytes, as a
@@ -15,7 +16,8 @@
 type proxy struct {
 	listener net.Listener
 	to       string
-	bytes    atomic.Int64 // from the dialling side
+	bytes    atomic.Int64  // from the dialling side
+	delay    time.Duration // one way; set before the first connection
 
 	mu    sync.Mutex
 	cut   bool
@@ -81,8 +83,19 @@
 	server.Close()
 }
 
+// part is a piece of a stream, and when it reaches the other side.
+type part struct {
+	data []byte
+	err  error
+	due  time.Time
+}
+
 // pass carries bytes and then the end of the stream.
 func (p *proxy) pass(to, from net.Conn, counted *atomic.Int64) {
+	if p.delay > 0 {
+		p.passLate(to, from, counted)
+		return
+	}
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -106,3 +119,37 @@
 		}
 	}
 }
+
+// passLate is pass with a delay.
+func (p *proxy) passLate(to, from net.Conn, counted *atomic.Int64) {
+	parts := make(chan part, 1<<12)
+	go func() {
+		for {
+			buffer := make([]byte, 16<<10)
+			n, err := from.Read(buffer)
+			parts <- part{data: buffer[:n], err: err, due: time.Now().Add(p.delay)}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for one := range parts {
+		time.Sleep(time.Until(one.due))
+		p.wait()
+		if counted != nil {
+			counted.Add(int64(len(one.data)))
+		}
+		if _, err := to.Write(one.data); err != nil {
+			from.Close()
+			return
+		}
+		if one.err == io.EOF {
+			_ = to.(*net.TCPConn).CloseWrite()
+			return
+		}
+		if one.err != nil {
+			to.Close()
+			return
+		}
+	}
+}
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -56,7 +56,9 @@
 	mu      sync.Mutex
 	record  *os.File
 	closers []func()
-	ended   bool
+
+	startMu sync.Mutex // held while a process is started
+	ended   bool       // no process is started any more
 }
 
 // machine is one machine of the system, with the process that it runs.
@@ -93,14 +95,18 @@
 		return nil, err
 	}
 	w = &world{begun: time.Now(), folder: folder, binary: binary, regions: map[string]string{}, record: record}
-	w.prefix, err = freePrefix()
+	w.prefix, err = takePrefix()
 	return w, err
 }
 
-// freePrefix finds loopback addresses on which nobody listens.
-func freePrefix() (prefix string, err error) {
+// takePrefix takes loopback addresses that no other run uses. It keeps one of them taken
+// for as long as this process runs, as machines of another run may be down for a while.
+func takePrefix() (prefix string, err error) {
 	for i := range 200 {
 		prefix = fmt.Sprintf("127.%d.%d", 30+(os.Getpid()+i)%200, 1+i)
+		if _, err = net.Listen("tcp", net.JoinHostPort(prefix+".254", strconv.Itoa(peerPort))); err != nil {
+			continue
+		}
 		listener, err := net.Listen("tcp", net.JoinHostPort(prefix+".1", strconv.Itoa(peerPort)))
 		if err == nil {
 			listener.Close()
@@ -130,8 +136,10 @@
 
 // end ends all processes and stand-ins.
 func (w *world) end() {
-	w.mu.Lock()
+	w.startMu.Lock()
 	w.ended = true
+	w.startMu.Unlock()
+	w.mu.Lock()
 	closers := w.closers
 	w.mu.Unlock()
 	for _, m := range w.machines {
@@ -148,8 +156,8 @@
 }
 
 func (w *world) isEnded() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.startMu.Lock()
+	defer w.startMu.Unlock()
 	return w.ended
 }
 
@@ -208,6 +216,11 @@
 
 // start starts the machine's process with the command of the deploy file.
 func (m *machine) start() {
+	m.world.startMu.Lock()
+	defer m.world.startMu.Unlock()
+	if m.world.ended {
+		return
+	}
 	must(os.MkdirAll(m.folder, 0o700))
 	data, err := json.MarshalIndent(m.settings(), "", "  ")
 	must(err)
@@ -246,9 +259,7 @@
 	}
 	m.world.note("%s has ended by itself (%v); the platform starts it again", m.name, command.ProcessState)
 	time.Sleep(500 * time.Millisecond)
-	if !m.world.isEnded() {
-		m.start()
-	}
+	m.start()
 }
 
 // signal sends a signal to the machine's process.
@@ -273,6 +284,21 @@
 	<-exited
 }
 
+// remove ends the machine's process for good with a planned stop.
+func (m *machine) remove() {
+	m.mu.Lock()
+	command, exited := m.command, m.exited
+	m.wanted = false
+	m.mu.Unlock()
+	_ = command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(8 * time.Second): // graceS
+		_ = command.Process.Signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
 func must(err error) {
 	if err != nil {
 		panic(err)
