review: case 5, a route without a key keeps its old homes at a cut VM

From the entry on HOME in KNOWN-RED.txt: an entry VM asks for the lease on its configuration only where a route needs a key. While it is cut off from the core, it runs requests of a route without a key where the newest configuration forbids it.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-harness ] || exit 2
-exec target/review-harness forwarding review/5
+exec target/review-harness residency review/5
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -42,6 +42,7 @@
 	"forwarding": forwarding,
 	"draining":   draining,
 	"replacing":  replacing,
+	"residency":  residency,
 }
 
 func main() {
