--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -4,9 +4,9 @@
 // project's programs as separate processes on loopback addresses and takes the part of
 // the platform, the operator, the clients and the runners.
 //
-//	review-harness CASE FOLDER
+//	review-harness CASE RECORD
 //
-// It writes FOLDER/record.txt, and exits with 1 if the rule was broken, with 0 if it
+// It writes what was sent, answered and run to the file RECORD, and exits with 1 if the rule was broken, with 0 if it
 // held, and with 2 if the case couldn't run. With TROUBLE=0 in the environment, the
 // disruption is left out.
 package main
@@ -15,7 +15,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -47,14 +46,14 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-harness CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-harness CASE RECORD")
 		os.Exit(exitCannot)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
-func play(name, folder string) (code int) {
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+func play(name, path string) (code int) {
+	record, err := os.Create(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannot
