Send to a place only if the sending VM itself knows no better

What callers saw: DRAIN, EVAC and joined versions. A VM that knew that a target drained went on sending to it for seconds, since another VM gave it the places.

Cause: the VM that sends took a place from a coordinator, which was cut off or had just gone on after a standstill, without a look at its own registrations. MaySend asked only for what targets had said in answers.

Change: MaySend gets the place as its giver knows it (target, address, version) and this VM's evacuations. The look is made when a place comes, so that another coordinator or this VM's own data is used instead and no try is spent, and once more right before the request is sent, so that trials, hedged tries and its own choices pass it as well.

--- a/core/place/leaving.go
+++ b/core/place/leaving.go
@@ -26,12 +26,3 @@
 	defer a.placer.mu.Unlock()
 	a.Target.leavingUntil = now.Add(leavingFor)
 }
-
-// MaySend reports whether a target that has been selected may still be sent a request: it
-// may have answered others meanwhile.
-func (p *Placer) MaySend(id string, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t, found := p.targets[id]
-	return !found || !now.Before(t.leavingUntil) && !now.Before(t.pausedUntil)
-}
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -134,14 +134,23 @@
 	if reserved != nil {
 		a.chosen = reserved
 	}
-	if reserved != nil && r.SameVersion && reserved.Version() != r.Version {
-		// A coordinator of an earlier release ignores the version.
+	if reserved != nil && (r.SameVersion && reserved.Version() != r.Version || !x.maySend(reserved)) {
+		// A coordinator of an earlier release ignores the version, and any may be behind.
 		reserved.Done(place.Inconclusive, time.Now())
 		return answer{}, errNoCoordinator
 	}
 	return a, err
 }
 
+// maySend reports whether the request may be sent to a place by what this VM itself knows.
+func (x *exchange) maySend(reserved reservation) bool {
+	s := x.server
+	target, address := reserved.Where()
+	at := place.Place{Target: target, Address: address, Version: reserved.Version()}
+	by := place.View{Evacuated: s.State.Read().Evacuated, Confirmed: s.Lease.Valid()}
+	return s.Placer.MaySend(at, by, time.Now())
+}
+
 func (x *exchange) entry(id string) (found entry.VM, known bool) {
 	for _, v := range *x.server.Entries.Load() {
 		if v.ID == id {
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -19,7 +19,7 @@
 	x.tries++
 	x.target = target
 	x.excluded = append(x.excluded, target)
-	if x.outlastsStop() || x.unconfirmed() || !x.server.Placer.MaySend(target, time.Now()) {
+	if x.outlastsStop() || x.unconfirmed() || !x.maySend(reserved) {
 		x.unsent++
 		reserved.Done(place.Inconclusive, time.Now())
 		return notRun
