Give out no places without a confirmed state

A coordinator that was cut off from the control VMs, or had stood still, gave out places by its old registrations and evacuations, also to VMs of earlier releases, which don't look at their own.

Change: Reserve answers with an error while the lease has run out.

--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -23,7 +23,7 @@
 	placer.SetTargets(map[string]instance.Registration{
 		"t": {ID: "t", Service: "s", Address: "a:1", State: instance.Ready, Slots: slots, Heard: time.Now()},
 	}, func(string) string { return "region" })
-	server = NewServer(placer, func() map[string]bool { return nil }, log)
+	server = NewServer(placer, func() map[string]bool { return nil }, func() bool { return true }, log)
 	peers := peer.NewUnsigned("here")
 	web := httptest.NewServer(server.Handler(peers.Credentials))
 	t.Cleanup(web.Close)
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"kingcuprill/core/brittle"
+	"kingcuprill/core/fault"
 	"kingcuprill/core/place"
 	"kingcuprill/core/targetlimit"
 	"kingcuprill/io/peer"
@@ -34,6 +35,8 @@
 	Placer *place.Placer
 	// Evacuated returns the data centres that get no requests.
 	Evacuated func() map[string]bool
+	// Confirmed reports whether a control VM has confirmed this VM's state lately.
+	Confirmed func() bool
 	Log       *slog.Logger
 
 	mu       sync.Mutex
@@ -51,8 +54,8 @@
 // NewServer returns a server without reservations. Their ids begin at a random
 // number, so that late reports of reservations that an earlier process at the same
 // address made don't end those of this one.
-func NewServer(placer *place.Placer, evacuated func() map[string]bool, log *slog.Logger) *Server {
-	return &Server{Placer: placer, Evacuated: evacuated, Log: log, last: rand.Uint64(), reserved: map[uint64]*reservedPlace{}}
+func NewServer(placer *place.Placer, evacuated func() map[string]bool, confirmed func() bool, log *slog.Logger) *Server {
+	return &Server{Placer: placer, Evacuated: evacuated, Confirmed: confirmed, Log: log, last: rand.Uint64(), reserved: map[uint64]*reservedPlace{}}
 }
 
 // Handler returns the handler of the calls between entry VMs.
@@ -60,10 +63,17 @@
 	return credentials.Middleware(maxBodyBytes, entry.NewEntryServer(s))
 }
 
+// errUnconfirmed is the answer of a coordinator whose targets may be gone. Its callers take
+// it for one that doesn't answer.
+var errUnconfirmed = fault.New(fault.NoQuorum, "no control VM has confirmed the targets of this coordinator lately")
+
 // Reserve reserves a place for a request of another VM. The answer has no
 // reservation, but a reason, if there is no place.
 func (s *Server) Reserve(_ context.Context, request *entry.ReserveRequest) (*entry.ReserveResponse, error) {
 	s.asked.Add(1)
+	if !s.Confirmed() {
+		return nil, peer.ToTwirp(errUnconfirmed)
+	}
 	now := time.Now()
 	wanted := toRequest(request, now)
 	wanted.Evacuated = s.Evacuated()
--- a/io/front/behind_test.go
+++ b/io/front/behind_test.go
@@ -41,7 +41,7 @@
 			}
 			region := func(string) string { return "region" }
 			there.server.Placer.SetTargets(map[string]instance.Registration{"old": ready("old", old)}, region)
-			places := coordinator.NewServer(there.server.Placer, func() map[string]bool { return nil }, slog.New(slog.DiscardHandler))
+			places := coordinator.NewServer(there.server.Placer, func() map[string]bool { return nil }, there.server.Lease.Valid, slog.New(slog.DiscardHandler))
 			web := httptest.NewServer(places.Handler(peer.NewUnsigned("there").Credentials))
 			t.Cleanup(web.Close)
 			here.coordinated(t, "there", web.Listener.Addr().String())
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -574,7 +574,7 @@
 	}
 	here := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1}, targets...)
 	there := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1}, targets...)
-	places := coordinator.NewServer(there.server.Placer, func() map[string]bool { return nil }, here.server.Log)
+	places := coordinator.NewServer(there.server.Placer, func() map[string]bool { return nil }, there.server.Lease.Valid, here.server.Log)
 	web := httptest.NewServer(places.Handler(peer.NewUnsigned("there").Credentials))
 	t.Cleanup(web.Close)
 	here.coordinated(t, "there", web.Listener.Addr().String())
