Let no engine take a stream over before its first event

What callers saw: a stream that broke off, or 502, 500 or 504, while the engine that ran it was sound, silent for a second or two and about to go on.

Cause: a hedged try at another engine took the answer 300 ms after it was sent, on the clock alone, and ended the silent one. If the other one then refused, failed, broke off or was silent too, nothing stood in the place of what had been given up. The same over another VM, after 420 ms.

Ruled out: the daemons' door claims an answer with a token (TestGenerationsOfSilentEnginesAreWhole), and answers that are no streams are claimed when they are whole.

Change: the claim on time is gone, and with it upstream.Request.OnSend. A hedged try takes the answer with its first event, as on all other routes. An engine runs a request from its first token on, so that two of them work on one stream for as long as that event takes to this VM.

--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -7,17 +7,10 @@
 	"strings"
 	"sync"
 	"time"
-
-	"kingcuprill/core/plan"
 )
 
-const (
-	// hedgeAgain is the pause after which another try is looked for again.
-	hedgeAgain = 500 * time.Millisecond
-	// takeoverAfter is how long an engine may hold a hedged try without a refusal before
-	// the silent try is ended: two engines must not work on one stream for long.
-	takeoverAfter = 300 * time.Millisecond
-)
+// hedgeAgain is the pause after which another try is looked for again.
+const hedgeAgain = 500 * time.Millisecond
 
 var (
 	// errOvertaken ends a silent try, as a hedged one has the answer.
@@ -38,7 +31,8 @@
 
 // hedge runs further tries of a request beside one whose target is silent. The silent
 // try isn't given up for that. The first of the two that has a part of the answer is the
-// only one to deliver it, and the other one is ended. If no hedged try is possible or all
+// only one to deliver it, and the other one is ended. An engine runs a request from its first
+// token on, so that no two of them run one for longer than the token's way here. If no hedged try is possible or all
 // fail, the silent target has until the deadline.
 type hedge struct {
 	exchange *exchange // of the try; its fields change only while the try doesn't wait
@@ -311,20 +305,3 @@
 func (x *exchange) claimAnswer() bool {
 	return x.behind == nil || x.behind.claim(x)
 }
-
-// claimLater takes the right to answer the caller if an engine doesn't refuse the hedged
-// try for a while after it was sent, as it then works on the stream. stop ends that.
-func (x *exchange) claimLater(after time.Duration) (onSend, stop func()) {
-	service, _ := x.state.Plan.Service(x.service)
-	if x.behind == nil || x.route.Kind != plan.Stream || service.MemoryTokens == 0 {
-		return nil, func() {}
-	}
-	var timer *time.Timer
-	onSend = func() { timer = time.AfterFunc(after, func() { x.claimAnswer() }) }
-	stop = func() {
-		if timer != nil {
-			timer.Stop()
-		}
-	}
-	return onSend, stop
-}
--- a/io/front/hedge_test.go
+++ b/io/front/hedge_test.go
@@ -74,11 +74,7 @@
 	first := startTarget(t, pausing(plan.Stream, pause, false))
 	w := newFixture(t, plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2, MaxGap: 100 * time.Millisecond}, first, full(t))
 	w.server.Placer.Pause("t1", pause/4, time.Now())
-	w.server.State.Update(func(s *State) *State {
-		p := s.Plan.Plan
-		p.Services[0].MemoryTokens = 1 << 20
-		return &State{Plan: plan.NewIndex(p)}
-	})
+	w.runEngines()
 	if code, body, _ := w.ask(t, "k"); code != http.StatusOK {
 		t.Errorf("status %d, body %q", code, body)
 	}
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -123,11 +123,7 @@
 // tryVM sends the request to an entry VM and delivers the answer.
 func (x *exchange) tryVM(ctx context.Context, h *hedge, v entry.VM, header http.Header) outcome {
 	begun := time.Now()
-	request := x.request(header)
-	onSend, stopClaim := x.claimLater(takeoverAfter + 2*interRegionLatency)
-	request.OnSend = onSend
-	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, request)
-	stopClaim()
+	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
 	if err != nil {
 		h.leave()
 		if x.blamesVM(err, time.Since(begun)) {
--- a/io/front/silence_test.go
+++ b/io/front/silence_test.go
@@ -137,13 +137,9 @@
 			}
 			shared := startTarget(t, answer)
 			w := newFixture(t, plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2, MaxGap: 100 * time.Millisecond}, shared, shared)
-			w.server.State.Update(func(s *State) *State {
-				p := s.Plan.Plan
-				if test.engine {
-					p.Services[0].MemoryTokens = 1 << 20
-				}
-				return &State{Plan: plan.NewIndex(p)}
-			})
+			if test.engine {
+				w.runEngines()
+			}
 			if code, _, _ := w.ask(t, "k"); code != http.StatusOK {
 				t.Errorf("status %d", code)
 			}
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -38,10 +38,8 @@
 	links := x.watchLinks(ctx, h)
 	defer links.stop()
 	request := x.request(x.targetHeader(target, reserved.Source()))
-	onSend, stopClaim := x.claimLater(takeoverAfter)
-	request.Connecting, request.OnSend = links.connecting, onSend
+	request.Connecting = links.connecting
 	response, err := x.sendWatched(ctx, target, address, request)
-	stopClaim()
 	if err != nil {
 		h.leave()
 		observed = x.blame(ctx, target, err)
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -60,9 +60,6 @@
 	// Connecting bounds the wait for a connection, besides the context of the request. It
 	// may be nil.
 	Connecting context.Context
-	// OnSend is called when there is a connection, before the request is sent. It may be
-	// nil.
-	OnSend func()
 	// EchoHeader names the response header that must have the value EchoValue,
 	// usually the request's id. If it is empty, no header is checked.
 	EchoHeader string
@@ -112,9 +109,6 @@
 	if err != nil {
 		return nil, &Failure{Err: err}
 	}
-	if request.OnSend != nil {
-		request.OnSend()
-	}
 	// The end of the context interrupts reads and writes on the connection.
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	sent := make(chan error, 1)
