Leave a request its tries when its silent target is lost

What callers saw: 502, or a stream broken off, with targets free: the target of a request was silent, three others refused it meanwhile, and the silent one was then lost.

Cause: refusals of hedged tries counted against the bound of tries of the request (attempts and two), which stands for targets that refuse one after the other. After three there was no try left for the loss itself. Class: one bound counts two things.

Evidence: TestRefusalsBesideASilentTargetLeaveTries failed before the head (502 after 4 requests) and in mid-stream (broken off after event 1). Ruled out: the number of runs, which hedged refusals don't raise.

Change: tries of a hedge that were refused are still counted as tries, so that retries are told from first tries and no target is asked twice, but the bound doesn't apply to them once the silent try has ended. Runs, exclusions and the retry budget bound them as before.

Measured: both cases pass with the race detector, with the tests of hedged tries, refusals and attempts.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -47,6 +47,7 @@
 
 	tries    int // targets that were selected and, but for unsent ones, sent the request
 	unsent   int
+	spared   int // refused while another target was silent, to which maxTries doesn't apply
 	runs     int // of these, the ones that may have run
 	excluded []string
 	target   string // of the last try
@@ -99,7 +100,7 @@
 // tryTargets tries targets until one has answered the caller or no further try is
 // allowed. result is the outcome of the tries so far.
 func (x *exchange) tryTargets(ctx context.Context, result outcome) {
-	for x.tries < x.maxTries() {
+	for x.hasTries() {
 		if x.outlastsStop() {
 			x.giveUp(ctx, result, stoppingReason)
 			return
@@ -152,6 +153,11 @@
 	return x.keyed && !x.server.Lease.Valid()
 }
 
+// hasTries reports whether the bound of tries allows another one.
+func (x *exchange) hasTries() bool {
+	return x.tries-x.spared < x.maxTries()
+}
+
 func (x *exchange) maxTries() int {
 	if x.trial {
 		return 1
--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -43,6 +43,7 @@
 	state   hedgeState
 	timer   *time.Timer
 	pending int                     // runs for which the try stands and that its exchange doesn't count yet
+	runs    int                     // of the exchange and the try
 	unsent  int                     // unsent tries of the exchange before this one
 	beside  *exchange               // of the hedged try that may have the answer, nil if there is none
 	cancel  context.CancelCauseFunc // ends it
@@ -57,7 +58,7 @@
 	x.heardNow()
 	x.identity() // A hedged try reads it.
 	bounded, end := context.WithCancelCause(ctx)
-	h = &hedge{exchange: x, ctx: ctx, end: end, pending: runs, unsent: x.unsent}
+	h = &hedge{exchange: x, ctx: ctx, end: end, pending: runs, runs: x.runs + runs, unsent: x.unsent}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.timer = time.AfterFunc(timeout, h.begin)
@@ -226,11 +227,13 @@
 	return h.takeSpent(result)
 }
 
-// takeSpent adds the tries of the hedged tries to those of the exchange. It returns the
-// outcome of all.
+// takeSpent adds the tries of the hedged tries to those of the exchange, which has those
+// that were refused to spare. It returns the outcome of all.
 func (h *hedge) takeSpent(result outcome) outcome {
 	x := h.exchange
 	runs, unsent := x.runs, x.unsent-h.unsent
+	beside := h.spent.tries - x.tries
+	x.spared += beside - min(beside, h.spent.runs-h.runs)
 	if result == notRun {
 		h.spent.runs -= h.pending
 	}
--- a/io/front/takeover_test.go
+++ b/io/front/takeover_test.go
@@ -84,3 +84,35 @@
 		t.Errorf("status %d, body %q", code, body)
 	}
 }
+
+// A target is silent and then lost. Until then, tries beside it were refused, and used up all tries of the request.
+func TestRefusalsBesideASilentTargetLeaveTries(t *testing.T) {
+	refused, fine := status(503, "Not-Run: 1\r\n", ""), status(200, "", "fine")
+	lost := after(2500*time.Millisecond, reset)
+	for name, test := range map[string]struct {
+		route plan.Route
+		first func(net.Conn, *http.Request)
+		last  func(net.Conn, *http.Request)
+	}{
+		"before the head": {plan.Route{Kind: plan.Idempotent, Attempts: 2}, lost, fine},
+		"in mid-stream":   {plan.Route{Kind: plan.Stream, Resumable: true, Attempts: 2, MaxGap: 100 * time.Millisecond}, silentAfterBegin(1500 * time.Millisecond), stream(true, 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			shared := startTarget(t, test.first, refused, refused, refused, test.last)
+			w := newFixture(t, test.route, shared, shared, shared, shared, shared, shared)
+			if code, body, _ := w.ask(t, "k"); code != http.StatusOK || shared.count() != 5 {
+				t.Errorf("status %d, body %q after %d requests", code, body, shared.count())
+			}
+		})
+	}
+}
+
+// silentAfterBegin begins a stream and breaks it off after a silence.
+func silentAfterBegin(pause time.Duration) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%sTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: 1\n\n\r\n", request.Header.Get("Id"), streamHeader)
+		time.Sleep(pause)
+		conn.Close()
+	}
+}
--- a/io/front/timing.go
+++ b/io/front/timing.go
@@ -55,5 +55,5 @@
 
 // couldRepeat reports whether the request may be run again.
 func (x *exchange) couldRepeat() bool {
-	return x.route.MayRepeat() && x.runs < x.attempts() && x.tries < x.maxTries()
+	return x.route.MayRepeat() && x.runs < x.attempts() && x.hasTries()
 }
