--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -7,17 +7,10 @@
 	"strings"
 	"sync"
 	"time"
-
-	"kingcuprill/core/plan"
 )
 
-const (
-	// hedgeAgain is the pause after which another try is looked for again.
-	hedgeAgain = 500 * time.Millisecond
-	// takeoverAfter is how long an engine may hold a hedged try without a refusal before
-	// the silent try is ended: two engines must not work on one stream for long.
-	takeoverAfter = 300 * time.Millisecond
-)
+// hedgeAgain is the pause after which another try is looked for again.
+const hedgeAgain = 500 * time.Millisecond
 
 var (
 	// errOvertaken ends a silent try, as a hedged one has the answer.
@@ -38,7 +31,8 @@
 
 // hedge runs further tries of a request beside one whose target is silent. The silent
 // try isn't given up for that. The first of the two that has a part of the answer is the
-// only one to deliver it, and the other one is ended. If no hedged try is possible or all
+// only one to deliver it, and the other one is ended. An engine runs a request from its first
+// token on, so that no two of them run one for longer than the token's way here. If no hedged try is possible or all
 // fail, the silent target has until the deadline.
 type hedge struct {
 	exchange *exchange // of the try; its fields change only while the try doesn't wait
@@ -49,6 +43,7 @@
 	state   hedgeState
 	timer   *time.Timer
 	pending int                     // runs for which the try stands and that its exchange doesn't count yet
+	runs    int                     // of the exchange and the try
 	unsent  int                     // unsent tries of the exchange before this one
 	beside  *exchange               // of the hedged try that may have the answer, nil if there is none
 	cancel  context.CancelCauseFunc // ends it
@@ -63,7 +58,7 @@
 	x.heardNow()
 	x.identity() // A hedged try reads it.
 	bounded, end := context.WithCancelCause(ctx)
-	h = &hedge{exchange: x, ctx: ctx, end: end, pending: runs, unsent: x.unsent}
+	h = &hedge{exchange: x, ctx: ctx, end: end, pending: runs, runs: x.runs + runs, unsent: x.unsent}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.timer = time.AfterFunc(timeout, h.begin)
@@ -232,11 +227,13 @@
 	return h.takeSpent(result)
 }
 
-// takeSpent adds the tries of the hedged tries to those of the exchange. It returns the
-// outcome of all.
+// takeSpent adds the tries of the hedged tries to those of the exchange, which has those
+// that were refused to spare. It returns the outcome of all.
 func (h *hedge) takeSpent(result outcome) outcome {
 	x := h.exchange
 	runs, unsent := x.runs, x.unsent-h.unsent
+	beside := h.spent.tries - x.tries
+	x.spared += beside - min(beside, h.spent.runs-h.runs)
 	if result == notRun {
 		h.spent.runs -= h.pending
 	}
@@ -311,20 +308,3 @@
 func (x *exchange) claimAnswer() bool {
 	return x.behind == nil || x.behind.claim(x)
 }
-
-// claimLater takes the right to answer the caller if an engine doesn't refuse the hedged
-// try for a while after it was sent, as it then works on the stream. stop ends that.
-func (x *exchange) claimLater(after time.Duration) (onSend, stop func()) {
-	service, _ := x.state.Plan.Service(x.service)
-	if x.behind == nil || x.route.Kind != plan.Stream || service.MemoryTokens == 0 {
-		return nil, func() {}
-	}
-	var timer *time.Timer
-	onSend = func() { timer = time.AfterFunc(after, func() { x.claimAnswer() }) }
-	stop = func() {
-		if timer != nil {
-			timer.Stop()
-		}
-	}
-	return onSend, stop
-}
