streamversion: a control VM that has just joined makes unknown streams unsure

What callers saw: nothing yet; found by a test of the way in which a stream without a record is taken up. An entry VM takes it up at the only version that all control VMs have heard of for a minute. Which VMs it asks it learns from their answers, so that one that is out of step, or has just started, may not know a control VM that has joined meanwhile. Targets of a new version may report to that one only.

Cause: the answer to Find says how long a control VM has listened, not for how long those that listen have been all. The class: a word about "all" without its date.

Change: a control VM counts the time that it has listened from the last change of the set of control VMs. It costs nothing where the new control VM is known: that one has listened for less than a minute itself.

Why it works: a change of the set is committed by a majority of the VMs that an older list names. All of the list must answer for a version to count as the only one, and at least one of them knows of the change.

Ruled out: control VMs that stood still. The first event of a stream comes after its target was heard of by a control VM, and the question comes after the caller's take-up; what one that stood still had not heard, another one has, and all are asked.

Before: TestStreamsAreUnknownToAShortListOfControlVMs failed, "version {s v1}, though a control VM that has just joined has heard of another one". After: it passes, with -race.

--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -332,6 +332,7 @@
 			v.Stops.Note(v.Follow.Entries(), now)
 			v.VMState.Quarantine.Expire(now)
 			v.drawer.Observe(now)
+			v.streams.Observe(now)
 		}
 	}
 }
--- a/io/streamversion/server.go
+++ b/io/streamversion/server.go
@@ -25,6 +25,7 @@
 	Log      *slog.Logger
 
 	streams *streamversion.Table
+	list    controlList
 
 	mu      sync.Mutex
 	copying bool
@@ -98,6 +99,11 @@
 	return all[(own+max(1, len(all)/regions))%len(all)], true
 }
 
+// Observe notes which control VMs there are. It is to be called about once a second.
+func (s *Server) Observe(now time.Time) {
+	s.list.unchanged(s.Controls(), now, 0)
+}
+
 // Find answers what is known of a stream, and of the versions of its service.
 func (s *Server) Find(request *vm.FindStreamRequest) *vm.FindStreamResponse {
 	now := time.Now()
@@ -106,6 +112,7 @@
 		return &vm.FindStreamResponse{Found: true, Service: v.Service, Version: v.Version}
 	}
 	versions, listened := s.Heard.Recent(request.GetService(), now)
+	listened = s.list.unchanged(s.Controls(), now, listened)
 	return &vm.FindStreamResponse{Versions: versions, HeardNanoseconds: int64(listened)}
 }
 
