streamversion: a VM that isn't confirmed takes no version for the only one

Control VMs tell of a change among them for a minute. An entry VM that was out of step for longer, and serves a route that needs no key, asks those that it remembers, and takes the only version that they have heard of for that of a stream without a record.

Cause: the list of the control VMs that are asked has no date. Change: the list counts as whole only while the lease is valid, which is far shorter than that minute; records that are found count as before.

Before: TestStreamsAreUnknownToAVMThatIsNotConfirmed failed, "version {s v1}, though this VM may not know all control VMs". After: it passes, with -race.

--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -126,7 +126,7 @@
 		address, found := v.neighbour()
 		return peers.VM.Dial(address), found
 	}
-	v.front.Streams = streamversion.NewClient(peers, v.client.Controls, v.client.Polled, v.vmCount.Load, o.Log)
+	v.front.Streams = streamversion.NewClient(peers, v.client.Controls, v.client.Polled, v.vmCount.Load, v.lease.Valid, o.Log)
 	v.front.Coordinators.OnLimits = func(limits []place.TargetLimit) { v.placer.LearnLimits(limits, time.Now()) }
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, o.Log)
 	return v
--- a/io/front/versions_test.go
+++ b/io/front/versions_test.go
@@ -160,7 +160,7 @@
 // taken up for as long as it lives.
 func TestLongStreamsStayKnown(t *testing.T) {
 	now := time.Now()
-	known := streamversion.NewClient(peer.NewUnsigned("vm"), func() []string { return nil }, func() []string { return nil }, func() int64 { return 1 }, slog.New(slog.DiscardHandler))
+	known := streamversion.NewClient(peer.NewUnsigned("vm"), func() []string { return nil }, func() []string { return nil }, func() int64 { return 1 }, func() bool { return true }, slog.New(slog.DiscardHandler))
 	x := &exchange{server: &Server{Streams: known}, route: resumable}
 	x.origin.id = "7"
 	x.answering = &corestream.Version{Service: "s", Version: "v1"}
--- a/io/streamversion/client.go
+++ b/io/streamversion/client.go
@@ -49,6 +49,9 @@
 	All      func() []string
 	// VMs returns the number of entry VMs.
 	VMs func() int64
+	// Confirmed reports whether a control VM has confirmed the state of this VM lately, and
+	// so All.
+	Confirmed func() bool
 	Log *slog.Logger
 
 	own      *streamversion.Table // streams that callers have begun at this VM
@@ -60,9 +63,9 @@
 }
 
 // NewClient returns a client for an entry VM without streams.
-func NewClient(peers *peer.Peers, controls, all func() []string, vms func() int64, log *slog.Logger) *Client {
+func NewClient(peers *peer.Peers, controls, all func() []string, vms func() int64, confirmed func() bool, log *slog.Logger) *Client {
 	return &Client{
-		Peers: peers, Controls: controls, All: all, VMs: vms, Log: log, own: streamversion.NewTable(),
+		Peers: peers, Controls: controls, All: all, VMs: vms, Confirmed: confirmed, Log: log, own: streamversion.NewTable(),
 		searches: make(chan struct{}, maxSearches), pending: map[streamversion.Version][]streamversion.Key{},
 	}
 }
@@ -152,6 +155,7 @@
 func (c *Client) search(ctx context.Context, key streamversion.Key, service string) (v streamversion.Version, found bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
+	confirmed := c.Confirmed() // before All is read
 	addresses := c.All()
 	answers := make(chan *vm.FindStreamResponse, len(addresses))
 	for _, address := range addresses {
@@ -163,7 +167,7 @@
 			answers <- answer
 		}()
 	}
-	only := soleVersion{}
+	only := soleVersion{unsure: !confirmed}
 	for range addresses {
 		answer := <-answers
 		if answer.GetFound() {
--- a/io/streamversion/shortlist_test.go
+++ b/io/streamversion/shortlist_test.go
@@ -29,3 +29,22 @@
 		t.Errorf("version %v, though a control VM that has just joined has heard of another one", v)
 	}
 }
+
+// An entry VM that was out of step for longer than control VMs tell of a change asks only
+// those that it remembers.
+func TestStreamsAreUnknownToAVMThatIsNotConfirmed(t *testing.T) {
+	controls, all := startControls(t, 2)
+	for _, c := range controls {
+		c.Heard = streamversion.NewHeard(time.Now().Add(-time.Hour))
+		c.Heard.Note(v1, time.Now())
+	}
+	entry := newClient(all)
+	entry.Confirmed = func() bool { return false }
+	if v, found := entry.Find(t.Context(), "a", "s"); found {
+		t.Errorf("version %v, though this VM may not know all control VMs", v)
+	}
+	entry.Record("a", v1)
+	if v, found := entry.Find(t.Context(), "a", "s"); !found || v != v1 {
+		t.Errorf("version %v, found %v, though this VM has recorded the stream", v, found)
+	}
+}
--- a/io/streamversion/streamversion_test.go
+++ b/io/streamversion/streamversion_test.go
@@ -48,7 +48,7 @@
 }
 
 func newClient(addresses func() []string) *Client {
-	return NewClient(peer.NewUnsigned("entry"), addresses, addresses, func() int64 { return 1 }, slog.New(slog.DiscardHandler))
+	return NewClient(peer.NewUnsigned("entry"), addresses, addresses, func() int64 { return 1 }, func() bool { return true }, slog.New(slog.DiscardHandler))
 }
 
 var v1 = streamversion.Version{Service: "s", Version: "v1"}
