controlvm: a version is heard of before its target can be used

What callers saw: nothing yet. A control VM published the registration of a target, and noted only then that its version is in use. Between the two an entry VM could begin a stream there which broke off at once, and the control VM answered that one version is in use. No way is known to make this gap longer than a pause of a goroutine.

Change: the version is noted first, and that of the merged row after it, as before.

Before: TestVersionIsHeardBeforeTheTargetIsUsed failed, "version v2 is published while only [v1] have been heard of". After: it passes, with -race.

--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -189,12 +189,11 @@
 
 // Report records a heartbeat of a target.
 func (v *VM) Report(report instance.Registration) {
+	v.hear(report) // first, as entry VMs may use the target as soon as the registry has it
 	v.registryMu.Lock()
 	merged, changed := v.registry.Report(report)
 	v.registryMu.Unlock()
-	if merged.Service != "" {
-		v.streams.Heard.Note(corestream.Version{Service: merged.Service, Version: merged.Version}, time.Now())
-	}
+	v.hear(merged)
 	v.Metrics.Count("reports")
 	if changed {
 		v.Log.Info("registration of a target has changed", "target", merged.ID, "service", merged.Service, "version", merged.Version, "state", merged.State.String(),
@@ -202,6 +201,13 @@
 	}
 }
 
+// hear notes that the version of a target is in use.
+func (v *VM) hear(row instance.Registration) {
+	if row.Service != "" {
+		v.streams.Heard.Note(corestream.Version{Service: row.Service, Version: row.Version}, time.Now())
+	}
+}
+
 // Registered returns the registry's row of a target.
 func (v *VM) Registered(id string) (row instance.Registration, found bool) {
 	return v.registry.Table.Get(id)
