front: a forwarded stream keeps the service that was chosen for it

A VM forwards a stream to another region, whose VM has another plan, older or newer. That one chooses the service by its own plan and answers with the version of the target. The first VM records its own service with that version, and the rest of the stream goes to a target of that service.

Cause: two VMs decide the same thing, each from its own plan, and only half of the decision is told. The class: a word that is acted on without what it rests on.

Change: a VM names its service with each request that it forwards, in the header that named it with a begun stream. The VM that answers uses it if its own route leads there. If not, it serves by its own plan, but names no version: the stream isn't recorded then and can't go on. A begun stream is refused there, as before.

Beside the build before: it knows the header, reads it with a begun stream only, and passes it on to nobody; it answers as it did, so that the fault remains where such a VM answers. Requests without the header are served as before.

Before: TestForwardedStreamsAreRecordedWithTheirService failed: "recorded as begun by {s v1}: true; service other began it", and with other weights the stream ran at "other". After: it passes, and all of io/front with -race.

--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -57,8 +57,8 @@
 	hopRuns   = "Kc-Hop-Runs" // number of the route's attempts that the receiver may use
 	hopNotRun = "Kc-Hop-Not-Run"
 	hopTrial  = "Kc-Hop-Trial" // the receiver runs the request as a trial
-	// hopVersion and hopService are the version of the targets that have begun the answer,
-	// and their service. Answers carry the version, too.
+	// hopVersion is the version of the targets that have begun the answer, and hopService the
+	// service that the sender has chosen. Answers carry the version, too.
 	hopVersion = "Kc-Hop-Version"
 	hopService = "Kc-Hop-Service"
 )
--- a/io/front/version.go
+++ b/io/front/version.go
@@ -17,12 +17,18 @@
 	known    bool
 	id       string    // of the request that began the stream, which callers name when they take it up
 	recorded time.Time // last time that the version was recorded
+	// otherService is set if the VM that forwards the request has chosen another service.
+	// It must not take the version for one of that service.
+	otherService bool
 }
 
 // takeUp finds the version of a stream that the caller takes up again. The request is
 // refused if it isn't known: another version may write something else.
 func (x *exchange) takeUp(ctx context.Context) *refusal {
 	x.origin.id = x.id
+	if x.from != "" {
+		x.takeService()
+	}
 	if x.route.Kind != plan.Stream {
 		return nil
 	}
@@ -49,6 +55,16 @@
 	return nil
 }
 
+// takeService takes the service that the entry VM has chosen which forwards the request. A VM
+// with another plan may not let the route lead there.
+func (x *exchange) takeService() {
+	service := x.header.Get(hopService)
+	x.origin.otherService = service != "" && !x.route.LeadsTo(service)
+	if service != "" && !x.origin.otherService {
+		x.service = service
+	}
+}
+
 // takeUpForwarded takes the version of a stream from the entry VM that forwards the
 // request.
 func (x *exchange) takeUpForwarded() *refusal {
@@ -59,12 +75,10 @@
 	if !known {
 		return nil
 	}
-	service := x.header.Get(hopService)
-	if !x.route.LeadsTo(service) {
+	if service := x.header.Get(hopService); x.service != service {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "stream_service_unknown", notRun: true}
 	}
-	x.origin.Version, x.origin.known = streamversion.Version{Service: service, Version: versions[0]}, true
-	x.service = service
+	x.origin.Version, x.origin.known = streamversion.Version{Service: x.service, Version: versions[0]}, true
 	return nil
 }
 
@@ -99,11 +113,12 @@
 	return x.hasLast && x.origin.known
 }
 
-// addOrigin adds the version of a begun stream to a request that is forwarded.
+// addOrigin adds the service, and the version of a begun stream, to a request that is
+// forwarded.
 func (x *exchange) addOrigin(header http.Header) {
+	header[hopService] = []string{x.service}
 	if x.origin.known {
 		header[hopVersion] = []string{x.origin.Version.Version}
-		header[hopService] = []string{x.service}
 	}
 }
 
@@ -120,7 +135,7 @@
 // setOrigin tells an entry VM that has forwarded the request the version of the answer.
 // Callers don't get it.
 func (x *exchange) setOrigin(header http.Header) {
-	if x.from != "" && x.origin.known {
+	if x.from != "" && x.origin.known && !x.origin.otherService {
 		header[hopVersion] = []string{x.origin.Version.Version}
 	}
 }
