front: an unknown stream is looked for at the service that began it

A route splits its requests over services by the id of each request. A caller takes a stream up whose record was lost or is late, with a new id. The VM asked for the only version of the service that the new id leads to, and took the rest there, though another service had begun the stream.

Cause: a fact about the first request was derived from the second one. Change: the service is that of the id which the caller names.

Before: TestUnknownStreamsStayAtTheirService failed for 5 of 8 streams, "stream begun0 of service s: version of [other] asked for". After: it passes, with -race.

Open: where the route was moved to another service since the stream began, the new one is asked for. The rest is then of another service, at its only version.

--- a/io/front/service_test.go
+++ b/io/front/service_test.go
@@ -1,8 +1,12 @@
 package front
 
 import (
+	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +16,7 @@
 	"kingcuprill/core/plan"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/streamversion"
+	rpc "kingcuprill/rpc/vm"
 )
 
 // lead makes the fixture's route lead to services, and registers a target of each.
@@ -78,3 +83,38 @@
 		t.Errorf("status %d, sent %d times", response.StatusCode, s.count())
 	}
 }
+
+// soleControl is a control VM that knows no stream and has heard of one version only.
+type soleControl struct {
+	rpc.VM
+
+	asked []string // services
+}
+
+func (c *soleControl) FindStream(_ context.Context, request *rpc.FindStreamRequest) (*rpc.FindStreamResponse, error) {
+	c.asked = append(c.asked, request.GetService())
+	return &rpc.FindStreamResponse{Versions: []string{"v1"}, HeardNanoseconds: int64(time.Hour)}, nil
+}
+
+// A caller takes a stream without a record up on a route that leads to two services. The
+// repetition may be due to another service than the request that began the stream.
+func TestUnknownStreamsStayAtTheirService(t *testing.T) {
+	targets := map[string]*target{"s": startTarget(t, breakingStream), "other": startTarget(t, breakingStream)}
+	w := newFixture(t, resumable)
+	w.lead(targets, plan.Split{Service: "s", Weight: 1}, plan.Split{Service: "other", Weight: 1})
+	route := w.server.State.Read().Plan.Plan.Routes[0]
+	w.server.Headers.Resumes = "Resumes"
+	control := &soleControl{}
+	web := httptest.NewServer(rpc.NewVMServer(control))
+	t.Cleanup(web.Close)
+	all := func() []string { return []string{web.Listener.Addr().String()} }
+	w.server.Streams = streamversion.NewClient(peer.NewUnsigned("vm"), all, all, func() int64 { return 1 }, func() bool { return true }, slog.New(slog.DiscardHandler))
+	for i := range 8 {
+		begun := fmt.Sprint("begun", i)
+		control.asked = nil
+		w.ask(t, "k", "Last-Event-Id", "2", "Resumes", begun)
+		if want := route.Choose(begun); !slices.Equal(control.asked, []string{want}) {
+			t.Errorf("stream %s of service %s: version of %v asked for", begun, want, control.asked)
+		}
+	}
+}
--- a/io/front/version.go
+++ b/io/front/version.go
@@ -43,7 +43,7 @@
 	if x.server.Streams == nil {
 		return unknown
 	}
-	version, found := x.server.Streams.Find(ctx, x.origin.id, x.service)
+	version, found := x.server.Streams.Find(ctx, x.origin.id, x.route.Choose(x.origin.id))
 	if !found || !x.route.LeadsTo(version.Service) {
 		x.server.Log.Warn("stream can't be taken up, as the version that began it is not known", "request", x.id, "begun_by", x.origin.id, "service", x.service, "begun_at", version.Service)
 		return unknown
