follow: a silent control VM is kept while others name it

A control VM that isn't in the settings, as one that has come in place of another, is forgotten after 30 s of silence, and known again with the next answer of another one, up to 2 s later. In between, streams without a record were taken up at the only version that the others had heard of. Targets of a new version may report to the silent one.

Cause: silence towards one VM was taken for the end of a control VM. Change: it is kept as long as a control VM that answers names it. One that was removed is named by none soon.

Before: TestSilentControlVMIsKeptWhileOthersNameIt failed, "a control VM that another one names is forgotten". After: it passes, 5 of 5. io/follow with -race: in one of two runs, on a busy machine, TestCatalogueComesOnce failed ("the far control VM has sent 1 catalogues", it has 250 ms); it passed 8 of 8 alone, with this change and without it.

--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -76,6 +76,7 @@
 	reports   map[string]report              // by control VM
 	reachable []string                       // addresses of the control VMs that answer, those of this region first
 	near      map[string]bool                // addresses of the control VMs of this region
+	named     map[string][]string            // addresses of all control VMs, by the one that has named them
 }
 
 // Run starts goroutines in the tomb that poll the control VMs until it dies. The
@@ -91,6 +92,7 @@
 	c.entries = map[string]map[string]entry.VM{}
 	c.reports = map[string]report{}
 	c.near = map[string]bool{}
+	c.named = map[string][]string{}
 	c.seeds = seeds
 	c.startPolls(seeds)
 	t.Go(c.refresh)
@@ -182,23 +184,29 @@
 	return nil
 }
 
-// drop stops the polls of a control VM if it isn't in the settings and has been
-// silent for dropAfter. It reports whether it has stopped them.
+// drop stops the polls of a control VM if it isn't in the settings, no control VM that
+// answers names it, and it has been silent for dropAfter. It reports whether it has stopped them.
 func (c *Client) drop(address string, reached time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if slices.Contains(c.seeds, address) || time.Since(reached) < dropAfter {
+	if slices.Contains(c.seeds, address) || time.Since(reached) < dropAfter || c.isNamed(address) {
 		return false
 	}
 	c.polls[address]()
 	delete(c.polls, address)
 	delete(c.entries, address)
 	delete(c.reports, address)
+	delete(c.named, address)
 	c.fleet.Forget(address)
 	c.Log.Warn("control VM has been silent for too long and is not in the settings; it is not polled any more", "control", address, "silent", time.Since(reached))
 	return true
 }
 
+// isNamed reports whether a control VM that answers names one. The caller holds mu.
+func (c *Client) isNamed(address string) bool {
+	return slices.ContainsFunc(c.reachable, func(other string) bool { return slices.Contains(c.named[other], address) })
+}
+
 // pollOnce sends one poll to a control VM and applies the answer.
 func (c *Client) pollOnce(ctx context.Context, address string, seen *cursor) error {
 	c.mu.Lock()
@@ -286,7 +294,8 @@
 	}
 	seen.epoch, seen.targets, seen.entries = answer.GetEpoch(), answer.GetTargetsVersion(), answer.GetEntriesVersion()
 	seen.crashes = answer.GetCrashesVersion()
-	c.startPolls(answer.GetControlAddresses())
+	c.named[address] = answer.GetControlAddresses()
+	c.startPolls(c.named[address])
 	return nil
 }
 
