--- a/io/streamversion/client.go
+++ b/io/streamversion/client.go
@@ -52,7 +52,7 @@
 	// Confirmed reports whether a control VM has confirmed the state of this VM lately, and
 	// so All.
 	Confirmed func() bool
-	Log *slog.Logger
+	Log       *slog.Logger
 
 	own      *streamversion.Table // streams that callers have begun at this VM
 	searches chan struct{}
