Let targets that read late keep their connection

What callers saw: 502, or a begun answer that broke off, for a request with a long body whose target was sound, acknowledged all that it had room for and read on later than 3 s.

Cause: TCP_USER_TIMEOUT (3 s) on connections to targets. Linux ends a connection with it also while the peer's window is closed and its probes are answered.

Ruled out: no library in use sets the option; io/peer has probes and doesn't either, as its test checks.

Change: the option is gone. The time of a request bounds its connection, and a hedged try runs beside a target that doesn't answer. What that costs: a call that may run once, sent to a target that has vanished without a reset, ends at its deadline and no longer after 3 s.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -206,6 +206,8 @@
 	return dialed, nil
 }
 
+// dial opens a connection, which has neither probes nor a time in which sent bytes must be
+// acknowledged: a peer that reads on late is sound. The time of each request bounds it.
 func (c *Client) dial(ctx context.Context, peer, address string) (*conn, error) {
 	if c.DialAddress != nil {
 		address = c.DialAddress(address)
@@ -218,7 +220,6 @@
 	if err != nil {
 		return nil, err
 	}
-	setSocketOptions(raw)
 	if c.Dialed != nil {
 		c.Dialed()
 	}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -9,8 +9,6 @@
 	"os"
 	"sync"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -18,9 +16,6 @@
 	writeBuffer = 4 << 10 // bytes
 	// maxHead bounds the head of an answer, with the informational ones before it.
 	maxHead = 256 << 10 // bytes
-	// ackTimeout is how long sent bytes may stay without a TCP acknowledgement
-	// before the connection counts as broken.
-	ackTimeout = 3 * time.Second
 )
 
 // ErrResponseMismatch is the error of a response that echoes the id of another
@@ -155,20 +150,3 @@
 func isTimeout(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
-
-// setSocketOptions sets the TCP options of a new connection.
-func setSocketOptions(raw net.Conn) {
-	tcp, is := raw.(*net.TCPConn)
-	if !is {
-		return
-	}
-	system, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	// An error is ignored: the option only shortens the wait for a peer that has
-	// stopped answering; the timeouts of the requests hold without it.
-	_ = system.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-	})
-}
