Ask another VM of a region when one refuses for itself

What callers saw: 503 for a request that its own region could not run, while the VM of another region that was asked was stopping, had lost its links, had no confirmed configuration or was gone, and its neighbours would have served it.

Cause: one VM of each region is asked, and its refusal was taken for that of its region; for an unconfirmed configuration the whole region was left out for a while (regions in backoff). Class: what a machine says of itself is taken for what holds around it.

Evidence: TestRefusalsOfOneVMAreNotThoseOfItsRegion failed for all four reasons, TestGoneVMsAreNotTheirRegion for a closed port. Ruled out: refusals for the region (slow) and for the request (quarantined), which still end the search there.

Change: a VM that refuses for itself, or can't be reached, is left out alone, and another one of its region is asked, two at most (TestFewVMsOfARegionAreAsked). VMs without links use the same search in place of a second one.

Measured: these tests pass with the race detector.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -50,9 +50,10 @@
 	spared   int // refused while another target was silent, to which maxTries doesn't apply
 	runs     int // of these, the ones that may have run
 	excluded []string
-	target   string // of the last try
-	begun    bool   // part of an answer has been sent to the caller
-	last     int64  // id of the last event delivered
+	outOfUse []string // entry VMs that can't serve the request
+	target   string   // of the last try
+	begun    bool     // part of an answer has been sent to the caller
+	last     int64    // id of the last event delivered
 	hasLast  bool
 	stay     bool          // the home region of the shared part has refused the request
 	failure  *failedAnswer // of a target, sent if no later try succeeds
--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -124,7 +124,7 @@
 // fork returns the exchange of a hedged try: a copy that counts all tries so far.
 func (h *hedge) fork() *exchange {
 	y := *h.exchange
-	y.behind, y.progress, y.excluded = h, answerProgress{}, slices.Clone(y.excluded)
+	y.behind, y.progress, y.excluded, y.outOfUse = h, answerProgress{}, slices.Clone(y.excluded), slices.Clone(y.outOfUse)
 	y.runs += h.pending
 	if h.spent != nil {
 		y.takeTries(h.spent)
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		excluded := func(v entry.VM) bool {
-			return v.WithoutTargets || v.ID == x.silentVM || x.server.partners.InBackoff(v.ID, now)
+			return v.WithoutTargets || v.ID == x.silentVM || slices.Contains(x.outOfUse, v.ID) || x.server.partners.InBackoff(v.ID, now)
 		}
 		partner, found := entry.Partner(x.server.Self, known, region, excluded)
 		if found {
@@ -73,16 +73,33 @@
 // forward sends the request to entry VMs of other regions, one after the other. reason
 // says why no target of this region was selected. forward returns false if none has
 // answered the caller.
+//
+// What a VM says of itself says nothing about its region: another VM there is asked then.
 func (x *exchange) forward(ctx context.Context, reason place.Reason, result *outcome) bool {
-	for _, v := range x.forwardCandidates(reason) {
-		if x.runs > 0 && !x.mayTryAgain(ctx, *result) || !x.takeRetry(x.placement(time.Now())) {
-			break
+	asked := map[string]int{} // VMs, by region; maxNeighbours for one that has answered for its region
+	for {
+		v, found := x.nextVM(reason, asked)
+		if !found || x.runs > 0 && !x.mayTryAgain(ctx, *result) || !x.takeRetry(x.placement(time.Now())) {
+			return false
 		}
 		if *result = x.forwardTo(ctx, v); *result == delivered {
 			return true
 		}
+		asked[v.Region]++
+		if !slices.Contains(x.outOfUse, v.ID) {
+			asked[v.Region] = maxNeighbours
+		}
+	}
+}
+
+// nextVM returns the entry VM of another region that is asked next.
+func (x *exchange) nextVM(reason place.Reason, asked map[string]int) (next entry.VM, found bool) {
+	for _, v := range x.forwardCandidates(reason) {
+		if asked[v.Region] < maxNeighbours {
+			return v, true
+		}
 	}
-	return false
+	return entry.VM{}, false
 }
 
 // forwardedRuns returns the number of runs that another region may use. If several
@@ -120,6 +137,16 @@
 	return after >= minTryTimeout || time.Now().Before(x.deadline)
 }
 
+// reasonsOfOneVM are reasons of refusals by an entry VM that say nothing about its region.
+var reasonsOfOneVM = []string{linksReason, stoppingReason, notConfirmed, noConfiguration}
+
+// leaveOut sends no more of this request, and for a while nothing, to an entry VM that can't
+// serve it.
+func (x *exchange) leaveOut(v entry.VM) {
+	x.outOfUse = append(x.outOfUse, v.ID)
+	x.server.partners.Refused(v.ID, time.Now())
+}
+
 // tryVM sends the request to an entry VM and delivers the answer.
 func (x *exchange) tryVM(ctx context.Context, h *hedge, v entry.VM, header http.Header) outcome {
 	begun := time.Now()
@@ -127,7 +154,7 @@
 	if err != nil {
 		h.leave()
 		if x.blamesVM(err, time.Since(begun)) {
-			x.server.partners.Refused(v.ID, time.Now())
+			x.leaveOut(v)
 		}
 		return x.recordConnectionError(err, x.forwardedRuns())
 	}
@@ -136,9 +163,10 @@
 		h.leave()
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		if reason == linksReason || reason == stoppingReason {
-			x.server.partners.Refused(v.ID, time.Now())
-		} else if reason != quarantinedReason && reason != suspectReason && v.Region != x.server.Region {
+		switch {
+		case slices.Contains(reasonsOfOneVM, reason):
+			x.leaveOut(v)
+		case reason != quarantinedReason && reason != suspectReason && v.Region != x.server.Region:
 			x.server.regions.Refused(regionRoute{v.Region, x.route.Name}, time.Now())
 		}
 		x.server.Log.Info("entry VM has refused the forwarded request without running it", "request", x.id, "vm", v.ID, "reason", reason)
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -55,7 +55,7 @@
 // whether the request has ended.
 func (x *exchange) goAround(ctx context.Context, result *outcome) (ended bool) {
 	x.server.Metrics.Count("links.around")
-	for _, v := range append(x.neighbours(), x.forwardCandidates(place.NoTargets)...) {
+	for _, v := range x.neighbours() {
 		if x.runs > 0 && !x.mayTryAgain(ctx, *result) || !x.takeRetry(x.placement(time.Now())) {
 			break
 		}
@@ -63,6 +63,9 @@
 			return true
 		}
 	}
+	if x.forward(ctx, place.NoTargets, result) {
+		return true
+	}
 	if !x.server.Links.Lost() {
 		return false
 	}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -90,6 +90,8 @@
 	retryAfterDivisor = 3
 	// notConfirmed is the reason of refusals without a confirmed configuration.
 	notConfirmed = "configuration_not_confirmed"
+	// noConfiguration is the reason of refusals before the first configuration.
+	noConfiguration = "no_configuration"
 )
 
 // Running returns the number of requests that are being served.
@@ -161,7 +163,7 @@
 	state := s.State.Read()
 	if state.Plan == nil {
 		x.deadline = x.arrived.Add(s.Headers.timeLeft(x.caller.Header, defaultTimeLeft))
-		return x.configurationRefusal("no_configuration")
+		return x.configurationRefusal(noConfiguration)
 	}
 	x.state = state
 	x.header = x.caller.Header
