Serve no forwarded request by a plan that isn't confirmed

Cause: a forwarded request was served by the receiver's plan, however old. The lease was asked for keys only.

Change: the receiver refuses a forwarded request, not run, while its lease has run out; the sender leaves that VM, not its region, for a while. It also reads, from now on, the revision that the sender goes by, waits for it for at most 250 ms, and refuses then. Until then, a receiver that was cut off serves by its old plan for as long as its lease lasts.

Before: TestForwardedRequestsAreNotServedByAnUnconfirmedPlan and "older" of TestForwardedRequestsAreNotServedByAnOlderPlan were answered by the old plan's target. The check of refusals that are no backoff for a region has one reason more.

--- /dev/null
+++ b/io/front/behind.go
@@ -0,0 +1,41 @@
+package front
+
+import (
+	"context"
+	"strconv"
+	"time"
+)
+
+// revisionWait is how long a forwarded request waits for the configuration that the VM
+// which has forwarded it goes by. All VMs usually get one within that time.
+const revisionWait = 250 * time.Millisecond
+
+// caughtUp reports whether this VM may act for the one that has forwarded the request: its
+// configuration is confirmed, and not older than that VM's.
+func (x *exchange) caughtUp() bool {
+	if x.from == "" {
+		return true
+	}
+	revision, err := strconv.ParseUint(x.caller.Header.Get(hopRevision), 10, 64)
+	if err == nil && !x.awaitRevision(revision) {
+		return false
+	}
+	return x.server.Lease.Valid()
+}
+
+// awaitRevision waits for a configuration. It reports whether this VM has it or a newer one.
+func (x *exchange) awaitRevision(revision uint64) bool {
+	bounded, cancel := context.WithTimeout(x.caller.Context(), revisionWait)
+	defer cancel()
+	for {
+		changed := x.server.State.Changed()
+		if x.server.State.Read().Revision >= revision {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-bounded.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/io/front/forwarded_test.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"kingcuprill/core/entry"
+	"kingcuprill/core/place"
+	"kingcuprill/core/plan"
+	"kingcuprill/core/watch"
+)
+
+// A VM that was cut off served forwarded requests by its old plan, on routes without a key.
+func TestForwardedRequestsAreNotServedByAnUnconfirmedPlan(t *testing.T) {
+	route := plan.Route{Kind: plan.Idempotent, Attempts: 1, Open: true}
+	stale, fresh := startTarget(t, status(200, "", "stale")), startTarget(t, status(200, "", "fresh"))
+	behind, abreast, here := newFixture(t, route, stale), newFixture(t, route, fresh), newFixture(t, route)
+	behind.leased.Store(-int64(time.Second))
+	vms := []entry.VM{}
+	for id, w := range map[string]*fixture{"behind": behind, "abreast": abreast} {
+		web := httptest.NewServer(http.HandlerFunc(w.server.ServeForwarded))
+		t.Cleanup(web.Close)
+		vms = append(vms, entry.VM{ID: id, Region: id, PeerAddress: web.Listener.Addr().String(), Ready: true})
+	}
+	here.server.Entries.Store(&vms)
+	here.server.Placer.SetRemote([]place.Remote{
+		{Service: "s", DataCentre: "behind", Region: "behind", Targets: 9}, {Service: "s", DataCentre: "abreast", Region: "abreast", Targets: 1},
+	})
+	if code, body, _ := here.ask(t, ""); code != 200 || body != "fresh" {
+		t.Errorf("status %d, %q", code, body)
+	}
+	if stale.count() > 0 || !here.server.partners.InBackoff("behind", time.Now()) {
+		t.Errorf("%d requests by the plan that isn't confirmed; it must be left for a while", stale.count())
+	}
+}
+
+// A forwarded request was served by an older plan than that of the VM that took it.
+func TestForwardedRequestsAreNotServedByAnOlderPlan(t *testing.T) {
+	const sender = 3 // revision
+	for name, test := range map[string]struct {
+		revision uint64
+		sender   string
+		code     int
+	}{
+		"as new":              {revision: sender, sender: "3", code: 200},
+		"newer":               {revision: sender + 1, sender: "3", code: 200},
+		"older":               {revision: sender - 1, sender: "3", code: 503},
+		"sender doesn't tell": {revision: sender - 1, code: 200},
+		"not a number":        {revision: sender - 1, sender: "x", code: 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startTarget(t, status(200, "", "fine"))
+			w := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1, Open: true}, s)
+			w.server.State.Update(func(old *State) *State { return &State{Plan: old.Plan, Revision: test.revision} })
+			request := w.request(t.Context(), t, "k", hopFrom, "vm", hopRevision, test.sender)
+			request.RequestURI = "/a/x"
+			answer := httptest.NewRecorder()
+			w.server.ServeForwarded(answer, request)
+			if answer.Code != test.code || fmt.Sprint(s.count()) != map[int]string{200: "1", 503: "0"}[test.code] {
+				t.Errorf("status %d, %d requests at the target", answer.Code, s.count())
+			}
+			if answer.Code != 200 && answer.Header().Get(hopNotRun) != notConfirmed {
+				t.Errorf("refused as %q", answer.Header().Get(hopNotRun))
+			}
+		})
+	}
+}
+
+// Requests were refused while a new plan was on its way to the VM that they were forwarded to.
+func TestForwardedRequestsWaitForANewPlan(t *testing.T) {
+	for after, want := range map[time.Duration]bool{0: true, revisionWait / 2: true, 2 * revisionWait: false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &Server{State: watch.NewValue(&State{Revision: 1})}
+			x := &exchange{server: s, caller: httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)}
+			for step := range 2 {
+				revision := uint64(2 + step)
+				time.AfterFunc(after+time.Duration(step), func() { s.State.Update(func(*State) *State { return &State{Revision: revision} }) })
+			}
+			if got := x.awaitRevision(3); got != want {
+				t.Errorf("a plan that comes after %v: %v, want %v", after, got, want)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -520,9 +520,9 @@
 }
 
 // A region still gets requests when one of its VMs has refused one as it crashes targets, or
-// as that VM stops.
+// as that VM stops or isn't confirmed.
 func TestRefusalsThatAreNotOfTheRegionAreNoBackoff(t *testing.T) {
-	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, stoppingReason: false, "slow": true} {
+	for reason, backoff := range map[string]bool{suspectReason: false, quarantinedReason: false, stoppingReason: false, notConfirmed: false, "slow": true} {
 		there := startTarget(t, status(503, hopNotRun+": "+reason+"\r\n", ""))
 		here := newFixture(t, plan.Route{Kind: plan.Idempotent, Attempts: 1})
 		here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -61,6 +61,9 @@
 	// and their service. Answers carry the version, too.
 	hopVersion = "Kc-Hop-Version"
 	hopService = "Kc-Hop-Service"
+	// hopRevision is the revision of the configuration that the sender goes by. It is read
+	// only, until the builds beside this one read it too.
+	hopRevision = "Kc-Hop-Revision"
 )
 
 var hopByHop = map[string]bool{
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -140,7 +140,7 @@
 		h.leave()
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
-		if reason == linksReason || reason == stoppingReason {
+		if reason == linksReason || reason == stoppingReason || reason == notConfirmed {
 			x.server.partners.Refused(v.ID, time.Now())
 		} else if reason != quarantinedReason && reason != suspectReason && v.Region != x.server.Region {
 			x.server.regions.Refused(regionRoute{v.Region, x.route.Name}, time.Now())
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -158,13 +158,17 @@
 // admit finds the route and authenticates the caller.
 func (x *exchange) admit() *refusal {
 	s := x.server
+	x.deadline = x.arrived.Add(s.Headers.timeLeft(x.caller.Header, defaultTimeLeft))
+	caughtUp := x.caughtUp()
 	state := s.State.Read()
 	if state.Plan == nil {
-		x.deadline = x.arrived.Add(s.Headers.timeLeft(x.caller.Header, defaultTimeLeft))
 		return x.configurationRefusal("no_configuration")
 	}
 	x.state = state
 	x.header = x.caller.Header
+	if !caughtUp {
+		return x.configurationRefusal(notConfirmed)
+	}
 	host := x.caller.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -172,7 +176,6 @@
 	// A refusal needs a confirmed configuration too: the route or the key may be
 	// new.
 	confirmed := s.Lease.Valid()
-	x.deadline = x.arrived.Add(s.Headers.timeLeft(x.header, defaultTimeLeft))
 	route, found := state.Plan.Match(host, x.caller.URL.Path)
 	if !found && !confirmed {
 		return x.configurationRefusal(notConfirmed)
