--- a/io/controlvm/membership_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -1,4 +1,4 @@
-package controlvm
+package replicaset
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	"kingcuprill/core/raft"
 )
 
-func TestNextChange(t *testing.T) {
+func TestNext(t *testing.T) {
 	leader := func(voters, learners []string, silent map[string]int) raft.Status {
 		status := raft.Status{
 			Role: raft.Leader, LastIndex: 100, Membership: raft.Membership{Voters: voters, Learners: learners},
@@ -43,9 +43,9 @@
 		{"hears a leader", raft.Status{Membership: raft.Membership{Voters: []string{"a", "b"}}}, 0, "", ""},
 	}
 	for _, test := range tests {
-		change, wanted := nextChange(test.status, "a", 3, test.sinceLeader)
-		if wanted != (test.action != "") || (wanted && (change.action != test.action || change.id != test.id)) {
-			t.Errorf("%s: %v %v %q, want %q %q", test.name, wanted, change.action, change.id, test.action, test.id)
+		change, wanted := Next(test.status, "a", 3, test.sinceLeader)
+		if wanted != (test.action != "") || (wanted && (change.Action != test.action || change.ID != test.id)) {
+			t.Errorf("%s: %v %v %q, want %q %q", test.name, wanted, change.Action, change.ID, test.action, test.id)
 		}
 	}
 }
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +24,7 @@
 	"kingcuprill/core/instance"
 	"kingcuprill/core/membership"
 	"kingcuprill/core/raft"
+	"kingcuprill/core/replicaset"
 	corestream "kingcuprill/core/streamversion"
 	"kingcuprill/core/vmstate"
 	"kingcuprill/io/disk"
@@ -107,7 +107,7 @@
 	v.addControlVMs(c.Seeds)
 	v.replica = replica.New(replica.Options{
 		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tickInterval,
-		Transport: &replica.Sender{Address: addressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
+		Transport: &replica.Sender{Address: replicaset.AddressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
 		Published: v.publish,
 	})
 	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica}
@@ -132,7 +132,7 @@
 		identity = disk.Identity{ClusterID: clusterID, VM: c.PeerAddress}
 		first := raft.Membership{Voters: c.Seeds}
 		if !c.FirstStart || !slices.Contains(c.Seeds, c.PeerAddress) {
-			identity.VM = c.PeerAddress + idSeparator + strconv.FormatInt(time.Now().UnixNano(), 36)
+			identity.VM = replicaset.JoinedID(c.PeerAddress, strconv.FormatInt(time.Now().UnixNano(), 36))
 			first = raft.Membership{}
 		}
 		log.Info("data folder is empty; it is formatted for a new replica", "replica", identity.VM, "first_start", c.FirstStart, "voters", first.Voters)
@@ -144,22 +144,13 @@
 	return store, saved, identity.VM, err
 }
 
-// idSeparator separates, in the id of a replica that joined later, its address
-// from a suffix that is unique among the replicas that had the address.
-const idSeparator = "#"
-
-func addressOf(id string) (address string, known bool) {
-	address, _, _ = strings.Cut(id, idSeparator)
-	return address, address != ""
-}
-
 // addControlVMs adds the VMs of the replicas with these ids to the members.
 func (v *VM) addControlVMs(ids []string) {
 	v.membersMu.Lock()
 	defer v.membersMu.Unlock()
 	rows := []membership.Member{}
 	for _, id := range ids {
-		if address, known := addressOf(id); known {
+		if address, known := replicaset.AddressOf(id); known {
 			rows = append(rows, membership.Member{ID: id, PeerAddress: address, Control: true, Incarnation: 1})
 		}
 	}
@@ -170,7 +161,7 @@
 func (v *VM) controlAddresses() (addresses []string) {
 	m := v.replica.Status().Membership
 	for _, id := range append(slices.Clone(m.Voters), m.Learners...) {
-		if address, known := addressOf(id); known && !slices.Contains(addresses, address) {
+		if address, known := replicaset.AddressOf(id); known && !slices.Contains(addresses, address) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -377,13 +368,13 @@
 		if time.Since(lastLeader) > askAfter {
 			v.askForControlVMs(ctx)
 		}
-		change, wanted := nextChange(status.Status, v.id, v.Config.Replicas, time.Since(lastLeader))
+		change, wanted := replicaset.Next(status.Status, v.id, v.Config.Replicas, time.Since(lastLeader))
 		if !wanted {
 			continue
 		}
 		bounded, cancel := v.peers.Bounded(ctx)
-		_, err := v.Proposer.ChangeReplicas(bounded, &operator.ChangeReplicasRequest{Action: string(change.action), Vm: change.id})
+		_, err := v.Proposer.ChangeReplicas(bounded, &operator.ChangeReplicasRequest{Action: string(change.Action), Vm: change.ID})
 		cancel()
-		v.Log.Info("change of the set of replicas was proposed; it is proposed again while it is needed", "action", string(change.action), "replica", change.id, "error", err)
+		v.Log.Info("change of the set of replicas was proposed; it is proposed again while it is needed", "action", string(change.Action), "replica", change.ID, "error", err)
 	}
 }
