raft: a removed learner no longer takes its old leader for alive

A replica that was removed while it was cut off, or whose addition was lost with a leader, never joined again if its own log had it as a learner: only voters campaign, and only a campaign made a replica forget its leader. So it knew a leader for ever and didn't propose to add itself.

A replica that may not campaign now forgets its leader after the time in which it would campaign. It votes as before; its vote is one a term as for others.

--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -113,9 +113,14 @@
 		n.tickLeader()
 		return
 	}
-	if n.electionElapsed >= n.electionTimeout && n.mayLead() {
+	if n.electionElapsed < n.electionTimeout {
+		return
+	}
+	if n.mayLead() {
 		n.campaign(PreCandidate, false)
+		return
 	}
+	n.leader = "" // it may have been removed meanwhile
 }
 
 // mayLead reports whether the replica votes and can apply all entries. A leader answers
