control: a voter that stops hands over its vote first

What callers saw: a control VM was replaced as planned, and 2 s after it had ended another one lost its disk.

Cause: a learner was promoted only after a voter's silence of 3 s, also when the voter had announced its end. Until then the voters were the VM that was gone and the two others, and any disk lost was one too many.

Change: a voter that is told to stop has a learner promoted, waits until that is committed, hands over the leadership, and has itself removed, by the calls with which replicas join; serves them. Without a learner nothing changes. The model showed what else this needs: a learner that doesn't answer isn't promoted; the leadership goes to the newest voter that answers; a step waits for the commit of the one before; the leader keeps a voter that answers while there is none to spare; a learner that stops has itself removed. An unannounced death is replaced after 2 s of silence, and a replica without a leader asks to be added after 1.5 s, within the bound that design 001 states.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -127,15 +127,15 @@
 }
 
 // TransferLeadership starts to hand leadership to a voter, for a planned stop,
-// and reports whether it has started. With an empty id it chooses the voter that
-// holds the most entries. Until the voter has taken over, or an election timeout has
+// and reports whether it has started. With an empty id it chooses the newest voter that
+// answers and lacks few entries. Until the voter has taken over, or an election timeout has
 // passed, proposals fail with ErrTransferInProgress.
 func (n *Node) TransferLeadership(to string) bool {
 	if n.role != Leader {
 		return false
 	}
 	if to == "" {
-		to = n.mostCaughtUpVoter()
+		to = n.successor()
 	}
 	if to == "" || to == n.config.ID || !n.Membership().IsVoter(to) {
 		return false
@@ -147,17 +147,15 @@
 	return true
 }
 
-func (n *Node) mostCaughtUpVoter() string {
-	best := ""
-	for _, id := range n.Membership().Voters {
-		if id == n.config.ID {
-			continue
-		}
-		if best == "" || n.progress[id].match > n.progress[best].match {
-			best = id
+// successor returns the voter to hand the leadership to. It prefers the newest one, as
+// voters that are replaced one after the other would hand it to each other.
+func (n *Node) successor() (id string) {
+	for _, voter := range n.Membership().Voters {
+		if voter != n.config.ID && (id == "" || n.mayCount(voter) || !n.mayCount(id)) {
+			id = voter
 		}
 	}
-	return best
+	return id
 }
 
 // tryTransfer asks the transferee to campaign once it holds the whole log.
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -24,6 +24,10 @@
 // promoted.
 const maxPromotionLag = 16
 
+// promotionElections is how long, in election timeouts, a learner may have been silent when
+// it is promoted.
+const promotionElections = 2
+
 // ChangeMembership appends a change of one replica to the leader's log and
 // returns the index and term of its entry. The change holds from then on, but is
 // final only once the entry is committed. The error is ErrNotLeader,
@@ -35,7 +39,7 @@
 	if n.transferee != "" {
 		return 0, 0, ErrTransferInProgress
 	}
-	if n.memberships[len(n.memberships)-1].index > n.commit || !n.committedInTerm() {
+	if n.changePending() || !n.committedInTerm() {
 		return 0, 0, ErrChangePending
 	}
 	next, err := n.nextMembership(action, id)
@@ -65,6 +69,9 @@
 		if p := n.progress[id]; p.match+maxPromotionLag < n.log.lastIndex() {
 			return next, fmt.Errorf("replica %q lacks %d entries and can't count yet; try again when it has caught up", id, n.log.lastIndex()-p.match)
 		}
+		if !n.mayCount(id) {
+			return next, fmt.Errorf("replica %q doesn't answer and can't count yet; try again when it does", id)
+		}
 		next.Learners = without(next.Learners, id)
 		next.Voters = append(next.Voters, id)
 	case Remove:
@@ -82,10 +89,22 @@
 	return next, nil
 }
 
+// mayCount reports whether a replica has answered this leader lately and lacks few
+// entries.
+func (n *Node) mayCount(id string) bool {
+	p := n.progress[id]
+	return p.match > 0 && p.match+maxPromotionLag >= n.log.lastIndex() && p.ticksSinceReply <= promotionElections*n.config.ElectionTicks
+}
+
 func without(ids []string, id string) []string {
 	return slices.DeleteFunc(ids, func(other string) bool { return other == id })
 }
 
+// changePending reports whether the newest membership isn't known to be committed.
+func (n *Node) changePending() bool {
+	return n.memberships[len(n.memberships)-1].index > n.commit
+}
+
 // committedInTerm reports whether the leader has committed an entry of its own
 // term. Before that, neither a membership change nor a read is safe.
 func (n *Node) committedInTerm() bool {
@@ -140,7 +159,7 @@
 	members := append(slices.Clone(n.Membership().Voters), n.Membership().Learners...)
 	for _, id := range members {
 		if n.progress[id] == nil {
-			n.progress[id] = &progress{next: n.log.lastIndex() + 1, probing: true, active: true}
+			n.progress[id] = &progress{next: n.log.lastIndex() + 1, probing: true, active: true, ticksSinceReply: n.config.ElectionTicks}
 		}
 	}
 	n.progress[n.config.ID].match = n.log.stable
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -79,6 +79,7 @@
 	Snapshot        uint64 // index of the newest snapshot
 	Held            uint64 // first entry that the driver can't apply, 0 for none
 	Membership      Membership
+	ChangePending   bool              // the membership isn't known to be committed
 	Match           map[string]uint64 // leader only: last entry known to be on disk, by replica
 	TicksSinceReply map[string]int    // leader only: ticks since the last reply, by replica
 }
@@ -88,6 +89,7 @@
 	status := Status{
 		ID: n.config.ID, Role: n.role, Term: n.term, Leader: n.leader, Commit: n.commit, Applied: n.applied,
 		LastIndex: n.log.lastIndex(), Snapshot: n.log.snapshot.Index, Held: n.held, Membership: n.Membership(),
+		ChangePending: n.changePending(),
 	}
 	if n.role == Leader {
 		status.Match = make(map[string]uint64, len(n.progress))
--- a/core/replicaset/replicaset.go
+++ b/core/replicaset/replicaset.go
@@ -25,12 +25,14 @@
 	// maxLearnerLag is how many log entries a learner may lack to be promoted to
 	// voter.
 	maxLearnerLag = 8
+	// maxLearnerSilence is how long a learner that is promoted may be silent, in ticks.
+	maxLearnerSilence = 20
 	// replaceAfterTicks is how long a voter may be silent before a learner replaces it,
-	// in ticks of the control log: 3 s.
-	replaceAfterTicks = 66
+	// in ticks of the control log: 2 s.
+	replaceAfterTicks = 44
 	// rejoinAfter is how long a replica hears no leader before it proposes to add
 	// itself again, as it may have been removed meanwhile.
-	rejoinAfter = 5 * time.Second
+	rejoinAfter = 1500 * time.Millisecond
 )
 
 // JoinedID returns the id of a replica that joins later at an address.
@@ -61,7 +63,7 @@
 		return Change{Action: raft.Remove, ID: silent}, true
 	}
 	for _, learner := range m.Learners {
-		if status.Match[learner]+maxLearnerLag < status.LastIndex || status.TicksSinceReply[learner] > replaceAfterTicks {
+		if status.Match[learner]+maxLearnerLag < status.LastIndex || status.TicksSinceReply[learner] > maxLearnerSilence {
 			continue
 		}
 		if old, found := predecessor(m, learner); found {
@@ -98,3 +100,45 @@
 	}
 	return "", false
 }
+
+// Leave returns the next step of a replica that has announced its end. A voter has a
+// learner promoted and then itself removed, in this order, so that there are never fewer
+// voters than intended; it can't be removed before it has handed over the leadership. A
+// learner has itself removed. attempt counts the steps, so that another learner is asked
+// for when one was refused. A voter without a learner to replace it stays. The change is
+// empty while an earlier one isn't committed.
+func Leave(status raft.Status, self string, voters, attempt int) (change Change, wanted bool) {
+	m := status.Membership
+	if status.ChangePending {
+		return Change{}, true
+	}
+	if !m.Has(self) {
+		return Change{}, false
+	}
+	if !m.IsVoter(self) || len(m.Voters) > voters {
+		return Change{Action: raft.Remove, ID: self}, true
+	}
+	successors := slices.DeleteFunc(slices.Clone(m.Learners), func(id string) bool {
+		_, found := predecessor(m, id)
+		return found
+	})
+	if len(successors) == 0 {
+		return Change{}, false
+	}
+	return Change{Action: raft.Promote, ID: successors[attempt%len(successors)]}, true
+}
+
+// Allowed reports whether a leader may make a change that was asked for. It keeps a voter
+// that answers when there are no more voters than intended: two voters that stop at once
+// may both have seen one to spare.
+func Allowed(status raft.Status, change Change, voters int) bool {
+	m := status.Membership
+	if change.Action != raft.Remove || !m.IsVoter(change.ID) || len(m.Voters) > voters {
+		return true
+	}
+	replaced := slices.ContainsFunc(m.Learners, func(learner string) bool {
+		old, _ := predecessor(m, learner)
+		return old == change.ID
+	})
+	return replaced || status.TicksSinceReply[change.ID] > maxLearnerSilence
+}
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -49,3 +49,59 @@
 		}
 	}
 }
+
+// A voter that stops must not leave before a learner has its vote.
+func TestLeave(t *testing.T) {
+	three := []string{"a", "b", "c"}
+	tests := []struct {
+		name     string
+		voters   []string
+		learners []string
+		pending  bool
+		attempt  int
+		want     Change
+		wanted   bool
+	}{
+		{"no learner", three, nil, false, 0, Change{}, false},
+		{"a learner", three, []string{"d"}, false, 0, Change{raft.Promote, "d"}, true},
+		{"the second of two", three, []string{"d", "e"}, false, 1, Change{raft.Promote, "e"}, true},
+		{"only the new replica of a voter's address", three, []string{"b#1"}, false, 0, Change{}, false},
+		{"the learner votes", append(three, "d"), nil, false, 0, Change{raft.Remove, "a"}, true},
+		{"the last change isn't committed", append(three, "d"), nil, true, 0, Change{}, true},
+		{"a learner stops", []string{"b", "c"}, []string{"a"}, false, 0, Change{raft.Remove, "a"}, true},
+		{"it has left", []string{"b", "c", "d"}, nil, false, 0, Change{}, false},
+	}
+	for _, test := range tests {
+		status := raft.Status{Membership: raft.Membership{Voters: test.voters, Learners: test.learners}, ChangePending: test.pending}
+		change, wanted := Leave(status, "a", 3, test.attempt)
+		if change != test.want || wanted != test.wanted {
+			t.Errorf("%s: %v %v, want %v %v", test.name, change, wanted, test.want, test.wanted)
+		}
+	}
+}
+
+// Two voters that stop at once must not both leave for one learner.
+func TestAllowed(t *testing.T) {
+	four := raft.Membership{Voters: []string{"a", "b", "c", "d"}}
+	three := raft.Membership{Voters: []string{"a", "b", "c"}}
+	wiped := raft.Membership{Voters: []string{"a", "b", "c"}, Learners: []string{"b#1"}}
+	silent := map[string]int{"b": maxLearnerSilence + 1}
+	tests := []struct {
+		name   string
+		status raft.Status
+		change Change
+		want   bool
+	}{
+		{"one to spare", raft.Status{Membership: four}, Change{raft.Remove, "b"}, true},
+		{"none to spare", raft.Status{Membership: three}, Change{raft.Remove, "b"}, false},
+		{"it is silent", raft.Status{Membership: three, TicksSinceReply: silent}, Change{raft.Remove, "b"}, true},
+		{"its disk is lost", raft.Status{Membership: wiped}, Change{raft.Remove, "b"}, true},
+		{"a learner", raft.Status{Membership: wiped}, Change{raft.Remove, "b#1"}, true},
+		{"a promotion", raft.Status{Membership: wiped}, Change{raft.Promote, "b#1"}, true},
+	}
+	for _, test := range tests {
+		if allowed := Allowed(test.status, test.change, 3); allowed != test.want {
+			t.Errorf("%s: %v, want %v", test.name, allowed, test.want)
+		}
+	}
+}
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -40,7 +41,6 @@
 	"kingcuprill/io/streamversion"
 	"kingcuprill/io/vm"
 	"kingcuprill/io/vmconfig"
-	"kingcuprill/rpc/operator"
 	rpc "kingcuprill/rpc/vm"
 )
 
@@ -56,8 +56,8 @@
 	// askAfter is how long a replica hears no leader before it asks for the addresses of
 	// the control VMs. It is longer than an election.
 	askAfter = time.Second
-	// stopTimeout bounds a planned stop: the transfer of leadership and the end of
-	// running calls.
+	// stopTimeout bounds the end of a planned stop, once the vote is handed over: the
+	// transfer of leadership and the end of running calls.
 	stopTimeout = time.Second
 	// headerTimeout bounds the time in which a peer sends its headers, and
 	// peerIdleTimeout how long its idle connection is kept.
@@ -88,6 +88,7 @@
 	streams    *streamversion.Server
 	membersMu  sync.Mutex // serialises writes to the members
 	servers    []*listener.Server
+	leaving    atomic.Bool // a planned stop has begun
 }
 
 // New opens the data folder, or creates it, and returns a control VM that isn't
@@ -110,7 +111,7 @@
 		Transport: &replica.Sender{Address: replicaset.AddressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
 		Published: v.publish,
 	})
-	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica}
+	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica, Allow: v.allowChange}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.Follow = follow.NewServer(v.VMState, epoch, v.registry.Table, v.Proposer.Confirm, v.controlAddresses, log)
 	v.Stops = entry.NewStops(c.Grace)
@@ -285,9 +286,10 @@
 	return nil
 }
 
-// stop transfers leadership to another replica and lets running calls end.
+// stop hands the vote and the leadership over to other replicas and lets running calls end.
 func (v *VM) stop() {
-	v.Log.Info("control VM begins a planned stop; it transfers leadership if it leads", "vm", v.Config.ID)
+	v.Log.Info("control VM begins a planned stop; it hands over its vote to a learner, and the leadership", "vm", v.Config.ID)
+	v.handOverVote()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	v.replica.TransferLeadership(ctx)
@@ -348,19 +350,19 @@
 }
 
 // maintainMembership adds this VM's replica to the set of replicas and, while it
-// leads, makes the changes that the set needs.
+// leads, makes the changes that the set needs, one after the other.
 func (v *VM) maintainMembership() error {
-	ticker := time.NewTicker(membershipInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(membershipInterval)
+	defer timer.Stop()
 	ctx := v.tomb.Context(context.Background())
 	lastLeader := time.Now()
 	for {
 		select {
 		case <-v.tomb.Dying():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		status := v.replica.Status()
+		status := v.replica.Status().Status
 		if status.Leader != "" {
 			lastLeader = time.Now()
 		}
@@ -368,13 +370,20 @@
 		if time.Since(lastLeader) > askAfter {
 			v.askForControlVMs(ctx)
 		}
-		change, wanted := replicaset.Next(status.Status, v.id, v.Config.Replicas, time.Since(lastLeader))
-		if !wanted {
-			continue
-		}
-		bounded, cancel := v.peers.Bounded(ctx)
-		_, err := v.Proposer.ChangeReplicas(bounded, &operator.ChangeReplicasRequest{Action: string(change.Action), Vm: change.ID})
-		cancel()
-		v.Log.Info("change of the set of replicas was proposed; it is proposed again while it is needed", "action", string(change.Action), "replica", change.ID, "error", err)
+		timer.Reset(v.maintainOnce(ctx, status, time.Since(lastLeader)))
+	}
+}
+
+// maintainOnce makes the next change and returns after which time to look again.
+func (v *VM) maintainOnce(ctx context.Context, status raft.Status, sinceLeader time.Duration) time.Duration {
+	change, wanted := replicaset.Next(status, v.id, v.Config.Replicas, sinceLeader)
+	if !wanted || (v.leaving.Load() && change.Action == raft.AddLearner) {
+		return membershipInterval
+	}
+	bounded, cancel := v.peers.Bounded(ctx)
+	defer cancel()
+	if err := v.proposeChange(bounded, change); err != nil {
+		return membershipInterval
 	}
+	return tickInterval
 }
--- a/io/propose/propose.go
+++ b/io/propose/propose.go
@@ -17,6 +17,7 @@
 	"kingcuprill/core/fault"
 	"kingcuprill/core/membership"
 	"kingcuprill/core/raft"
+	"kingcuprill/core/replicaset"
 	"kingcuprill/core/vmstate"
 	"kingcuprill/io/codec"
 	"kingcuprill/io/peer"
@@ -29,9 +30,11 @@
 
 // Proposer finds the leader and retries while the leader changes.
 type Proposer struct {
-	VMState    *vmstate.State
-	Peers      *peer.Peers
-	Replica    *replica.Replica       // nil on a VM without one
+	VMState *vmstate.State
+	Peers   *peer.Peers
+	Replica *replica.Replica // nil on a VM without one
+	// Allow reports whether the leader may make a change of the replica set; nil allows all.
+	Allow      func(status raft.Status, change replicaset.Change) bool
 	lastLeader atomic.Pointer[string] // id
 }
 
--- a/io/propose/replicas.go
+++ b/io/propose/replicas.go
@@ -6,6 +6,7 @@
 
 	"kingcuprill/core/fault"
 	"kingcuprill/core/raft"
+	"kingcuprill/core/replicaset"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/replica"
 	"kingcuprill/rpc/operator"
@@ -63,7 +64,11 @@
 }
 
 func (p *Proposer) commitReplicaChange(ctx context.Context, request *operator.ChangeReplicasRequest) (*operator.ChangeReplicasResponse, error) {
-	m, err := p.Replica.ChangeMembership(ctx, raft.MembershipAction(request.GetAction()), request.GetVm())
+	change := replicaset.Change{Action: raft.MembershipAction(request.GetAction()), ID: request.GetVm()}
+	if p.Allow != nil && !p.Allow(p.Replica.Status().Status, change) {
+		return nil, fault.New(fault.Conflict, "replica %q answers and there are no voters to spare; promote a learner first", change.ID)
+	}
+	m, err := p.Replica.ChangeMembership(ctx, change.Action, change.ID)
 	if err != nil {
 		return nil, err
 	}
