--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -13,8 +13,8 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -25,6 +25,7 @@
 	"kingcuprill/core/instance"
 	"kingcuprill/core/membership"
 	"kingcuprill/core/raft"
+	"kingcuprill/core/replicaset"
 	corestream "kingcuprill/core/streamversion"
 	"kingcuprill/core/vmstate"
 	"kingcuprill/io/disk"
@@ -40,7 +41,6 @@
 	"kingcuprill/io/streamversion"
 	"kingcuprill/io/vm"
 	"kingcuprill/io/vmconfig"
-	"kingcuprill/rpc/operator"
 	rpc "kingcuprill/rpc/vm"
 )
 
@@ -56,8 +56,8 @@
 	// askAfter is how long a replica hears no leader before it asks for the addresses of
 	// the control VMs. It is longer than an election.
 	askAfter = time.Second
-	// stopTimeout bounds a planned stop: the transfer of leadership and the end of
-	// running calls.
+	// stopTimeout bounds the end of a planned stop, once the vote is handed over: the
+	// transfer of leadership and the end of running calls.
 	stopTimeout = time.Second
 	// headerTimeout bounds the time in which a peer sends its headers, and
 	// peerIdleTimeout how long its idle connection is kept.
@@ -88,6 +88,7 @@
 	streams    *streamversion.Server
 	membersMu  sync.Mutex // serialises writes to the members
 	servers    []*listener.Server
+	leaving    atomic.Bool // a planned stop has begun
 }
 
 // New opens the data folder, or creates it, and returns a control VM that isn't
@@ -107,10 +108,10 @@
 	v.addControlVMs(c.Seeds)
 	v.replica = replica.New(replica.Options{
 		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tickInterval,
-		Transport: &replica.Sender{Address: addressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
+		Transport: &replica.Sender{Address: replicaset.AddressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
 		Published: v.publish,
 	})
-	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica}
+	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica, Allow: v.allowChange}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
 	v.Follow = follow.NewServer(v.VMState, epoch, v.registry.Table, v.Proposer.Confirm, v.controlAddresses, log)
 	v.Stops = entry.NewStops(c.Grace)
@@ -132,7 +133,7 @@
 		identity = disk.Identity{ClusterID: clusterID, VM: c.PeerAddress}
 		first := raft.Membership{Voters: c.Seeds}
 		if !c.FirstStart || !slices.Contains(c.Seeds, c.PeerAddress) {
-			identity.VM = c.PeerAddress + idSeparator + strconv.FormatInt(time.Now().UnixNano(), 36)
+			identity.VM = replicaset.JoinedID(c.PeerAddress, strconv.FormatInt(time.Now().UnixNano(), 36))
 			first = raft.Membership{}
 		}
 		log.Info("data folder is empty; it is formatted for a new replica", "replica", identity.VM, "first_start", c.FirstStart, "voters", first.Voters)
@@ -144,22 +145,13 @@
 	return store, saved, identity.VM, err
 }
 
-// idSeparator separates, in the id of a replica that joined later, its address
-// from a suffix that is unique among the replicas that had the address.
-const idSeparator = "#"
-
-func addressOf(id string) (address string, known bool) {
-	address, _, _ = strings.Cut(id, idSeparator)
-	return address, address != ""
-}
-
 // addControlVMs adds the VMs of the replicas with these ids to the members.
 func (v *VM) addControlVMs(ids []string) {
 	v.membersMu.Lock()
 	defer v.membersMu.Unlock()
 	rows := []membership.Member{}
 	for _, id := range ids {
-		if address, known := addressOf(id); known {
+		if address, known := replicaset.AddressOf(id); known {
 			rows = append(rows, membership.Member{ID: id, PeerAddress: address, Control: true, Incarnation: 1})
 		}
 	}
@@ -170,7 +162,7 @@
 func (v *VM) controlAddresses() (addresses []string) {
 	m := v.replica.Status().Membership
 	for _, id := range append(slices.Clone(m.Voters), m.Learners...) {
-		if address, known := addressOf(id); known && !slices.Contains(addresses, address) {
+		if address, known := replicaset.AddressOf(id); known && !slices.Contains(addresses, address) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -300,9 +292,10 @@
 	return nil
 }
 
-// stop transfers leadership to another replica and lets running calls end.
+// stop hands the vote and the leadership over to other replicas and lets running calls end.
 func (v *VM) stop() {
-	v.Log.Info("control VM begins a planned stop; it transfers leadership if it leads", "vm", v.Config.ID)
+	v.Log.Info("control VM begins a planned stop; it hands over its vote to a learner, and the leadership", "vm", v.Config.ID)
+	v.handOverVote()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	v.replica.TransferLeadership(ctx)
@@ -364,19 +357,19 @@
 }
 
 // maintainMembership adds this VM's replica to the set of replicas and, while it
-// leads, makes the changes that the set needs.
+// leads, makes the changes that the set needs, one after the other.
 func (v *VM) maintainMembership() error {
-	ticker := time.NewTicker(membershipInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(membershipInterval)
+	defer timer.Stop()
 	ctx := v.tomb.Context(context.Background())
 	lastLeader := time.Now()
 	for {
 		select {
 		case <-v.tomb.Dying():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		status := v.replica.Status()
+		status := v.replica.Status().Status
 		if status.Leader != "" {
 			lastLeader = time.Now()
 		}
@@ -384,13 +377,20 @@
 		if time.Since(lastLeader) > askAfter {
 			v.askForControlVMs(ctx)
 		}
-		change, wanted := nextChange(status.Status, v.id, v.Config.Replicas, time.Since(lastLeader))
-		if !wanted {
-			continue
-		}
-		bounded, cancel := v.peers.Bounded(ctx)
-		_, err := v.Proposer.ChangeReplicas(bounded, &operator.ChangeReplicasRequest{Action: string(change.action), Vm: change.id})
-		cancel()
-		v.Log.Info("change of the set of replicas was proposed; it is proposed again while it is needed", "action", string(change.action), "replica", change.id, "error", err)
+		timer.Reset(v.maintainOnce(ctx, status, time.Since(lastLeader)))
+	}
+}
+
+// maintainOnce makes the next change and returns after which time to look again.
+func (v *VM) maintainOnce(ctx context.Context, status raft.Status, sinceLeader time.Duration) time.Duration {
+	change, wanted := replicaset.Next(status, v.id, v.Config.Replicas, sinceLeader)
+	if !wanted || (v.leaving.Load() && change.Action == raft.AddLearner) {
+		return membershipInterval
+	}
+	bounded, cancel := v.peers.Bounded(ctx)
+	defer cancel()
+	if err := v.proposeChange(bounded, change); err != nil {
+		return membershipInterval
 	}
+	return tickInterval
 }
