Let the control VM of TestUnknownStreamsStayAtTheirService take records

Its control VM had no RecordStreams, so that the first call with records, 20 ms after a take-up, panicked there and took a connection with it that a question was just sent on.

--- a/io/front/service_test.go
+++ b/io/front/service_test.go
@@ -96,6 +96,10 @@
 	return &rpc.FindStreamResponse{Versions: []string{"v1"}, HeardNanoseconds: int64(time.Hour)}, nil
 }
 
+func (c *soleControl) RecordStreams(context.Context, *rpc.RecordStreamsRequest) (*rpc.RecordStreamsResponse, error) {
+	return &rpc.RecordStreamsResponse{}, nil
+}
+
 // A caller takes a stream without a record up on a route that leads to two services. The
 // repetition may be due to another service than the request that began the stream.
 func TestUnknownStreamsStayAtTheirService(t *testing.T) {
