--- a/io/front/hedge.go
+++ b/io/front/hedge.go
@@ -32,8 +32,8 @@
 // hedge runs further tries of a request beside one whose target is silent. The silent
 // try isn't given up for that. The first of the two that has a part of the answer is the
 // only one to deliver it, and the other one is ended. An engine runs a request from its first
-// token on, so that no two of them run one for longer than the token's way here. If no hedged try is possible or all
-// fail, the silent target has until the deadline.
+// token on, so that two engines run it for no longer than that token takes to this VM. If no
+// hedged try is possible or all fail, the silent target has until the deadline.
 type hedge struct {
 	exchange *exchange // of the try; its fields change only while the try doesn't wait
 	ctx      context.Context
