Name the coordinator of a place in the logs

The last line of a request names the VM that gave out the place, and places that are not used are logged with both and counted (places.behind).

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -52,11 +52,13 @@
 	excluded []string
 	outOfUse []string // entry VMs that can't serve the request
 	target   string   // of the last try
-	begun    bool     // part of an answer has been sent to the caller
-	last     int64    // id of the last event delivered
-	hasLast  bool
-	stay     bool          // the home region of the shared part has refused the request
-	failure  *failedAnswer // of a target, sent if no later try succeeds
+	// coordinator is the VM that was asked last for a place, and answered.
+	coordinator string
+	begun       bool  // part of an answer has been sent to the caller
+	last        int64 // id of the last event delivered
+	hasLast     bool
+	stay        bool          // the home region of the shared part has refused the request
+	failure     *failedAnswer // of a target, sent if no later try succeeds
 
 	origin    streamOrigin
 	answering *streamversion.Version // of the target that answers the current try, nil if it isn't known
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -71,6 +71,7 @@
 
 // pick chooses a target from this VM's own data.
 func (x *exchange) pick(r place.Request) (chosen reservation, predicted time.Duration, reason place.Reason) {
+	x.coordinator = x.server.Self
 	assigned, predicted, reason := x.server.Placer.Pick(r)
 	if assigned == nil {
 		return nil, predicted, reason
@@ -134,14 +135,29 @@
 	if reserved != nil {
 		a.chosen = reserved
 	}
-	if reserved != nil && (r.SameVersion && reserved.Version() != r.Version || !x.maySend(reserved)) {
-		// A coordinator of an earlier release ignores the version, and any may be behind.
+	if reserved != nil && !x.accepts(r, vm, reserved) {
 		reserved.Done(place.Inconclusive, time.Now())
 		return answer{}, errNoCoordinator
 	}
+	x.coordinator = vm
 	return a, err
 }
 
+// accepts reports whether a place that another VM has given out is used. A VM of an earlier
+// release ignores the version, and any may know less of the target than this one.
+func (x *exchange) accepts(r place.Request, vm string, reserved reservation) bool {
+	if r.SameVersion && reserved.Version() != r.Version {
+		return false
+	}
+	if x.maySend(reserved) {
+		return true
+	}
+	target, _ := reserved.Where()
+	x.server.Metrics.Count("places.behind")
+	x.server.Log.Warn("place of a coordinator is not used, as this VM knows more of the target", "request", x.id, "coordinator", vm, "target", target)
+	return false
+}
+
 // maySend reports whether the request may be sent to a place by what this VM itself knows.
 func (x *exchange) maySend(reserved reservation) bool {
 	s := x.server
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -309,7 +309,7 @@
 	x.ended = true
 	fields := []any{
 		"request", x.id, "route", x.route.Name, "organisation", x.organisation.Name, "from", x.from,
-		"tries", x.tries, "target", x.target, "took", time.Since(x.arrived).Round(time.Millisecond / 10),
+		"tries", x.tries, "target", x.target, "coordinator", x.coordinator, "took", time.Since(x.arrived).Round(time.Millisecond / 10),
 		"predicted", x.predicted.Round(time.Millisecond / 10), "first", x.first.Round(time.Millisecond / 10), "prompt", x.demand.Prompt,
 		"left", x.deadline.Sub(x.arrived).Round(time.Millisecond),
 	}
