Send the rest of a stream only where two name its version

What callers could see: a stream that goes on at a target of another version. A VM that no control VM had confirmed lately sent the rest of a begun stream to a place whose version only its coordinator named, though its own registration named another version or address, or it didn't know the target at all.

Cause: without a confirmed state place.MaySend left all that isn't leaving to the coordinator.

Ruled out: a VM that is confirmed, which compared the version already.

Change: the rest of a begun stream is sent only to a target that the VM itself knows at that address with that version, confirmed or not. Other requests are as they were. It then chooses from its own data, or refuses the rest without running it.

--- a/core/place/send.go
+++ b/core/place/send.go
@@ -15,6 +15,9 @@
 	// Confirmed says that a control VM has confirmed this VM's state lately. If not,
 	// targets may have come or moved since, but none has come back from leaving.
 	Confirmed bool
+	// SameVersion says that the request is the rest of a begun stream. What another VM says
+	// of a target isn't enough for it.
+	SameVersion bool
 }
 
 // MaySend reports whether this VM may send a request to a place, whoever gave it: that
@@ -23,13 +26,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, found := p.targets[at.Target]
+	mustKnow := by.Confirmed || by.SameVersion
 	if !found {
-		return !by.Confirmed
+		return !mustKnow
 	}
 	if !t.usable(now) || now.Before(t.pausedUntil) || by.Evacuated[t.DataCentre] {
 		return false
 	}
-	return !by.Confirmed || t.isAt(at)
+	return !mustKnow || t.isAt(at)
 }
 
 // isAt reports whether a place is at the current start of a target, as far as that shows.
--- a/core/place/send_test.go
+++ b/core/place/send_test.go
@@ -46,3 +46,25 @@
 		}
 	}
 }
+
+// The rest of a stream went to a target of whose version only the coordinator was sure.
+func TestRestsOfStreamsNeedTwoToNameTheVersion(t *testing.T) {
+	row := instance.Registration{ID: "t", Service: "s", Address: "a:1", Version: "v1", State: instance.Ready, Heard: start}
+	p := NewPlacer("vm", "r")
+	p.SetTargets(map[string]instance.Registration{"t": row}, region)
+	for name, test := range map[string]struct {
+		at   Place
+		want bool
+	}{
+		"both name it":         {Place{Target: "t", Address: "a:1", Version: "v1"}, true},
+		"another version here": {Place{Target: "t", Address: "a:1", Version: "v2"}, false},
+		"another address here": {Place{Target: "t", Address: "a:2", Version: "v1"}, false},
+		"not known here":       {Place{Target: "other", Address: "a:1", Version: "v1"}, false},
+	} {
+		for _, confirmed := range []bool{true, false} {
+			if got := p.MaySend(test.at, View{Confirmed: confirmed, SameVersion: true}, start); got != test.want {
+				t.Errorf("%s, confirmed %v: may be sent %v, want %v", name, confirmed, got, test.want)
+			}
+		}
+	}
+}
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -147,7 +147,7 @@
 	s := x.server
 	target, address := reserved.Where()
 	at := place.Place{Target: target, Address: address, Version: reserved.Version()}
-	by := place.View{Evacuated: s.State.Read().Evacuated, Confirmed: s.Lease.Valid()}
+	by := place.View{Evacuated: s.State.Read().Evacuated, Confirmed: s.Lease.Valid(), SameVersion: x.origin.known}
 	return s.Placer.MaySend(at, by, time.Now())
 }
 
--- /dev/null
+++ b/io/front/rest_test.go
@@ -0,0 +1,52 @@
+package front
+
+import (
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"kingcuprill/core/instance"
+	corestream "kingcuprill/core/streamversion"
+	"kingcuprill/io/coordinator"
+	"kingcuprill/io/peer"
+	"kingcuprill/io/streamversion"
+)
+
+// A VM that nothing confirmed sent the rest of a stream where only its coordinator, which was
+// behind, named the version.
+func TestRestsOfStreamsNeedAnOwnRegistration(t *testing.T) {
+	route := resumable
+	route.Open = true
+	for name, unsure := range map[string]string{"another version": "t0", "not known": "other"} {
+		t.Run(name, func(t *testing.T) {
+			upgraded, old := startTarget(t, breakingStream), startTarget(t, breakingStream)
+			here, there := newFixture(t, route), newFixture(t, route)
+			there.register([]*target{upgraded}, "v1")
+			places := coordinator.NewServer(there.server.Placer, func() map[string]bool { return nil }, there.server.Lease.Valid, slog.New(slog.DiscardHandler))
+			web := httptest.NewServer(places.Handler(peer.NewUnsigned("there").Credentials))
+			t.Cleanup(web.Close)
+			here.coordinated(t, "there", web.Listener.Addr().String())
+			row := func(id string, s *target, version string) instance.Registration {
+				return instance.Registration{ID: id, Service: "s", Address: s.address, Version: version, State: instance.Ready, Slots: 8, Heard: time.Now()}
+			}
+			rows := map[string]instance.Registration{unsure: row(unsure, upgraded, "v2")}
+			for i := range 8 {
+				id := string(rune('a' + i))
+				rows[id] = row(id, old, "v1")
+			}
+			here.server.Placer.SetTargets(rows, func(string) string { return "region" })
+			here.server.Headers.Resumes = "Resumes"
+			here.leased.Store(-int64(time.Second))
+			none := func() []string { return nil }
+			here.server.Streams = streamversion.NewClient(peer.NewUnsigned("vm"), none, none, func() int64 { return 1 }, func() bool { return false }, slog.New(slog.DiscardHandler))
+			here.server.Streams.Record("7", corestream.Version{Service: "s", Version: "v1"})
+			for range 40 {
+				here.ask(t, "", "Last-Event-Id", "2", "Resumes", "7")
+			}
+			if places.Given() == 0 || old.resumed() == 0 || upgraded.resumed() > 0 {
+				t.Errorf("%d places from the coordinator, %d rests at the old version, %d where only the coordinator names it", places.Given(), old.resumed(), upgraded.resumed())
+			}
+		})
+	}
+}
