Send no rest of a stream that the coordinator has no version for

What callers could see: a stream that goes on at a target of another version. A VM that no control VM had confirmed lately asked the coordinator for a place of the version that began the stream; the coordinator answered that it has none, and the VM chose by its own registrations, which named the old version.

Cause: the answer "no targets" is taken for a coordinator that knows too little, and this VM chooses alone. If nothing confirms this VM, it may be the one that is behind.

Left as it was: if no coordinator answers, or this VM coordinates the target itself, an unconfirmed VM still goes by its own registrations, so that streams go on while all control VMs are lost.

Change: the rest of a begun stream isn't placed by own registrations if a coordinator has no target of its version and this VM isn't confirmed. It is refused without having run, or goes to another region.

--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -84,7 +84,7 @@
 func (x *exchange) coordinate(ctx context.Context, r place.Request) (chosen reservation, predicted time.Duration, reason place.Reason) {
 	s := x.server
 	reason = place.NoTargets
-	coordinatorFailed := false
+	coordinatorFailed, denied := false, false
 	for _, candidate := range s.Placer.Candidates(r, maxCoordinators) {
 		if r.Home == "" {
 			r.Home = candidate.Target
@@ -102,8 +102,12 @@
 			return nil, answer.predicted, answer.reason
 		default:
 			predicted, reason = shorter(predicted, answer.predicted), answer.reason
+			denied = denied || reason == place.NoTargets
 		}
 	}
+	if denied && r.SameVersion && !s.Lease.Valid() {
+		return nil, predicted, place.NoTargets // this VM may be the one that is behind
+	}
 	if coordinatorFailed || reason == place.NoTargets {
 		r.Preferred, r.Home, r.Now = "", "", time.Now()
 		return x.pickAlone(r)
