Serve forwarded requests while control is lost

Callers of a region without targets got 503 on routes without a key once the lease had run out, as the VM that their requests were forwarded to refused what its lease didn't cover, and served its own callers by the same plan. Cause: the receiver can't tell whether the sender is confirmed.

Change: only the revision that the sender names decides, once it is written. Keyed requests need the lease as before.

--- a/io/front/behind.go
+++ b/io/front/behind.go
@@ -10,17 +10,15 @@
 // which has forwarded it goes by. All VMs usually get one within that time.
 const revisionWait = 250 * time.Millisecond
 
-// caughtUp reports whether this VM may act for the one that has forwarded the request: its
-// configuration is confirmed, and not older than that VM's.
+// caughtUp reports whether the configuration of this VM is not older than that of the VM
+// that has forwarded the request. One that doesn't name its revision, as one of an earlier
+// release, is served.
 func (x *exchange) caughtUp() bool {
 	if x.from == "" {
 		return true
 	}
 	revision, err := strconv.ParseUint(x.caller.Header.Get(hopRevision), 10, 64)
-	if err == nil && !x.awaitRevision(revision) {
-		return false
-	}
-	return x.server.Lease.Valid()
+	return err != nil || x.awaitRevision(revision)
 }
 
 // awaitRevision waits for a configuration. It reports whether this VM has it or a newer one.
