Remove learners that are gone for good

A control VM that is gone for good stayed a learner of the control log, and so was named to all and polled for ever. Since silent control VMs are kept while others name them, streams without a record could not be taken up any more then (found by reading in the review). Now the leader removes a learner that is silent for 30 s; one that comes back asks to be added again. TestNext has both cases. Ruled out: a loop of removals and additions, as a replica that was removed while it was cut off joins only once it answers.

--- a/core/replicaset/replicaset.go
+++ b/core/replicaset/replicaset.go
@@ -30,6 +30,9 @@
 	// replaceAfterTicks is how long a voter may be silent before a learner replaces it,
 	// in ticks of the control log: 2 s.
 	replaceAfterTicks = 44
+	// forgetAfterTicks is how long a learner may be silent before it is removed, in ticks
+	// of the control log: 30 s. One that comes back asks to be added again.
+	forgetAfterTicks = 660
 	// rejoinAfter is how long a replica hears no leader before it proposes to add
 	// itself again, as it may have been removed meanwhile.
 	rejoinAfter = 1500 * time.Millisecond
@@ -52,7 +55,7 @@
 // add itself. The leader removes a replica whose address a learner now has, promotes
 // learners that have caught up until there are enough voters, and replaces a
 // silent voter by a learner: it first promotes the learner, then removes the
-// silent voter.
+// silent voter. It removes learners that are gone, as members are asked and polled by others.
 func Next(status raft.Status, self string, voters int, sinceLeader time.Duration) (change Change, wanted bool) {
 	m := status.Membership
 	if status.Role != raft.Leader {
@@ -73,7 +76,11 @@
 			return Change{Action: raft.Promote, ID: learner}, true
 		}
 	}
-	return Change{}, false
+	gone := slices.IndexFunc(m.Learners, func(learner string) bool { return status.TicksSinceReply[learner] > forgetAfterTicks })
+	if gone < 0 {
+		return Change{}, false
+	}
+	return Change{Action: raft.Remove, ID: m.Learners[gone]}, true
 }
 
 // longestSilent returns the voter that has been silent for longest, if that is
--- a/core/replicaset/replicaset_test.go
+++ b/core/replicaset/replicaset_test.go
@@ -38,6 +38,8 @@
 		{"the learner has taken its place", leader([]string{"a", "b", "c", "d"}, nil, map[string]int{"b": dead}), 0, raft.Remove, "b"},
 		{"more voters than needed, all answer", leader([]string{"a", "b", "c", "d"}, nil, nil), 0, "", ""},
 		{"the learner is gone as well", leader([]string{"a", "b", "c"}, []string{"d"}, map[string]int{"b": dead, "d": dead}), 0, "", ""},
+		{"a learner is gone for good", leader([]string{"a", "b", "c"}, []string{"d", "e"}, map[string]int{"e": forgetAfterTicks + 1}), 0, raft.Remove, "e"},
+		{"a learner is silent for a while", leader([]string{"a", "b", "c"}, []string{"d", "e"}, map[string]int{"e": forgetAfterTicks}), 0, "", ""},
 		{"in no set", raft.Status{Membership: raft.Membership{Voters: []string{"b"}}}, 0, raft.AddLearner, "a"},
 		{"hears no leader", raft.Status{Membership: raft.Membership{Voters: []string{"a", "b"}}}, time.Minute, raft.AddLearner, "a"},
 		{"hears a leader", raft.Status{Membership: raft.Membership{Voters: []string{"a", "b"}}}, 0, "", ""},
