--- a/io/front/links.go
+++ b/io/front/links.go
@@ -14,8 +14,8 @@
 	"kingcuprill/io/targetlink"
 )
 
-// maxNeighbours is the number of other VMs of the region to which a VM without links to
-// targets sends a request, one after the other.
+// maxNeighbours is the number of VMs of one region, this one or another, to which a request is
+// forwarded, one after the other.
 const maxNeighbours = 2
 
 // linksReason is the reason of refusals by a VM that reaches no target.
