raft: send to the replicas in a fixed order; the model draws disruptions apart

Cause of the difference: messages to the other replicas were sent in the order of a Go map, and the model draws the delay of each from the stream that also draws its disruptions. Now the order is that of the membership, and the model draws delays and election timeouts from a stream of their own, so that one schedule of disruptions can be played with many timings (-replicaset.timings).

Bounds and checks are unchanged.

--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -156,7 +156,7 @@
 
 // syncProgress adds and removes progress records so that each member has one.
 func (n *Node) syncProgress() {
-	members := append(slices.Clone(n.Membership().Voters), n.Membership().Learners...)
+	members := n.Membership().members()
 	for _, id := range members {
 		if n.progress[id] == nil {
 			n.progress[id] = &progress{next: n.log.lastIndex() + 1, probing: true, active: true, ticksSinceReply: n.config.ElectionTicks}
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -52,7 +52,7 @@
 	entry.Term = n.term
 	n.log.append(entry)
 	n.addMemberships([]Entry{entry})
-	for id := range n.progress {
+	for _, id := range n.Membership().members() {
 		n.sendAppend(id)
 	}
 	return entry.Index
@@ -198,7 +198,7 @@
 	}
 	n.commit = candidate
 	n.completeReads()
-	for id := range n.progress {
+	for _, id := range n.Membership().members() {
 		n.sendCommit(id)
 	}
 }
@@ -213,9 +213,10 @@
 }
 
 func (n *Node) broadcastHeartbeat() {
-	for id, p := range n.progress {
+	for _, id := range n.Membership().members() {
 		if id != n.config.ID {
-			n.send(Message{Kind: Heartbeat, To: id, Commit: min(n.commit, p.match), Context: n.reads.round})
+			commit := min(n.commit, n.progress[id].match)
+			n.send(Message{Kind: Heartbeat, To: id, Commit: commit, Context: n.reads.round})
 		}
 	}
 }
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -41,6 +41,11 @@
 	Learners []string
 }
 
+// members returns all voters and learners.
+func (m Membership) members() []string {
+	return slices.Concat(m.Voters, m.Learners)
+}
+
 // Has reports whether a replica is a voter or a learner.
 func (m Membership) Has(id string) bool {
 	return m.IsVoter(id) || slices.Contains(m.Learners, id)
--- a/core/replicaset/faults_test.go
+++ b/core/replicaset/faults_test.go
@@ -13,6 +13,7 @@
 var (
 	seeds     = flag.Uint64("replicaset.seeds", 300, "number of seeds of the model")
 	firstSeed = flag.Uint64("replicaset.first_seed", 1, "first seed of the model")
+	timings   = flag.Uint64("replicaset.timings", 1, "number of timings with which each seed is played")
 )
 
 // until makes a machine count as lost for some ticks.
@@ -177,9 +178,11 @@
 	replaced := 0
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			m := newModel(t, seed)
-			m.play()
-			replaced += m.joined
+			for timing := range *timings {
+				m := newModel(t, seed, timing)
+				m.play()
+				replaced += m.joined
+			}
 		})
 	}
 	if replaced == 0 {
--- a/core/replicaset/model_test.go
+++ b/core/replicaset/model_test.go
@@ -63,7 +63,8 @@
 type model struct {
 	t          *testing.T
 	seed       uint64
-	random     *rand.Rand
+	random     *rand.Rand // draws the disruptions
+	timing     *rand.Rand // draws delays and election timeouts
 	now        int
 	voters     int
 	failures   int
@@ -80,8 +81,9 @@
 	history    []string
 }
 
-func newModel(t *testing.T, seed uint64) *model {
+func newModel(t *testing.T, seed, timing uint64) *model {
 	m := &model{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 3)), committed: map[uint64]raft.Entry{}}
+	m.timing = rand.New(rand.NewPCG(seed, timing))
 	m.failures = 1 + m.random.IntN(3)
 	m.voters = 2*m.failures + 1
 	for i := range m.voters {
@@ -132,10 +134,10 @@
 }
 
 func (m *model) boot(c *machine) {
-	config := raft.Config{ID: c.id, ElectionTicks: 10, HeartbeatTicks: 3, MaxBatchEntries: 128, MaxInFlight: 8, Random: m.random.IntN}
+	config := raft.Config{ID: c.id, ElectionTicks: 10, HeartbeatTicks: 3, MaxBatchEntries: 128, MaxInFlight: 8, Random: m.timing.IntN}
 	c.node = raft.NewNode(config, c.hard, raft.Snapshot{Membership: c.first}, slices.Clone(c.entries))
 	c.up, c.frozen, c.leaving, c.left = true, false, false, nil
-	c.heardLeader, c.nextCheck, c.callUntil, c.attempt = m.now, m.now+1+m.random.IntN(checkTicks), 0, 0
+	c.heardLeader, c.nextCheck, c.callUntil, c.attempt = m.now, m.now+1+m.timing.IntN(checkTicks), 0, 0
 }
 
 func (m *model) stop(c *machine) {
@@ -176,7 +178,7 @@
 }
 
 func (m *model) send(from *machine, message raft.Message) {
-	m.after(1+m.random.IntN(3), func() {
+	m.after(1+m.timing.IntN(3), func() {
 		to := m.find(message.To)
 		if to == nil || to.frozen || !m.connected(from, to) {
 			return
