raft: of two replicas that ask for votes at once one leaves it to the other

What callers saw: after a planned replacement beside the loss of another control VM, no leader for 4.3 s; the VM that stopped ran out of time before its vote was handed over, and the next loss that is allowed would have ended the control plane.

The links between regions, 55 ms one way, are a tick and more, so that this is no rare timing. Class: replicas that decide by chance alone where they know of each other.

Change: a replica that stands in the pre-vote and grants one to a rival of a smaller id returns to follower. The rival's log is as new as its own, or it isn't granted. If the rival can't win, its own timer runs on, drawn anew.

Beside: no new message; a replica of that build doesn't yield.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -39,6 +39,9 @@
 			n.vote = m.From
 			n.resetElection()
 		}
+		if n.yieldsTo(m) {
+			n.becomeFollower(n.term, "")
+		}
 		n.send(reply)
 		return
 	}
@@ -57,6 +60,12 @@
 	return n.vote == m.From || (n.vote == "" && n.leader == "")
 }
 
+// yieldsTo reports whether this replica leaves the election to a rival that it votes for.
+// Of two that ask at once one goes on, so that they don't split the votes.
+func (n *Node) yieldsTo(m Message) bool {
+	return m.Kind == PreVote && n.role == PreCandidate && m.From < n.config.ID
+}
+
 // upToDate reports whether a candidate's log is at least as up to date as this
 // replica's.
 func (n *Node) upToDate(index, term uint64) bool {
