--- a/io/controlvm/leaving.go
+++ b/io/controlvm/leaving.go
@@ -24,7 +24,11 @@
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		status := v.replica.Status().Status
 		change, wanted := replicaset.Leave(status, v.id, v.Config.Replicas, attempt)
-		if !wanted || v.leaveBy(ctx, status, change) {
+		if !wanted {
+			v.Log.Info("nothing of the vote is left to hand over", "replica", v.id, "member", status.Membership.Has(v.id), "learners", len(status.Membership.Learners), "leader", status.Leader, "commit", status.Commit)
+			return
+		}
+		if v.leaveBy(ctx, status, change) {
 			return
 		}
 		time.Sleep(leaveInterval)
