control: a change of the replicas is judged by the set that it changes

Cause: the leader judged by its published status and then handed the change to the loop of the replica, which may stand still for its disk meanwhile; the set may have changed in between. Class: a decision on a view that is older than the act.

Change: the loop judges the change by the node's own status right before it is appended.

Evidence: TestChangesAreAllowedByTheSetInForce: 20 calls at once, each allowed only while there is no learner; judged by the published status all 20 were made, now one.

--- a/io/propose/replicas.go
+++ b/io/propose/replicas.go
@@ -65,10 +65,13 @@
 
 func (p *Proposer) commitReplicaChange(ctx context.Context, request *operator.ChangeReplicasRequest) (*operator.ChangeReplicasResponse, error) {
 	change := replicaset.Change{Action: raft.MembershipAction(request.GetAction()), ID: request.GetVm()}
-	if p.Allow != nil && !p.Allow(p.Replica.Status().Status, change) {
-		return nil, fault.New(fault.Conflict, "replica %q answers and there are no voters to spare; promote a learner first", change.ID)
+	allow := func(status raft.Status) error {
+		if status.Role == raft.Leader && p.Allow != nil && !p.Allow(status, change) {
+			return fault.New(fault.Conflict, "replica %q answers and there are no voters to spare; promote a learner first", change.ID)
+		}
+		return nil
 	}
-	m, err := p.Replica.ChangeMembership(ctx, change.Action, change.ID)
+	m, err := p.Replica.ChangeMembership(ctx, change.Action, change.ID, allow)
 	if err != nil {
 		return nil, err
 	}
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -296,11 +296,16 @@
 }
 
 // ChangeMembership commits one change of the replica set and returns the new
-// membership. Error codes: fault.NoQuorum and fault.Conflict for a change that was
-// not made, fault.OutcomeUnknown for one that may still be.
-func (r *Replica) ChangeMembership(ctx context.Context, action raft.MembershipAction, id string) (m raft.Membership, err error) {
+// membership. allow returns an error if the leader must not make the change with the set
+// in force. Error codes: fault.NoQuorum and fault.Conflict, or that of allow, for a change
+// that was not made, fault.OutcomeUnknown for one that may still be.
+func (r *Replica) ChangeMembership(ctx context.Context, action raft.MembershipAction, id string, allow func(raft.Status) error) (m raft.Membership, err error) {
 	answer := make(chan proposalAnswer, 1)
 	err = r.runInLoop(ctx, func() {
+		if err := allow(r.node.Status()); err != nil {
+			answer <- proposalAnswer{err: err}
+			return
+		}
 		index, term, err := r.node.ChangeMembership(action, id)
 		if err != nil {
 			answer <- proposalAnswer{err: fault.New(membershipCode(err), "%v", err)}
