--- a/io/rig/fakeengine/engine.go
+++ b/io/rig/fakeengine/engine.go
@@ -23,7 +23,6 @@
 	"github.com/google/uuid"
 
 	"kingcuprill/core/fault"
-	"kingcuprill/core/target"
 	"kingcuprill/core/targetlimit"
 	"kingcuprill/io/rig/announcer"
 	rpc "kingcuprill/rpc/target"
@@ -328,62 +327,6 @@
 	}
 }
 
-// tokenTime returns the interval between tokens. It grows with the number of
-// running requests, up to twice PerToken for a full batch.
-func (e *Engine) tokenTime() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.Options.PerToken + e.Options.PerToken*time.Duration(e.running)/time.Duration(max(1, e.Options.Capacity))
-}
-
-// acquireSlot waits for a slot of the batch, higher priorities first and in
-// order of arrival within one. It reports false if the context ends first.
-func (e *Engine) acquireSlot(ctx context.Context, priority int) bool {
-	e.mu.Lock()
-	if e.running < e.Options.Capacity {
-		e.running++
-		e.mu.Unlock()
-		return true
-	}
-	w := &waiter{priority: priority, admitted: make(chan struct{})}
-	at := len(e.waiting)
-	for at > 0 && e.waiting[at-1].priority < priority {
-		at--
-	}
-	e.waiting = slices.Insert(e.waiting, at, w)
-	e.mu.Unlock()
-	select {
-	case <-w.admitted:
-		return true
-	case <-ctx.Done():
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	select {
-	case <-w.admitted:
-		e.handOverSlot()
-	default:
-		e.waiting = slices.DeleteFunc(e.waiting, func(other *waiter) bool { return other == w })
-	}
-	return false
-}
-
-func (e *Engine) releaseSlot() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.handOverSlot()
-}
-
-// handOverSlot hands a slot to the first waiting request, or frees it.
-func (e *Engine) handOverSlot() {
-	if len(e.waiting) == 0 {
-		e.running = max(0, e.running-1)
-		return
-	}
-	close(e.waiting[0].admitted)
-	e.waiting = e.waiting[1:]
-}
-
 func (e *Engine) cancel(_ http.ResponseWriter, r *http.Request) {
 	var job jobJSON
 	if json.NewDecoder(r.Body).Decode(&job) != nil {
@@ -412,78 +355,3 @@
 	defer e.mu.Unlock()
 	fmt.Fprintf(w, `{"boot_id":%q}`, e.bootID)
 }
-
-// prefill looks up the prefix blocks of a prompt in the cache, adds the missing
-// ones, evicts the least recently used beyond CacheBytes, and returns the number
-// of prompt bytes that weren't cached.
-func (e *Engine) prefill(job jobJSON) (cold int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	hashes := target.PrefixHashes(job.Model, job.Prompt)
-	cold = len(job.Prompt)
-	for _, hash := range hashes {
-		at := slices.Index(e.cache, hash)
-		if at < 0 {
-			e.recordEvent(hash, false)
-			e.cache = append(e.cache, hash)
-			continue
-		}
-		cold -= target.PrefixBlock
-		e.cache = append(slices.Delete(e.cache, at, at+1), hash)
-	}
-	for len(e.cache)*target.PrefixBlock > e.Options.CacheBytes {
-		e.recordEvent(e.cache[0], true)
-		e.cache = e.cache[1:]
-	}
-	return max(0, cold)
-}
-
-func (e *Engine) recordEvent(hash uint64, evicted bool) {
-	e.sequence++
-	e.events = append(e.events, &rpc.CacheEvent{Sequence: e.sequence, PrefixHash: strconv.FormatUint(hash, 16), Evicted: evicted})
-}
-
-const (
-	publishEvery   = 300 * time.Millisecond
-	lostEventEvery = 97 // one event in so many is lost
-	reportsKept    = 64 // load reports kept to look up the lagged one
-)
-
-// publish sends the cache events in batches every publishEvery and drops each
-// event whose sequence number is a multiple of lostEventEvery.
-func (e *Engine) publish() {
-	ticker := time.NewTicker(publishEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-e.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		e.mu.Lock()
-		events := slices.DeleteFunc(e.events, func(event *rpc.CacheEvent) bool { return event.GetSequence()%lostEventEvery == 0 })
-		e.events = nil
-		e.mu.Unlock()
-		if len(events) > 0 {
-			e.announcer.PublishCacheEvents(e.ctx, e.Identity(), events)
-		}
-	}
-}
-
-// laggedLoad records the present load and returns the one of LoadLag ago, or
-// the oldest recorded.
-func (e *Engine) laggedLoad() announcer.Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.reports = append(e.reports, announcer.Load{Running: e.running, Waiting: len(e.waiting)})
-	if len(e.reports) > reportsKept {
-		e.reports = e.reports[1:]
-	}
-	lag := 0
-	if e.Options.AnnounceEvery > 0 {
-		lag = int(e.Options.LoadLag / e.Options.AnnounceEvery)
-	}
-	report := e.reports[max(0, len(e.reports)-1-lag)]
-	report.Age = e.Options.LoadLag
-	return report
-}
