front: a VM that refuses for itself again and again is asked less and less often

What callers saw: during a long planned stop or an unconfirmed time of a VM of another region, each 150 ms a request took the way to it and back in vain.

Cause: the refusal was first counted as a success of the VM, which ends its backoff, and then as a refusal, so that each began with the shortest time. Change: only what says nothing against the VM counts as a success.

Evidence: TestRefusalsOfOneVMProlongItsBackoff failed before ("the second refusal has no longer backoff than the first").

--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -158,13 +158,17 @@
 		}
 		return x.recordConnectionError(err, x.forwardedRuns())
 	}
-	x.server.partners.Succeeded(v.ID)
-	if reason := response.Header.Get(hopNotRun); reason != "" {
+	reason := response.Header.Get(hopNotRun)
+	ownRefusal := slices.Contains(reasonsOfOneVM, reason)
+	if !ownRefusal {
+		x.server.partners.Succeeded(v.ID)
+	}
+	if reason != "" {
 		h.leave()
 		_, err := response.ReadAll(maxAnswer)
 		response.Finish(err == nil)
 		switch {
-		case slices.Contains(reasonsOfOneVM, reason):
+		case ownRefusal:
 			x.leaveOut(v)
 		case reason != quarantinedReason && reason != suspectReason && v.Region != x.server.Region:
 			x.server.regions.Refused(regionRoute{v.Region, x.route.Name}, time.Now())
--- a/io/front/otherregion_test.go
+++ b/io/front/otherregion_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// A VM that refuses for itself again and again was asked each time as if it had served the
+// request before. It must be asked less and less often.
+func TestRefusalsOfOneVMProlongItsBackoff(t *testing.T) {
+	stopping := startTarget(t, status(503, hopNotRun+": "+stoppingReason+"\r\n", ""))
+	w := abroadOnly(t, stopping.address, unreachable(t, 1)[0].address)
+	begin := time.Now()
+	w.server.partners.Refused("first", begin.Add(-time.Second)) // backoff of 150 ms
+	if code, _, _ := w.ask(t, "k"); code != http.StatusServiceUnavailable || stopping.count() != 1 {
+		t.Fatalf("status %d after %d requests", code, stopping.count())
+	}
+	if !w.server.partners.InBackoff("first", begin.Add(250*time.Millisecond)) {
+		t.Error("the second refusal has no longer backoff than the first")
+	}
+}
+
 // All VMs of a region stop. The request must not be offered to each of many.
 func TestFewVMsOfARegionAreAsked(t *testing.T) {
 	shared := startTarget(t, status(503, hopNotRun+": "+stoppingReason+"\r\n", ""))
