forward: a VM runs no forwarded request by an older catalogue than the sender's

What callers could see: a request that a newer configuration forbids in a region, or for an organisation, ran there all the same: the VM that had accepted it obeyed the newer one and passed it on to a VM that was cut off from the control VMs.

Class: a VM acts on an older word than the one that another VM has shown it.

Change: the receiver waits for that revision, 300 ms at most, and then refuses, not run, so that the sender asks another VM. Nothing new is sent; beside its requests are judged the same way, and it judges ours as before.

Evidence: TestForwardedRequestsAreRunByNoOlderCatalogue: at a VM that is cut off the request ran before ("code "", not run false, ran 1 times"), now it is refused; one whose newer catalogue comes 100 ms later runs it; a sender that is behind is served as before.

--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -100,6 +100,9 @@
 	if err := proto.Unmarshal(body, message); err != nil {
 		return request, message, fault.New(fault.Invalid, "the forwarded request is not valid: %v", err)
 	}
+	if err := s.awaitRevision(r.Context(), message.GetCatalogueRevision()); err != nil {
+		return request, message, err
+	}
 	request = toRequest(message)
 	if request.Path, err = hops.ParsePath(message.GetPath()).Arrive(s.VMState.Self); err != nil {
 		return request, message, err
@@ -119,6 +122,30 @@
 	return request, message, nil
 }
 
+// revisionTimeout is how long a VM waits for the catalogue by which the sender has checked a
+// request: about the time in which a change reaches all VMs that are connected.
+const revisionTimeout = 300 * time.Millisecond
+
+// awaitRevision waits until this VM has a catalogue that isn't older than the sender's: it
+// may know routes and residency rules that are no longer in force.
+func (s *Server) awaitRevision(ctx context.Context, revision uint64) error {
+	timeout := time.After(revisionTimeout)
+	for {
+		changed := s.VMState.Catalogue.Changed()
+		known := s.VMState.Catalogue.Read().Revision
+		if known >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return fault.New(fault.NoTarget, "VM %s has catalogue revision %d, the forwarded request was checked by revision %d; send it to another VM", s.VMState.Self, known, revision)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 func toRequest(m *vm.ForwardRequest) exchange.Request {
 	r := exchange.Request{
 		ID: m.GetRequestId(), Organisation: m.GetOrganisation(), KeyID: m.GetKeyId(),
--- a/io/forward/server_test.go
+++ b/io/forward/server_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -95,6 +96,53 @@
 	}
 }
 
+// A VM that was cut off from the control VMs ran forwarded requests by its older catalogue,
+// which a newer one may forbid.
+func TestForwardedRequestsAreRunByNoOlderCatalogue(t *testing.T) {
+	for name, test := range map[string]struct {
+		revision uint64
+		arrives  time.Duration // of the newer catalogue, 0 for never
+		want     fault.Code
+	}{
+		"same":           {revision: 1},
+		"sender behind":  {revision: 0},
+		"cut off":        {revision: 2, want: fault.NoTarget},
+		"a moment later": {revision: 2, arrives: 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server, runner := newServer()
+				if test.arrives > 0 {
+					time.AfterFunc(test.arrives, func() {
+						server.VMState.Catalogue.Update(func(c *catalogue.Catalogue) *catalogue.Catalogue {
+							newer := *c
+							newer.Revision = 2
+							return &newer
+						})
+					})
+				}
+				body, err := proto.Marshal(&vm.ForwardRequest{
+					RequestId: "r", Path: "vm-1", Organisation: "puja", KeyId: "web", Route: "plans",
+					TimeLeftNanoseconds: int64(time.Minute), Method: http.MethodGet, Url: "/", CatalogueRevision: test.revision,
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				recorder := httptest.NewRecorder()
+				server.ServeCall(recorder, httptest.NewRequest(http.MethodPost, CallPath, bytes.NewReader(body)))
+				frame := &vm.ForwardFrame{}
+				if err := readFrame(bufio.NewReader(recorder.Body), frame); err != nil {
+					t.Fatal(err)
+				}
+				refused := test.want != ""
+				if fault.Code(frame.GetErrorCode()) != test.want || frame.GetNotRun() != refused || refused != (runner.ran == 0) {
+					t.Errorf("code %q, not run %v, ran %d times", frame.GetErrorCode(), frame.GetNotRun(), runner.ran)
+				}
+			})
+		})
+	}
+}
+
 func FuzzReadFrame(f *testing.F) {
 	recorder := httptest.NewRecorder()
 	_ = newFrameWriter(recorder, "r").write(&vm.ForwardFrame{Index: 1, Text: "a"})
