--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -188,7 +188,7 @@
 	}
 	s := x.server
 	boot := s.Placer.Boot(target)
-	if !s.crashes.happened(boot, func() bool { return s.Links.ReachesOther(target) && s.Targets.Refuses(target, address) }) {
+	if !s.crashes.happened(boot, func() bool { return s.hasCrashed(target, address) }) {
 		return
 	}
 	row := s.Quarantine.Report(x.id+"@"+boot, boot, x.identity(), begun, x.trial)
@@ -197,6 +197,19 @@
 		"target", target, "boot", boot, "service", row.Service, "begun", begun, "trial", x.trial, "parts", row.Parts, "known", row.Known)
 }
 
+// hasCrashed looks whether a target at which a connection broke has crashed.
+func (s *Server) hasCrashed(target, address string) bool {
+	if !s.Links.ReachesOther(target) {
+		s.Log.Info("connection to the target broke, and no other target is reached; no crash is recorded", "target", target)
+		return false
+	}
+	if !s.Targets.Refuses(target, address) {
+		s.Log.Info("connection to the target broke, but it refuses no new one; no crash is recorded", "target", target)
+		return false
+	}
+	return true
+}
+
 // brokenOff reports whether the peer has closed or reset the connection.
 func brokenOff(err error) bool {
 	for _, known := range []error{io.EOF, io.ErrUnexpectedEOF, eventstream.ErrTruncated, syscall.ECONNRESET, syscall.EPIPE} {
