io/front: tests that failed under load run in virtual time

What was seen: TestHopsThatHedgeKeepTheAttempts ("1 runs, want 2"; 504), TestStopsEndHedgedRequestsOnce (6.0 to 6.3 s), TestShortRequestsBlameNoVM ("the VM is in backoff: false"), TestCallersOfAVMWithoutLinksAreServed, TestKeptConnectionsLiveOnWhileNewOnesAreRefused (503 after 30 to 120 ms) and TestLostLinksEndNoAnswer failed now and then beside a load of 25 to 80.

Cause: bounds and pauses of 20 ms to 8 s of real time, in which a starved process does less. Shown for one: with targets that take 200 ms or more, in virtual time, 16 of 40 requests of TestKeptConnectionsLiveOnWhileNewOnesAreRefused get 503, each refused as full by the other VM, which has 16 places; with 20, 60 and 100 ms none.

The six tests run on it in testing/synctest. No bound, count or check changed.

In a scratch copy each still fails for its fault: forwarded runs ignored ("3 runs, want 2 to 2"), a stop that probes targets ("2 connections are made before the answer"), each error blamed ("400 ms left: the VM is in backoff: true"), no way around ("status 503"), lost links that end answers ("status 502").

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -57,6 +57,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
+	return serveTarget(listener, answers)
+}
+
+func serveTarget(listener net.Listener, answers []func(conn net.Conn, request *http.Request)) *target {
 	s := &target{answers: answers, address: listener.Addr().String(), listener: listener, ended: make(chan struct{}, 16)}
 	go func() {
 		for {
@@ -136,10 +140,21 @@
 type fixture struct {
 	server *Server
 	front  *httptest.Server
+	caller http.RoundTripper
 	leased atomic.Int64 // nanoseconds
 }
 
 func newFixture(t testing.TB, route plan.Route, targets ...*target) *fixture {
+	t.Helper()
+	w := buildFixture(t, route, targets)
+	w.caller = http.DefaultTransport
+	w.front = httptest.NewServer(w.server)
+	t.Cleanup(w.front.Close)
+	return w
+}
+
+// buildFixture returns a server that callers can't reach yet.
+func buildFixture(t testing.TB, route plan.Route, targets []*target) *fixture {
 	t.Helper()
 	w := &fixture{}
 	w.leased.Store(int64(time.Minute))
@@ -175,8 +190,6 @@
 		Metrics: metrics.New(), Log: log,
 	}
 	w.server.Links = targetlink.NewMonitor(w.server.Targets, func() []place.Address { return placer.Usable(time.Now()) }, log)
-	w.front = httptest.NewServer(w.server)
-	t.Cleanup(w.front.Close)
 	return w
 }
 
@@ -199,7 +212,7 @@
 // the body.
 func (w *fixture) ask(t *testing.T, key string, header ...string) (code int, body string, response *http.Response) {
 	t.Helper()
-	response, err := http.DefaultTransport.RoundTrip(w.request(t.Context(), t, key, header...))
+	response, err := w.caller.RoundTrip(w.request(t.Context(), t, key, header...))
 	if err != nil {
 		return 0, "", nil
 	}
@@ -538,16 +551,18 @@
 // One that waits for long in vain does.
 func TestShortRequestsBlameNoVM(t *testing.T) {
 	for left, blamed := range map[string]bool{"400": false, "1500": true} {
-		silent := startTarget(t, func(net.Conn, *http.Request) {})
-		here := newFixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1})
-		here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
-		here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: silent.address, Ready: true}})
-		if code, _, _ := here.ask(t, "k", testHeaders.TimeLeft, left); code != http.StatusGatewayTimeout {
-			t.Errorf("%s ms left: status %d", left, code)
-		}
-		if got := here.server.partners.InBackoff("there", time.Now()); got != blamed {
-			t.Errorf("%s ms left: the VM is in backoff: %v", left, got)
-		}
+		inVirtualTime(t, func(t *testing.T, v *virtual) {
+			silent := v.target(func(net.Conn, *http.Request) {})
+			here := v.fixture(t, plan.Route{Kind: plan.NonIdempotent, Attempts: 1})
+			here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
+			here.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: silent.address, Ready: true}})
+			if code, _, _ := here.ask(t, "k", testHeaders.TimeLeft, left); code != http.StatusGatewayTimeout {
+				t.Errorf("%s ms left: status %d", left, code)
+			}
+			if got := here.server.partners.InBackoff("there", time.Now()); got != blamed {
+				t.Errorf("%s ms left: the VM is in backoff: %v", left, got)
+			}
+		})
 	}
 }
 
--- a/io/front/hedge_test.go
+++ b/io/front/hedge_test.go
@@ -130,34 +130,39 @@
 			for _, attempts := range []int{1, 2, 3, 4} {
 				t.Run(fmt.Sprintf("%v before head %v %d attempts", kind, beforeHead, attempts), func(t *testing.T) {
 					t.Parallel()
-					route := plan.Route{Kind: kind, Resumable: kind == plan.Stream, Attempts: attempts, MaxGap: 300 * time.Millisecond, Timeout: 8 * time.Second}
-					s := startTarget(t, pausing(kind, 3*time.Second, beforeHead))
-					first, second, here := newFixture(t, route, s, s, s), newFixture(t, route, s, s, s), newFixture(t, route)
-					here.server.Placer.SetRemote([]place.Remote{
-						{Service: "s", DataCentre: "first", Region: "first", Targets: 3},
-						{Service: "s", DataCentre: "second", Region: "second", Targets: 3},
-					})
-					here.server.Entries.Store(&[]entry.VM{first.abroad(t, "first"), second.abroad(t, "second")})
-					want := "fine"
-					if kind == plan.Stream {
-						want = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
-					}
-					if code, body, _ := here.ask(t, "k"); code != http.StatusOK || body != want {
-						t.Errorf("status %d, body %q", code, body)
-					}
-					most := attempts
-					if kind == plan.NonIdempotent {
-						most = 1
-					}
-					if s.count() > most || s.count() < min(most, 2) {
-						t.Errorf("%d runs, want %d to %d", s.count(), min(most, 2), most)
-					}
+					inVirtualTime(t, func(t *testing.T, v *virtual) { v.keepAttempts(t, kind, beforeHead, attempts) })
 				})
 			}
 		}
 	}
 }
 
+func (v *virtual) keepAttempts(t *testing.T, kind plan.Kind, beforeHead bool, attempts int) {
+	t.Helper()
+	route := plan.Route{Kind: kind, Resumable: kind == plan.Stream, Attempts: attempts, MaxGap: 300 * time.Millisecond, Timeout: 8 * time.Second}
+	s := v.target(pausing(kind, 3*time.Second, beforeHead))
+	first, second, here := v.fixture(t, route, s, s, s), v.fixture(t, route, s, s, s), v.fixture(t, route)
+	here.server.Placer.SetRemote([]place.Remote{
+		{Service: "s", DataCentre: "first", Region: "first", Targets: 3},
+		{Service: "s", DataCentre: "second", Region: "second", Targets: 3},
+	})
+	here.server.Entries.Store(&[]entry.VM{v.abroad(t, first, "first"), v.abroad(t, second, "second")})
+	want := "fine"
+	if kind == plan.Stream {
+		want = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
+	}
+	if code, body, _ := here.ask(t, "k"); code != http.StatusOK || body != want {
+		t.Errorf("status %d, body %q", code, body)
+	}
+	most := attempts
+	if kind == plan.NonIdempotent {
+		most = 1
+	}
+	if s.count() > most || s.count() < min(most, 2) {
+		t.Errorf("%d runs, want %d to %d", s.count(), min(most, 2), most)
+	}
+}
+
 // A target is silent and then lost. Meanwhile the configuration was not confirmed for a
 // while, in which all tries of the request were used up without a request being sent.
 func TestUnconfirmedConfigurationUsesNoTries(t *testing.T) {
@@ -186,31 +191,36 @@
 		for _, beforeHead := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%v before head %v", kind, beforeHead), func(t *testing.T) {
 				t.Parallel()
-				const begin, grace = 1800 * time.Millisecond, 4 * time.Second
-				s := startTarget(t, pausing(kind, 4*(begin+grace), beforeHead))
-				w := newFixture(t, plan.Route{Kind: kind, Resumable: kind == plan.Stream, Attempts: 2, Timeout: 10 * time.Second}, s, s)
-				logged, begun := &lockedBuffer{}, time.Now()
-				w.server.Log = slog.New(slog.NewTextHandler(logged, nil))
-				var dials, before atomic.Int64
-				onDial := w.server.Targets.OnDial
-				w.server.Targets.OnDial = func(peer string, err error) {
-					dials.Add(1)
-					onDial(peer, err)
-				}
-				time.AfterFunc(begin, func() { w.server.Stop(drain.Stop{Begun: time.Now(), Grace: grace}) })
-				time.AfterFunc(begin+grace/2, func() { before.Store(dials.Load()) })
-				code, body, _ := w.ask(t, "k")
-				if took := time.Since(begun); code == http.StatusOK || took > begin+grace || s.count() != 2 {
-					t.Errorf("status %d, body %q after %v and %d runs", code, body, took, s.count())
-				}
-				eventually.Until(t, "the request has ended", func() bool { return w.server.Running() == 0 })
-				if dials.Load() != before.Load() {
-					t.Errorf("%d connections are made before the answer, to find out about the targets", dials.Load()-before.Load())
-				}
-				if kinds := strings.Join(logged.kinds(), " "); kinds != string(endedStop) {
-					t.Errorf("logged kinds %q", kinds)
-				}
+				inVirtualTime(t, func(t *testing.T, v *virtual) { v.stopHedged(t, kind, beforeHead) })
 			})
 		}
 	}
 }
+
+func (v *virtual) stopHedged(t *testing.T, kind plan.Kind, beforeHead bool) {
+	t.Helper()
+	const begin, grace = 1800 * time.Millisecond, 4 * time.Second
+	s := v.target(pausing(kind, 4*(begin+grace), beforeHead))
+	w := v.fixture(t, plan.Route{Kind: kind, Resumable: kind == plan.Stream, Attempts: 2, Timeout: 10 * time.Second}, s, s)
+	logged, begun := &lockedBuffer{}, time.Now()
+	w.server.Log = slog.New(slog.NewTextHandler(logged, nil))
+	var dials, before atomic.Int64
+	onDial := w.server.Targets.OnDial
+	w.server.Targets.OnDial = func(peer string, err error) {
+		dials.Add(1)
+		onDial(peer, err)
+	}
+	time.AfterFunc(begin, func() { w.server.Stop(drain.Stop{Begun: time.Now(), Grace: grace}) })
+	time.AfterFunc(begin+grace/2, func() { before.Store(dials.Load()) })
+	code, body, _ := w.ask(t, "k")
+	if took := time.Since(begun); code == http.StatusOK || took > begin+grace || s.count() != 2 {
+		t.Errorf("status %d, body %q after %v and %d runs", code, body, took, s.count())
+	}
+	eventually.Until(t, "the request has ended", func() bool { return w.server.Running() == 0 })
+	if dials.Load() != before.Load() {
+		t.Errorf("%d connections are made before the answer, to find out about the targets", dials.Load()-before.Load())
+	}
+	if kinds := strings.Join(logged.kinds(), " "); kinds != string(endedStop) {
+		t.Errorf("logged kinds %q", kinds)
+	}
+}
--- a/io/front/links_test.go
+++ b/io/front/links_test.go
@@ -28,58 +28,60 @@
 func TestCallersOfAVMWithoutLinksAreServed(t *testing.T) {
 	for _, kind := range []plan.Kind{plan.Idempotent, plan.NonIdempotent, plan.Stream} {
 		t.Run(kind.String(), func(t *testing.T) {
-			answer := status(200, "", "fine")
-			if kind == plan.Stream {
-				answer = stream(true, 1, 2)
-			}
-			route := plan.Route{Kind: kind, Attempts: 2}
-			neighbour := newFixture(t, route, startTarget(t, answer))
-			here := newFixture(t, route, unreachable(t, 6)...)
-			vms := []entry.VM{neighbour.abroad(t, "region"), {ID: "vm", Region: "region", Ready: true}}
-			here.server.Entries.Store(&vms)
-			for i := range 20 {
-				begun := time.Now()
-				if code, body, _ := here.ask(t, "k"); code != http.StatusOK || time.Since(begun) > time.Second {
-					t.Fatalf("request %d: status %d, body %q after %v", i, code, body, time.Since(begun))
-				}
-			}
+			inVirtualTime(t, func(t *testing.T, v *virtual) { v.serveWithoutLinks(t, kind) })
 		})
 	}
 }
 
+func (v *virtual) serveWithoutLinks(t *testing.T, kind plan.Kind) {
+	t.Helper()
+	answer := status(200, "", "fine")
+	if kind == plan.Stream {
+		answer = stream(true, 1, 2)
+	}
+	route := plan.Route{Kind: kind, Attempts: 2}
+	neighbour := v.fixture(t, route, v.target(answer))
+	here := v.fixture(t, route, v.unreachable(6)...)
+	here.server.Entries.Store(&[]entry.VM{v.abroad(t, neighbour, "region"), {ID: "vm", Region: "region", Ready: true}})
+	for i := range 20 {
+		begun := time.Now()
+		if code, body, _ := here.ask(t, "k"); code != http.StatusOK || time.Since(begun) > time.Second {
+			t.Fatalf("request %d: status %d, body %q after %v", i, code, body, time.Since(begun))
+		}
+	}
+}
+
 // Connections to targets live on while new ones are refused. Callers are served over the
 // kept ones, and over another VM when these aren't enough.
 func TestKeptConnectionsLiveOnWhileNewOnesAreRefused(t *testing.T) {
-	slow := func(conn net.Conn, request *http.Request) {
-		time.Sleep(20 * time.Millisecond)
-		status(200, "", "fine")(conn, request)
-	}
-	route := plan.Route{Kind: plan.NonIdempotent, Attempts: 2}
-	neighbour := newFixture(t, route, startTarget(t, slow), startTarget(t, slow))
-	var targets []*target
-	for range 3 {
-		targets = append(targets, startTarget(t, slow))
-	}
-	here := newFixture(t, route, targets...)
-	vms := []entry.VM{neighbour.abroad(t, "region"), {ID: "vm", Region: "region", Ready: true}}
-	here.server.Entries.Store(&vms)
-	for range 12 {
-		here.ask(t, "k")
-	}
-	for _, s := range targets {
-		closedport.Close(t, s.listener)
-	}
-	var group sync.WaitGroup
-	for range 40 {
-		group.Go(func() {
-			begun := time.Now()
-			if code, body, _ := here.ask(t, "k"); code != http.StatusOK || time.Since(begun) > time.Second {
-				t.Errorf("status %d, body %q after %v", code, body, time.Since(begun))
-			}
-		})
-		time.Sleep(5 * time.Millisecond)
-	}
-	group.Wait()
+	inVirtualTime(t, func(t *testing.T, v *virtual) {
+		slow := func(conn net.Conn, request *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			status(200, "", "fine")(conn, request)
+		}
+		route := plan.Route{Kind: plan.NonIdempotent, Attempts: 2}
+		neighbour := v.fixture(t, route, v.target(slow), v.target(slow))
+		targets := []*target{v.target(slow), v.target(slow), v.target(slow)}
+		here := v.fixture(t, route, targets...)
+		here.server.Entries.Store(&[]entry.VM{v.abroad(t, neighbour, "region"), {ID: "vm", Region: "region", Ready: true}})
+		for range 12 {
+			here.ask(t, "k")
+		}
+		for _, s := range targets {
+			s.listener.Close()
+		}
+		var group sync.WaitGroup
+		for range 40 {
+			group.Go(func() {
+				begun := time.Now()
+				if code, body, _ := here.ask(t, "k"); code != http.StatusOK || time.Since(begun) > time.Second {
+					t.Errorf("status %d, body %q after %v", code, body, time.Since(begun))
+				}
+			})
+			time.Sleep(5 * time.Millisecond)
+		}
+		group.Wait()
+	})
 }
 
 // A request that may run once was sent over another VM, which lost its answer, while this
--- a/io/front/silence_test.go
+++ b/io/front/silence_test.go
@@ -88,21 +88,21 @@
 func TestLostLinksEndNoAnswer(t *testing.T) {
 	for _, route := range []plan.Route{{Kind: plan.Stream, Resumable: true, Attempts: 3}, {Kind: plan.Idempotent, Attempts: 3}} {
 		t.Run(route.Kind.String(), func(t *testing.T) {
-			const pause = 1500 * time.Millisecond
-			silent := startTarget(t, pausing(route.Kind, pause, false))
-			w := newFixture(t, route, silent)
-			time.AfterFunc(pause/3, func() {
-				gone := unreachable(t, 3)
-				for i, s := range gone {
-					_ = w.server.Targets.Connect(t.Context(), fmt.Sprint("t", i), s.address)
-				}
-				if !w.server.Links.Lost() {
-					t.Error("the links aren't lost")
+			inVirtualTime(t, func(t *testing.T, v *virtual) {
+				const pause = 1500 * time.Millisecond
+				w := v.fixture(t, route, v.target(pausing(route.Kind, pause, false)))
+				time.AfterFunc(pause/3, func() {
+					for i, s := range v.unreachable(3) {
+						_ = w.server.Targets.Connect(t.Context(), fmt.Sprint("t", i), s.address)
+					}
+					if !w.server.Links.Lost() {
+						t.Error("the links aren't lost")
+					}
+				})
+				if code, body, _ := w.ask(t, "k"); code != http.StatusOK || len(body) < len("fine") {
+					t.Errorf("status %d, body %q", code, body)
 				}
 			})
-			if code, body, _ := w.ask(t, "k"); code != http.StatusOK || len(body) < len("fine") {
-				t.Errorf("status %d, body %q", code, body)
-			}
 		})
 	}
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -76,6 +76,8 @@
 	// DialAddress returns the address to dial in place of an address. If it is nil,
 	// the address itself is dialled.
 	DialAddress func(address string) string
+	// Network opens the connections to an address; nil stands for TCP.
+	Network func(ctx context.Context, address string) (net.Conn, error)
 	// Idle is how long an idle connection is kept if the peer sends no Keep-Alive
 	// timeout; 0 stands for defaultIdle less idleMargin.
 	Idle time.Duration
@@ -212,8 +214,11 @@
 	if c.DialAddress != nil {
 		address = c.DialAddress(address)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	open := c.Network
+	if open == nil {
+		open = dialTCP
+	}
+	raw, err := open(ctx, address)
 	if c.OnDial != nil && !errors.Is(ctx.Err(), context.Canceled) {
 		c.OnDial(peer, err)
 	}
@@ -226,6 +231,11 @@
 	return newConn(raw), nil
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func (c *Client) pop(peer string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
