io/follow, io/targetlink, io/coordinator: tests that failed under load run in virtual time

What was seen: beside a load of 44 to 64, TestCatalogueComesOnce ("the far control VM has sent 1 catalogues"), TestSilentTargetsAreReached ("lost false, told 0") and TestPlacesAreGivenOutOnce ("context deadline exceeded") failed once each.

Cause: real time. The second remains as suspected (a port that another process took); it has no ports of the system any more.

Change: peer.Peers, too, opens connections by a function, TCP as before if it is nil. The three tests run on io/rig/memnet in testing/synctest. No bound, count or check changed.

--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -5,12 +5,14 @@
 	"log/slog"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"kingcuprill/core/instance"
 	"kingcuprill/core/place"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/rig/eventually"
+	"kingcuprill/io/rig/memnet"
 	"kingcuprill/rpc/entry"
 )
 
@@ -18,16 +20,32 @@
 // the coordinator, a client and the coordinator's address.
 func startCoordinator(t *testing.T, slots int) (server *Server, client *Client, address string) {
 	t.Helper()
-	log := slog.New(slog.DiscardHandler)
+	peers := peer.NewUnsigned("here")
+	server = newCoordinator(slots)
+	web := httptest.NewServer(server.Handler(peers.Credentials))
+	t.Cleanup(web.Close)
+	return server, NewClient(peers, slog.New(slog.DiscardHandler)), web.Listener.Addr().String()
+}
+
+// startVirtual is startCoordinator for a test in virtual time.
+func startVirtual(t *testing.T, slots int) (server *Server, client *Client, address string) {
+	t.Helper()
+	network := &memnet.Network{}
+	t.Cleanup(network.Close)
+	peers := peer.NewUnsigned("here")
+	peers.Network = network.Dial
+	server = newCoordinator(slots)
+	web := network.Serve(server.Handler(peers.Credentials))
+	t.Cleanup(web.Close)
+	return server, NewClient(peers, slog.New(slog.DiscardHandler)), web.Listener.Addr().String()
+}
+
+func newCoordinator(slots int) *Server {
 	placer := place.NewPlacer("there", "region")
 	placer.SetTargets(map[string]instance.Registration{
 		"t": {ID: "t", Service: "s", Address: "a:1", State: instance.Ready, Slots: slots, Heard: time.Now()},
 	}, func(string) string { return "region" })
-	server = NewServer(placer, func() map[string]bool { return nil }, func() bool { return true }, log)
-	peers := peer.NewUnsigned("here")
-	web := httptest.NewServer(server.Handler(peers.Credentials))
-	t.Cleanup(web.Close)
-	return server, NewClient(peers, log), web.Listener.Addr().String()
+	return NewServer(placer, func() map[string]bool { return nil }, func() bool { return true }, slog.New(slog.DiscardHandler))
 }
 
 func request() place.Request {
@@ -47,8 +65,12 @@
 // Places are given out until all slots are used, and again after a reservation
 // has ended.
 func TestPlacesAreGivenOutOnce(t *testing.T) {
+	synctest.Test(t, testPlacesOnce)
+}
+
+func testPlacesOnce(t *testing.T) {
 	const slots = 2
-	server, client, address := startCoordinator(t, slots)
+	server, client, address := startVirtual(t, slots)
 	var reservations []*Reservation
 	for range slots {
 		reservations = append(reservations, mustReserve(t, client, address))
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -27,6 +28,7 @@
 	"kingcuprill/io/peer"
 	"kingcuprill/io/rig/eventually"
 	"kingcuprill/io/rig/link"
+	"kingcuprill/io/rig/memnet"
 	"kingcuprill/rpc/vm"
 )
 
@@ -38,6 +40,7 @@
 	vmState *vmstate.State
 	web     *httptest.Server
 	address string
+	network *memnet.Network // nil for TCP
 
 	mu    sync.Mutex
 	asked *vm.FollowRequest // the last poll
@@ -79,14 +82,23 @@
 
 func startControl(t *testing.T, id, region string) *control {
 	t.Helper()
-	c := &control{vmState: vmstate.New(membership.Member{ID: id, Region: region}, time.Second)}
+	return startControlOn(t, nil, id, region)
+}
+
+func startControlOn(t *testing.T, network *memnet.Network, id, region string) *control {
+	t.Helper()
+	c := &control{network: network, vmState: vmstate.New(membership.Member{ID: id, Region: region}, time.Second)}
 	confirm := func(context.Context) (uint64, error) { return c.vmState.Catalogue.Read().Revision, nil }
 	targets := versioned.NewTable[instance.Registration]()
 	targets.Group = func(row instance.Registration) string { return row.DataCentre }
 	c.server = NewServer(c.vmState, id, targets, confirm, func() []string { return nil }, slog.New(slog.DiscardHandler))
 	mux := http.NewServeMux()
 	mux.Handle(vm.VMPathPrefix, vm.NewVMServer(c))
-	web := httptest.NewServer(mux)
+	serve := httptest.NewServer
+	if network != nil {
+		serve = network.Serve
+	}
+	web := serve(mux)
 	t.Cleanup(web.Close)
 	c.web = web
 	c.address = web.Listener.Addr().String()
@@ -160,6 +172,9 @@
 	var seeds []string
 	for _, c := range controls {
 		seeds = append(seeds, c.address)
+		if c.network != nil {
+			f.Peers.Network = c.network.Dial
+		}
 	}
 	var group tomb.Tomb
 	f.Run(&group, seeds)
@@ -181,7 +196,13 @@
 // A large configuration would overload narrow links if each control VM sent it.
 // It is sent compressed and once, by the nearest control VM.
 func TestCatalogueComesOnce(t *testing.T) {
-	far, near := startControl(t, "far", "abroad"), startControl(t, "near", "near")
+	synctest.Test(t, testCatalogueOnce)
+}
+
+func testCatalogueOnce(t *testing.T) {
+	network := &memnet.Network{}
+	t.Cleanup(network.Close)
+	far, near := startControlOn(t, network, "far", "abroad"), startControlOn(t, network, "near", "near")
 	f := startFollower(t, far, near)
 	eventually.Until(t, "only the near one is asked for catalogues", func() bool { return far.revisionOnly() && !near.revisionOnly() })
 	large := strings.Repeat(`{"name":"r-1","host":"h.example","prefix":"/a/"}`, 4000)
--- a/io/front/virtual_test.go
+++ b/io/front/virtual_test.go
@@ -42,7 +42,7 @@
 }
 
 func (v *virtual) target(answers ...func(conn net.Conn, request *http.Request)) *target {
-	return serveTarget(v.Listen(), answers)
+	return serveTarget(v.Listen(""), answers)
 }
 
 // unreachable returns targets that refuse connections.
@@ -67,10 +67,7 @@
 // serve returns a server of callers or VMs.
 func (v *virtual) serve(t *testing.T, handler http.Handler) *httptest.Server {
 	t.Helper()
-	server := httptest.NewUnstartedServer(handler)
-	server.Listener.Close()
-	server.Listener = v.Listen()
-	server.Start()
+	server := v.Serve(handler)
 	t.Cleanup(server.Close)
 	return server
 }
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -24,9 +24,11 @@
 	VM          settings.VM
 	Timeouts    settings.Timeouts
 	Bytes       *Traffic
-	http        *http.Client
-	clients     sync.Map // address to vm.VM
-	entries     sync.Map // address to entry.Entry
+	// Network opens the connections to an address; nil stands for TCP.
+	Network func(ctx context.Context, address string) (net.Conn, error)
+	http    *http.Client
+	clients sync.Map // address to vm.VM
+	entries sync.Map // address to entry.Entry
 }
 
 // Traffic counts the bytes sent to other VMs and received from them, on connections
@@ -69,15 +71,23 @@
 	})
 }
 
-func (p *Peers) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: p.Timeouts.Dial, KeepAlive: 5 * time.Second}
-	conn, err := dialer.DialContext(ctx, network, p.VM.Dial(address))
+func (p *Peers) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	open := p.Network
+	if open == nil {
+		open = p.dialTCP
+	}
+	conn, err := open(ctx, p.VM.Dial(address))
 	if err != nil {
 		return nil, err
 	}
 	return countedConn{Conn: conn, traffic: p.Bytes}, nil
 }
 
+func (p *Peers) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: p.Timeouts.Dial, KeepAlive: 5 * time.Second}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 type countedConn struct {
 	net.Conn
 	traffic *Traffic
--- a/io/rig/memnet/memnet.go
+++ b/io/rig/memnet/memnet.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"syscall"
 )
@@ -18,19 +20,31 @@
 	last      int // number of the last address
 }
 
-// Listen returns a listener at an address of its own.
-func (n *Network) Listen() net.Listener {
+// Listen returns a listener at an address, or at one of its own if that is empty.
+func (n *Network) Listen(at string) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.listeners == nil {
 		n.listeners = map[string]*listener{}
 	}
-	n.last++
-	l := &listener{network: n, address: address(fmt.Sprintf("192.0.2.%d:80", n.last)), arrived: make(chan net.Conn), closed: make(chan struct{})}
+	if at == "" {
+		n.last++
+		at = fmt.Sprintf("192.0.2.%d:80", n.last)
+	}
+	l := &listener{network: n, address: address(at), arrived: make(chan net.Conn), closed: make(chan struct{})}
 	n.listeners[l.address.String()] = l
 	return l
 }
 
+// Serve returns a server of HTTP at an address of its own. Its Close must be called.
+func (n *Network) Serve(handler http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener.Close()
+	server.Listener = n.Listen("")
+	server.Start()
+	return server
+}
+
 // Dial connects to a listener. Connections to other addresses are refused.
 func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
 	n.mu.Lock()
--- a/io/rig/memnet/memnet_test.go
+++ b/io/rig/memnet/memnet_test.go
@@ -14,7 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := &Network{}
 		t.Cleanup(network.Close)
-		listener := network.Listen()
+		listener := network.Listen("")
 		address := listener.Addr().String()
 		go func() {
 			conn, err := listener.Accept()
@@ -47,7 +47,7 @@
 		t.Cleanup(network.Close)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if _, err := network.Dial(ctx, network.Listen().Addr().String()); !errors.Is(err, context.DeadlineExceeded) {
+		if _, err := network.Dial(ctx, network.Listen("").Addr().String()); !errors.Is(err, context.DeadlineExceeded) {
 			t.Errorf("%v", err)
 		}
 	})
--- a/io/targetlink/monitor_test.go
+++ b/io/targetlink/monitor_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -13,6 +14,7 @@
 	"kingcuprill/core/place"
 	"kingcuprill/io/rig/closedport"
 	"kingcuprill/io/rig/eventually"
+	"kingcuprill/io/rig/memnet"
 	"kingcuprill/io/upstream"
 )
 
@@ -39,14 +41,23 @@
 // Targets that are silent, but accept connections, are reached. When none is any more,
 // the requests that wait are told, and when one is again, the links are whole.
 func TestSilentTargetsAreReached(t *testing.T) {
+	synctest.Test(t, testSilentTargets)
+}
+
+func testSilentTargets(t *testing.T) {
+	network := &memnet.Network{}
+	t.Cleanup(network.Close)
 	var listeners []net.Listener
 	var known []place.Address
 	for _, id := range []string{"a", "b", "c", "d"} {
-		listener := listen(t, "127.0.0.1:0")
+		listener := network.Listen("")
+		go acceptAll(listener)
 		listeners = append(listeners, listener)
 		known = append(known, place.Address{ID: id, Address: listener.Addr().String()})
 	}
-	m := NewMonitor(upstream.NewClient(nil), func() []place.Address { return known }, slog.New(slog.DiscardHandler))
+	targets := upstream.NewClient(nil)
+	targets.Network = network.Dial
+	m := NewMonitor(targets, func() []place.Address { return known }, slog.New(slog.DiscardHandler))
 	var group tomb.Tomb
 	group.Go(func() error { return m.Run(&group) })
 	t.Cleanup(func() { group.Kill(nil) })
@@ -59,20 +70,29 @@
 		t.Fatal("silent targets count as not reached")
 	}
 	for _, listener := range listeners {
-		defer closedport.Close(t, listener)()
+		listener.Close()
 	}
 	time.Sleep(recently + 50*time.Millisecond)
 	m.CheckSilence()
 	if !m.Lost() || told.Load() != 1 || m.ReachesOther("a") {
 		t.Fatalf("lost %v, told %d", m.Lost(), told.Load())
 	}
-	listen(t, known[2].Address)
+	go acceptAll(network.Listen(known[2].Address))
 	eventually.Until(t, "the links are whole", func() bool { return !m.Lost() })
 	if changes.Load() != 2 {
 		t.Errorf("%d changes", changes.Load())
 	}
 }
 
+// acceptAll accepts connections and never answers.
+func acceptAll(listener net.Listener) {
+	for {
+		if _, err := listener.Accept(); err != nil {
+			return
+		}
+	}
+}
+
 // One target that refuses connections has failed, as long as another is reached, or none
 // other is known.
 func TestOneTargetThatRefuses(t *testing.T) {
