io/front: the failing handler of a test fails by itself, and its log is looked at

Cause: the case "handler fails" of TestEachEndWithoutAnAnswerIsLoggedOnce took the server's quarantine away, so that the handler panicked as wanted, and the server of the test wrote that to the log of the run. The bare server of forwarded_test.go has no handler and isn't the cause.

Change: the handler fails with a message of the test; the error log of each case's server is kept, and must hold that message in this case and no panic in the others, which wasn't looked at before.

--- a/io/front/ended_test.go
+++ b/io/front/ended_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -43,6 +44,12 @@
 	return kinds
 }
 
+func (b *lockedBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.text.String(), text)
+}
+
 func silent(conn net.Conn, _ *http.Request) {
 	time.Sleep(2 * time.Second)
 	conn.Close()
@@ -98,7 +105,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w := newFixture(t, test.route, startTarget(t, test.answer))
-			logged := &lockedBuffer{}
+			logged, panics := &lockedBuffer{}, &lockedBuffer{}
+			w.front.Config.ErrorLog = log.New(panics, "", 0)
 			w.server.Log = slog.New(slog.NewTextHandler(logged, nil))
 			test.call(w, t)
 			eventually.Until(t, "the request has ended", func() bool { return w.server.Running() == 0 })
@@ -106,6 +114,9 @@
 			if kinds != string(test.want) {
 				t.Errorf("logged kinds %q, want %q", kinds, test.want)
 			}
+			if failed := panics.contains(failureOfHandler); failed != (test.want == endedOpen) || !failed && panics.contains("panic") {
+				t.Errorf("the handler has failed: %v", failed)
+			}
 			if counter, found := w.server.Metrics.Registry.Get("ended." + string(test.want)).(gometrics.Counter); test.want != "" && (!found || counter.Count() != 1) {
 				t.Errorf("counter: %v", counter)
 			}
@@ -124,7 +135,9 @@
 	conn.Close()
 }
 
+const failureOfHandler = "the test's handler fails"
+
 func failInHandler(w *fixture, t *testing.T) {
-	w.server.Quarantine = nil
+	w.server.Targets.OnDial = func(string, error) { panic(failureOfHandler) }
 	w.ask(t, "k")
 }
