--- a/io/replica/apply.go
+++ b/io/replica/apply.go
@@ -38,6 +38,7 @@
 
 func (r *Replica) restore(snapshot raft.Snapshot) error {
 	r.captured = nil
+	r.sinceCapture, r.capturedBytes = 0, len(snapshot.Data)
 	s, err := codec.DecodeState(snapshot.Data)
 	if err != nil {
 		return err
@@ -66,7 +67,7 @@
 		return fmt.Errorf("kind %d of entry: %w", entry.Kind, codec.ErrNewer)
 	}
 	r.answer(entry, result)
-	r.captureSnapshot(entry.Index)
+	r.captureSnapshot(entry)
 	return nil
 }
 
@@ -99,33 +100,3 @@
 	}
 	w.answer <- proposalAnswer{result: result}
 }
-
-// captureSnapshot encodes the state every snapshotInterval entries. compact replaces
-// the entries by it once trailingEntries more have been applied.
-func (r *Replica) captureSnapshot(index uint64) {
-	if r.captured == nil && index%snapshotInterval == 0 {
-		data, err := codec.EncodeState(r.state)
-		if err != nil {
-			r.options.Log.Error("the state of the control log could not be encoded; no snapshot is taken until the next attempt", "error", err)
-			return
-		}
-		r.captured = &capturedSnapshot{index: index, data: data}
-	}
-}
-
-func (r *Replica) compact(hard raft.HardState) {
-	status := r.node.Status()
-	if r.captured == nil || status.Applied < r.captured.index+trailingEntries {
-		return
-	}
-	snapshotAt := *r.captured
-	r.captured = nil
-	snapshot, err := r.node.Compact(snapshotAt.index, snapshotAt.data)
-	if err == nil {
-		err = r.options.Store.SaveSnapshot(snapshot, hard, r.node.Persisted())
-	}
-	if err != nil {
-		// The log on disk stays longer than needed until the next snapshot.
-		r.options.Log.Error("the control log was not compacted; the next snapshot tries again", "index", snapshotAt.index, "error", err)
-	}
-}
--- a/io/replica/builds_test.go
+++ b/io/replica/builds_test.go
@@ -58,7 +58,13 @@
 // entries that follow it, all of them committed.
 func saved(t *testing.T, snapshot []byte, entries ...raft.Entry) (store *disk.Store, contents disk.Saved) {
 	t.Helper()
-	folder, identity := filepath.Join(t.TempDir(), "data"), disk.Identity{ClusterID: "test", VM: "a"}
+	return savedIn(t, filepath.Join(t.TempDir(), "data"), snapshot, entries...)
+}
+
+// savedIn is saved with the path of the folder.
+func savedIn(t *testing.T, folder string, snapshot []byte, entries ...raft.Entry) (store *disk.Store, contents disk.Saved) {
+	t.Helper()
+	identity := disk.Identity{ClusterID: "test", VM: "a"}
 	members := raft.Membership{Voters: []string{"a"}}
 	if err := disk.Format(folder, identity, members); err != nil {
 		t.Fatal(err)
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -33,8 +33,6 @@
 	maxInFlight       = 8 // append messages
 	inboxSize         = 1024
 	maxBatchedInputs  = 256 // inputs handled before the disk is synced
-	snapshotInterval  = 512 // entries
-	trailingEntries   = 256 // entries applied after a capture before it replaces the log, for followers that lag
 	diskRetryInterval = time.Second
 	// maxCommandBytes is the largest encoded command: its entry has some bytes more.
 	maxCommandBytes = disk.MaxEntryBytes - 64
@@ -54,6 +52,9 @@
 	Transport Transport
 	Log       *slog.Logger
 	TickEvery time.Duration
+	// SnapshotBytes is the size of the applied entries after which a snapshot is taken, 0 for
+	// the default. The log is at most about one and a half times as large.
+	SnapshotBytes int
 	// Published is called with each new catalogue and the change that led to it,
 	// or nil at the start and after a snapshot was restored.
 	Published func(c *catalogue.Catalogue, change *catalogue.Change)
@@ -79,8 +80,10 @@
 	clockBase  time.Time // ledger's clock at clockStart
 	clockStart time.Time
 
-	captured    *capturedSnapshot
-	diskProblem error
+	captured      *capturedSnapshot
+	capturedBytes int // size of the last snapshot that was captured
+	sinceCapture  int // size of the entries applied since, bytes
+	diskProblem   error
 }
 
 // Status is the state of a replica after its last step. It is safe for concurrent
@@ -91,11 +94,6 @@
 	LogBytes    int64
 }
 
-type capturedSnapshot struct {
-	index uint64
-	data  []byte
-}
-
 type proposal struct {
 	command *state.Command
 	answer  chan proposalAnswer
@@ -125,6 +123,7 @@
 	r = &Replica{
 		options:          options,
 		state:            s,
+		capturedBytes:    len(options.Saved.Snapshot.Data),
 		inbox:            make(chan []raft.Message, inboxSize),
 		proposals:        make(chan proposal, inboxSize),
 		calls:            make(chan func()),
