Control log: the time for a message between replicas grows with its size

What callers saw: nothing yet.

Cause: each call between VMs ends after 1 s, whatever it carries.

Change: the timeout of such a call is longer by its size at 1 MB/s. Calls that carry little keep theirs. BoundedBySize is new in io/peer.

--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -58,6 +58,7 @@
 const (
 	defaultDialTimeout = 500 * time.Millisecond
 	defaultCallTimeout = time.Second
+	slowestTransfer    = 1 << 20 // bytes in a second; what is slower counts as failed
 )
 
 // NewUnsigned returns a client for VMs that share no secret. Its signatures, made
@@ -120,6 +121,12 @@
 	return context.WithTimeout(ctx, p.Timeouts.Peer)
 }
 
+// BoundedBySize returns a context with the timeout of one call whose request has a size in
+// bytes.
+func (p *Peers) BoundedBySize(ctx context.Context, size int) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, p.Timeouts.Peer+time.Duration(size)*time.Second/slowestTransfer)
+}
+
 // DropIdle closes idle connections, so that the next call opens a new one. A
 // connection whose state was lost by a device between the VMs still looks open.
 func (p *Peers) DropIdle() {
--- a/io/replica/transport.go
+++ b/io/replica/transport.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
 	"gopkg.in/tomb.v2"
 
 	"kingcuprill/core/raft"
@@ -76,7 +77,7 @@
 	for _, message := range messages {
 		request.Messages = append(request.Messages, codec.FromMessage(message))
 	}
-	callCtx, cancel := s.Peers.Bounded(ctx)
+	callCtx, cancel := s.Peers.BoundedBySize(ctx, proto.Size(request))
 	defer cancel()
 	if _, err := s.Peers.At(address).Step(callCtx, request); err != nil {
 		s.Peers.DropIdle()
