Raft: messages, and what is unanswered, are bounded in bytes

What callers saw: nothing traced to it alone. A follower that lacked 128 documents of 463 KB got them in one message of 59 MB, up to eight at once, encoded at the leader and read, decoded and encoded again at the follower: more than the memory of a control VM.

Cause: an append message was bounded by its entries only, and what was under way by the number of messages.

Change: MaxBatchBytes (1 MB, or one entry), MaxInFlightBytes (8 MB), and one more answered heartbeat for each 128 KB before a message counts as lost. 0 is no bound.

Why it works: a follower's reply names what it has, so that the entries between that and the next one are what is under way. Messages keep their form: another build takes part as before.

--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -44,6 +44,14 @@
 	return l.entries[first-offset : last-offset+1 : last-offset+1]
 }
 
+// size returns the bytes of the entries from first to last, as far as they are in the log.
+func (l *entryLog) size(first, last uint64) (size int) {
+	for _, entry := range l.slice(max(first, l.snapshot.Index+1), last) {
+		size += len(entry.Data)
+	}
+	return size
+}
+
 func (l *entryLog) append(entries ...Entry) {
 	l.entries = append(l.entries, entries...)
 }
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -25,7 +25,7 @@
 }
 
 // heartbeatsToResend is the number of heartbeat replies without an append reply
-// after which unanswered append messages count as lost.
+// after which unanswered append messages without data count as lost.
 const heartbeatsToResend = 2
 
 // heartbeatsToResendSnapshot is the same for a snapshot, which takes longer to
@@ -65,13 +65,13 @@
 	if id == n.config.ID || p == nil || p.snapshot != 0 {
 		return
 	}
-	for p.inFlight < n.window(p) && (p.next <= n.log.lastIndex() || p.probing) {
+	for n.hasRoom(p) && (p.next <= n.log.lastIndex() || p.probing) {
 		before, known := n.log.term(p.next - 1)
 		if !known {
 			n.sendSnapshot(id, p)
 			return
 		}
-		last := min(n.log.lastIndex(), p.next+uint64(n.config.MaxBatchEntries)-1)
+		last := n.batchEnd(p.next)
 		entries := slices.Clone(n.log.slice(p.next, last))
 		n.send(Message{Kind: Append, To: id, LogIndex: p.next - 1, LogTerm: before, Commit: n.commit, Entries: entries})
 		p.inFlight++
@@ -239,11 +239,7 @@
 		return
 	}
 	p.heartbeatReplies++
-	limit := heartbeatsToResend
-	if p.snapshot != 0 {
-		limit = heartbeatsToResendSnapshot
-	}
-	if p.heartbeatReplies > limit {
+	if p.heartbeatReplies > n.repliesToResend(p) {
 		p.heartbeatReplies = 0
 		p.snapshot = 0
 		p.inFlight = 0
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -121,6 +121,9 @@
 	config := raft.Config{
 		ID: r.id, ElectionTicks: 10, HeartbeatTicks: 3, MaxBatchEntries: 4, MaxInFlight: 3, Random: s.random.IntN,
 	}
+	if s.seed%2 == 1 {
+		config.MaxBatchBytes, config.MaxInFlightBytes, config.HeartbeatBytes = 20, 40, 16 // an entry has 8
+	}
 	r.node = raft.NewNode(config, r.disk.hard, r.disk.snapshot, slices.Clone(r.disk.entries))
 	r.state = slices.Clone(r.disk.snapshot.Data)
 	r.applied = r.disk.snapshot.Index
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -150,4 +150,10 @@
 	MaxBatchEntries int             // entries per append message
 	MaxInFlight     int             // unanswered append messages per follower
 	Random          func(n int) int // returns a number in [0, n)
+
+	// Bounds of the entries' data in bytes; 0 is none.
+
+	MaxBatchBytes    int // per append message of more than one entry
+	MaxInFlightBytes int // unanswered per follower, after which nothing more is sent
+	HeartbeatBytes   int // that surely arrive between two heartbeats, for the time until messages count as lost
 }
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -31,6 +31,9 @@
 	heartbeatTicks    = 3
 	maxBatchEntries   = 128
 	maxInFlight       = 8 // append messages
+	maxBatchBytes     = 1 << 20
+	maxInFlightBytes  = 8 << 20
+	heartbeatBytes    = 128 << 10 // 1 MB/s for heartbeats each 135 ms
 	inboxSize         = 1024
 	maxBatchedInputs  = 256 // inputs handled before the disk is synced
 	diskRetryInterval = time.Second
@@ -133,6 +136,7 @@
 	config := raft.Config{
 		ID: options.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		MaxBatchEntries: maxBatchEntries, MaxInFlight: maxInFlight, Random: rand.IntN,
+		MaxBatchBytes: maxBatchBytes, MaxInFlightBytes: maxInFlightBytes, HeartbeatBytes: heartbeatBytes,
 	}
 	r.node = raft.NewNode(config, options.Saved.HardState, options.Saved.Snapshot, options.Saved.Entries)
 	if unreadable != nil {
