Data folder: the log is read and written as a stream

Cause: Open read the whole log into memory and decoded the entries beside it.

Ruled out: mapping the file into memory. Its pages count for the memory of the process.

Change: a scanner reads one record after the other and passes it on; the search for a whole batch behind damage goes through the file by parts. Batches hold about 2 MB (or one entry, or what fits in a record, as before) and each is written before the next is encoded in the same memory. Records keep their form, and any number of batches was always read.

Why it works: beside the entries, memory holds one record.

--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -41,17 +41,18 @@
 	if err := s.writeSnapshotFile(snapshot); err != nil {
 		return err
 	}
-	if err := s.replaceFile(logFile, nil); err != nil {
+	empty := func(*os.File) error { return nil }
+	if err := s.replaceFile(logFile, empty); err != nil {
 		return err
 	}
-	if err := s.replaceFile(withdrawnFile, nil); err != nil {
+	if err := s.replaceFile(withdrawnFile, empty); err != nil {
 		return err
 	}
 	data, err := json.Marshal(identityJSON(identity))
 	if err != nil {
 		return err
 	}
-	return s.replaceFile(identityFile, data)
+	return s.replaceFile(identityFile, func(file *os.File) error { return s.write(file, data) })
 }
 
 // ReadIdentity returns the replica that a data folder holds, if it holds one.
--- a/io/disk/read.go
+++ b/io/disk/read.go
@@ -23,18 +23,26 @@
 }
 
 func (s *Store) readSnapshot() (snapshot raft.Snapshot, err error) {
-	data, err := os.ReadFile(s.path(snapshotFile))
+	file, err := os.Open(s.path(snapshotFile))
 	if err != nil {
 		return snapshot, err
 	}
-	var encoded []byte
-	for offset := 0; offset < len(data) || offset == 0; {
-		record, result := parseRecord(data[offset:])
+	defer file.Close()
+	records, err := newScanner(file)
+	if err != nil {
+		return snapshot, err
+	}
+	encoded := make([]byte, 0, records.size)
+	for offset := int64(0); offset < records.size || offset == 0; {
+		record, result, err := records.next(offset)
+		if err != nil {
+			return snapshot, err
+		}
 		if result != recordComplete || record.kind != snapshotRecord {
 			return snapshot, fmt.Errorf("%s: offset %d: %w; replace this replica", s.path(snapshotFile), offset, ErrDamaged)
 		}
 		encoded = append(encoded, record.payload...)
-		offset += record.size
+		offset += int64(record.size)
 	}
 	message := &state.LogSnapshot{}
 	if err := proto.Unmarshal(encoded, message); err != nil {
@@ -44,23 +52,18 @@
 }
 
 func (s *Store) readLog(saved *Saved) (err error) {
-	records, completeBytes, tornBytes, err := s.readRecords(logFile)
+	completeBytes, tornBytes, err := s.readRecords(logFile, saved.addRecord)
 	if err != nil {
 		return err
 	}
-	for _, record := range records {
-		if err := saved.addRecord(record); err != nil {
-			return fmt.Errorf("%s: %w: %w", s.path(logFile), ErrDamaged, err)
-		}
-	}
-	saved.TornBytes = tornBytes
-	if err := s.reopenLog(int64(completeBytes)); err != nil {
+	saved.TornBytes = int(tornBytes)
+	if err := s.reopenLog(completeBytes); err != nil {
 		return err
 	}
 	if tornBytes == 0 {
 		return nil
 	}
-	if err := s.log.Truncate(int64(completeBytes)); err != nil {
+	if err := s.log.Truncate(completeBytes); err != nil {
 		return err
 	}
 	return s.log.Sync()
@@ -103,46 +106,62 @@
 	return nil
 }
 
-// readRecords reads a file of records. It returns the number of bytes of complete
-// records, and of the incomplete write that follows them. It fails with ErrDamaged
-// if a complete batch follows bytes that can't be read.
-func (s *Store) readRecords(name string) (records []parsedRecord, completeBytes, tornBytes int, err error) {
-	data, err := os.ReadFile(s.path(name))
+// readRecords reads a file of records one after the other and passes them on; a payload is
+// valid during the call only. It returns the number of bytes of complete records, and of the
+// incomplete write that follows them. It fails with ErrDamaged if a complete batch follows
+// bytes that can't be read, or if a record isn't accepted.
+func (s *Store) readRecords(name string, accept func(record parsedRecord) error) (completeBytes, tornBytes int64, err error) {
+	file, err := os.Open(s.path(name))
+	if err != nil {
+		return 0, 0, err
+	}
+	defer file.Close()
+	records, err := newScanner(file)
 	if err != nil {
-		return nil, 0, 0, err
+		return 0, 0, err
 	}
-	for completeBytes < len(data) {
-		record, result := parseRecord(data[completeBytes:])
+	for completeBytes < records.size {
+		record, result, err := records.next(completeBytes)
+		if err != nil {
+			return 0, 0, err
+		}
 		inner, complete := record.unpack()
-		if result == recordComplete && complete {
-			records = append(records, inner...)
-			completeBytes += record.size
-			continue
+		if result != recordComplete || !complete {
+			return completeBytes, records.size - completeBytes, s.checkTorn(records, name, completeBytes)
 		}
-		if containsBatch(data[completeBytes+1:]) {
-			return nil, 0, 0, fmt.Errorf("%s: offset %d: %w; replace this replica", s.path(name), completeBytes, ErrDamaged)
+		for _, r := range inner {
+			if err := accept(r); err != nil {
+				return 0, 0, fmt.Errorf("%s: %w: %w", s.path(name), ErrDamaged, err)
+			}
 		}
-		break
+		completeBytes += int64(record.size)
 	}
-	return records, completeBytes, len(data) - completeBytes, nil
+	return completeBytes, 0, nil
 }
 
-func (s *Store) readWithdrawn() (keys []string, err error) {
-	records, completeBytes, _, err := s.readRecords(withdrawnFile)
-	if err != nil {
-		return nil, err
+// checkTorn fails with ErrDamaged if what can't be read isn't the end of a file.
+func (s *Store) checkTorn(records *scanner, name string, offset int64) error {
+	found, err := records.containsBatch(offset + 1)
+	if found {
+		return fmt.Errorf("%s: offset %d: %w; replace this replica", s.path(name), offset, ErrDamaged)
 	}
-	for _, record := range records {
+	return err
+}
+
+func (s *Store) readWithdrawn() (keys []string, err error) {
+	completeBytes, _, err := s.readRecords(withdrawnFile, func(record parsedRecord) error {
 		message := &state.Change{}
-		if err := proto.Unmarshal(record.payload, message); err != nil {
-			return nil, fmt.Errorf("%s: %w: %w", s.path(withdrawnFile), ErrDamaged, err)
-		}
+		err := proto.Unmarshal(record.payload, message)
 		keys = append(keys, message.GetWithdrawKey())
+		return err
+	})
+	if err != nil {
+		return nil, err
 	}
 	s.withdrawn, err = os.OpenFile(s.path(withdrawnFile), os.O_RDWR, fileMode)
 	if err != nil {
 		return nil, err
 	}
-	s.withdrawnSize = int64(completeBytes)
+	s.withdrawnSize = completeBytes
 	return keys, truncate(s.withdrawn, s.withdrawnSize)
 }
--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -32,6 +33,13 @@
 	batchRecord
 )
 
+// batchSize is the size in bytes of a batch to which no more entries are added, and
+// hardStateSize more than the record of a hard state has.
+const (
+	batchSize     = 2 << 20
+	hardStateSize = 4 << 10
+)
+
 // MaxEntryBytes is the largest encoded entry of the log that can be saved: with the
 // headers of its record and its batch it must fit into maxRecordSize.
 const MaxEntryBytes = maxRecordSize - 2*headerSize - 1
@@ -43,25 +51,25 @@
 
 // appendRecord appends an encoded record to a buffer.
 func appendRecord(buffer []byte, kind recordKind, message proto.Message) (extended []byte, err error) {
-	payload, err := proto.Marshal(message)
-	if err != nil {
-		return nil, err
+	size := proto.Size(message)
+	if size > MaxEntryBytes {
+		return nil, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, size, MaxEntryBytes)
 	}
-	if len(payload) > MaxEntryBytes {
-		return nil, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(payload), MaxEntryBytes)
+	start := len(buffer)
+	buffer = slices.Grow(buffer, headerSize+size)[:start+headerSize]
+	if buffer, err = (proto.MarshalOptions{}).MarshalAppend(buffer, message); err != nil {
+		return nil, err
 	}
-	return appendPayload(buffer, kind, payload), nil
+	putHeader(buffer[start:], kind, buffer[start+headerSize:])
+	return buffer, nil
 }
 
-// appendPayload appends a record with an encoded payload, which must be shorter than
-// maxRecordSize, to a buffer.
-func appendPayload(buffer []byte, kind recordKind, payload []byte) []byte {
-	var header [headerSize]byte
+// putHeader writes the header of a record with an encoded payload, which must be shorter
+// than maxRecordSize.
+func putHeader(header []byte, kind recordKind, payload []byte) {
 	binary.LittleEndian.PutUint32(header[0:], uint32(len(payload))|uint32(kind)<<24)
 	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(header[:4], castagnoli))
 	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(payload, castagnoli))
-	buffer = append(buffer, header[:]...)
-	return append(buffer, payload...)
 }
 
 type parsedRecord struct {
@@ -78,8 +86,8 @@
 	recordCorrupt               // a checksum doesn't match
 )
 
-// parseRecord parses the record at the start of data.
-func parseRecord(data []byte) (record parsedRecord, result parseResult) {
+// parseHeader parses the header of a record at the start of data.
+func parseHeader(data []byte) (record parsedRecord, result parseResult) {
 	if len(data) < headerSize {
 		return parsedRecord{}, recordTruncated
 	}
@@ -89,6 +97,14 @@
 	lengthAndKind := binary.LittleEndian.Uint32(data)
 	record.kind = recordKind(lengthAndKind >> 24)
 	record.size = headerSize + int(lengthAndKind&(maxRecordSize-1))
+	return record, recordComplete
+}
+
+// parseRecord parses the record at the start of data.
+func parseRecord(data []byte) (record parsedRecord, result parseResult) {
+	if record, result = parseHeader(data); result != recordComplete {
+		return record, result
+	}
 	if len(data) < record.size {
 		return parsedRecord{}, recordTruncated
 	}
@@ -99,36 +115,61 @@
 	return record, recordComplete
 }
 
-// appendBatch appends the encoded records of one write to a buffer, as one record.
-func appendBatch(buffer, records []byte) []byte {
-	return appendPayload(buffer, batchRecord, records)
+// batch is the records of one write, encoded as one record.
+type batch struct {
+	data []byte // begins with the place of the header
 }
 
-// encodeBatches encodes entries and the hard state that follows them as batches, as
-// many as their size needs. The hard state is in the last one.
-func encodeBatches(hard raft.HardState, entries []raft.Entry) (batches [][]byte, err error) {
-	var records []byte
-	add := func(kind recordKind, message proto.Message) error {
-		record, err := appendRecord(nil, kind, message)
-		if err != nil {
-			return err
+func newBatch() batch {
+	return batch{data: make([]byte, headerSize)}
+}
+
+// reset removes the records and keeps the memory.
+func (b *batch) reset() {
+	b.data = b.data[:headerSize]
+}
+
+func (b *batch) add(kind recordKind, message proto.Message) (err error) {
+	b.data, err = appendRecord(b.data, kind, message)
+	return err
+}
+
+func (b *batch) empty() bool {
+	return len(b.data) == headerSize
+}
+
+// encoded returns the batch with its header.
+func (b *batch) encoded() []byte {
+	putHeader(b.data, batchRecord, b.data[headerSize:])
+	return b.data
+}
+
+// writeBatches encodes entries and the hard state that follows them as batches, and writes
+// each before it encodes the next in the same memory. The hard state is in the last one.
+func writeBatches(hard raft.HardState, entries []raft.Entry, write func(batch []byte) error) error {
+	b := newBatch()
+	for _, entry := range entries {
+		message := codec.FromEntry(entry)
+		if !b.empty() && len(b.data)+headerSize+proto.Size(message) > batchSize {
+			if err := write(b.encoded()); err != nil {
+				return err
+			}
+			b.reset()
 		}
-		if len(records)+len(record) >= maxRecordSize {
-			batches = append(batches, appendBatch(nil, records))
-			records = nil
+		if err := b.add(entryRecord, message); err != nil {
+			return fmt.Errorf("entry %d: %w", entry.Index, err)
 		}
-		records = append(records, record...)
-		return nil
 	}
-	for _, entry := range entries {
-		if err := add(entryRecord, codec.FromEntry(entry)); err != nil {
-			return nil, fmt.Errorf("entry %d: %w", entry.Index, err)
+	if len(b.data) > maxRecordSize-hardStateSize {
+		if err := write(b.encoded()); err != nil {
+			return err
 		}
+		b.reset()
 	}
-	if err := add(hardStateRecord, codec.FromHardState(hard)); err != nil {
-		return nil, err
+	if err := b.add(hardStateRecord, codec.FromHardState(hard)); err != nil {
+		return err
 	}
-	return append(batches, appendBatch(nil, records)), nil
+	return write(b.encoded())
 }
 
 // unpack returns the records of a batch, or the record itself if it is no batch, and
@@ -147,14 +188,3 @@
 	}
 	return records, true
 }
-
-// containsBatch reports whether a complete batch starts anywhere in data. Nothing
-// follows a torn write, so a complete batch after unreadable bytes means damage.
-func containsBatch(data []byte) bool {
-	for offset := range data {
-		if record, result := parseRecord(data[offset:]); result == recordComplete && record.kind == batchRecord {
-			return true
-		}
-	}
-	return false
-}
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -98,16 +97,7 @@
 	if !sync {
 		return nil
 	}
-	batches, err := encodeBatches(hard, entries)
-	if err != nil {
-		return err
-	}
-	for _, batch := range batches {
-		if err := s.appendBatch(s.log, &s.size, batch); err != nil {
-			return err
-		}
-	}
-	return nil
+	return writeBatches(hard, entries, func(batch []byte) error { return s.appendBatch(s.log, &s.size, batch) })
 }
 
 // appendBatch writes a batch at the end of a file, syncs it and adds it to the size of
@@ -151,15 +141,17 @@
 	if err := s.writeSnapshotFile(snapshot); err != nil {
 		return err
 	}
-	batches, err := encodeBatches(hard, entries)
+	size := int64(0)
+	err = s.replaceFile(logFile, func(file *os.File) error {
+		return writeBatches(hard, entries, func(batch []byte) error {
+			size += int64(len(batch))
+			return s.write(file, batch)
+		})
+	})
 	if err != nil {
 		return err
 	}
-	log := slices.Concat(batches...)
-	if err := s.replaceFile(logFile, log); err != nil {
-		return err
-	}
-	return s.reopenLog(int64(len(log)))
+	return s.reopenLog(size)
 }
 
 func (s *Store) reopenLog(size int64) (err error) {
@@ -182,24 +174,30 @@
 	if err != nil {
 		return err
 	}
-	first := min(len(encoded), maxRecordSize-1)
-	buffer := appendPayload(nil, snapshotRecord, encoded[:first])
-	for piece := range slices.Chunk(encoded[first:], maxRecordSize-1) {
-		buffer = appendPayload(buffer, snapshotRecord, piece)
-	}
-	return s.replaceFile(snapshotFile, buffer)
+	return s.replaceFile(snapshotFile, func(file *os.File) error {
+		for begun := false; len(encoded) > 0 || !begun; begun = true {
+			piece := encoded[:min(len(encoded), maxRecordSize-1)]
+			encoded = encoded[len(piece):]
+			var header [headerSize]byte
+			putHeader(header[:], snapshotRecord, piece)
+			if err := errors.Join(s.write(file, header[:]), s.write(file, piece)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 }
 
 // replaceFile replaces a file atomically: it writes and syncs a temporary file,
 // renames it and syncs the folder.
-func (s *Store) replaceFile(name string, data []byte) (err error) {
+func (s *Store) replaceFile(name string, fill func(file *os.File) error) (err error) {
 	defer fault.Annotate(&err, "replace %s", name)
 	temporary := s.path(name + temporarySuffix)
 	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return err
 	}
-	err = s.write(file, data)
+	err = fill(file)
 	err = errors.Join(err, file.Sync(), file.Close())
 	if err != nil {
 		return errors.Join(err, os.Remove(temporary))
@@ -222,13 +220,13 @@
 // SaveWithdrawn appends the ids of withdrawn keys and syncs.
 func (s *Store) SaveWithdrawn(keys []string) (err error) {
 	defer fault.Annotate(&err, "save to %s", s.path(withdrawnFile))
-	var buffer []byte
+	b := newBatch()
 	for _, key := range keys {
-		if buffer, err = appendRecord(buffer, withdrawalRecord, &state.Change{Kind: &state.Change_WithdrawKey{WithdrawKey: key}}); err != nil {
+		if err := b.add(withdrawalRecord, &state.Change{Kind: &state.Change_WithdrawKey{WithdrawKey: key}}); err != nil {
 			return err
 		}
 	}
-	return s.appendBatch(s.withdrawn, &s.withdrawnSize, appendBatch(nil, buffer))
+	return s.appendBatch(s.withdrawn, &s.withdrawnSize, b.encoded())
 }
 
 // Size returns the size of the log file in bytes.
