Control VMs: a memory limit, and a log in proportion to the memory

Cause: entry VMs set a memory limit of the garbage collector, control VMs none. The collector let the heap double, whatever the machine has.

Measured: go test -race ./io/controlvm passes.

--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -95,6 +95,7 @@
 // running yet.
 func New(c vmconfig.Config, log *slog.Logger) (v *VM, err error) {
 	defer fault.Annotate(&err, "control VM %s", c.ID)
+	limitMemory(c.MemoryBytes) // before the log is read
 	store, saved, id, err := openStore(c, log)
 	if err != nil {
 		return nil, err
@@ -108,8 +109,9 @@
 	v.addControlVMs(c.Seeds)
 	v.replica = replica.New(replica.Options{
 		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tickInterval,
-		Transport: &replica.Sender{Address: replicaset.AddressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
-		Published: v.publish,
+		Transport:     &replica.Sender{Address: replicaset.AddressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
+		SnapshotBytes: int(snapshotShare * float64(c.MemoryBytes)),
+		Published:     v.publish,
 	})
 	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica, Allow: v.allowChange}
 	epoch := strconv.FormatInt(time.Now().UnixNano(), 36)
