Control log: a large log of the build before is folded as it is read

What callers saw: nothing yet.

What a replica had started from also stayed in memory as long as it ran, through its options.

Ruled out: applying entries while the log is read in general. A log that this build has written is bounded, and its start stays as it was.

A hard state names what is committed; that is never replaced by later records. If an entry can't be applied, nothing more is folded, and the replica holds there. The options forget what the replica started from.

Why it works: the same commands are applied in the same order by the same code, only earlier. Formats stay.

--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -110,7 +110,7 @@
 	v.replica = replica.New(replica.Options{
 		ID: id, Store: store, Saved: saved, Log: log, TickEvery: tickInterval,
 		Transport:     &replica.Sender{Address: replicaset.AddressOf, Peers: v.peers, Log: log, Tomb: &v.tomb},
-		SnapshotBytes: int(snapshotShare * float64(c.MemoryBytes)),
+		SnapshotBytes: snapshotBytes(c),
 		Published:     v.publish,
 	})
 	v.Proposer = &propose.Proposer{VMState: v.VMState, Peers: v.peers, Replica: v.replica, Allow: v.allowChange}
@@ -143,7 +143,7 @@
 			return nil, saved, "", err
 		}
 	}
-	store, saved, err = disk.Open(c.DataDir, identity)
+	store, saved, err = replica.Open(c.DataDir, identity, snapshotBytes(c))
 	return store, saved, identity.VM, err
 }
 
--- a/io/controlvm/memory.go
+++ b/io/controlvm/memory.go
@@ -1,6 +1,10 @@
 package controlvm
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+
+	"kingcuprill/io/vmconfig"
+)
 
 const (
 	// memoryShare is the part of the VM's memory that is the soft memory limit of the
@@ -18,3 +22,9 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
 	}
 }
+
+// snapshotBytes is the size of the applied entries after which a snapshot is taken, 0 if the
+// settings name no memory.
+func snapshotBytes(c vmconfig.Config) int {
+	return int(snapshotShare * float64(c.MemoryBytes))
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -117,7 +117,7 @@
 
 func (d *Daemon) openReplica() error {
 	identity := disk.Identity{ClusterID: d.settings.Cluster.ID, VM: d.settings.VM.ID}
-	store, saved, err := disk.Open(d.settings.Control.DataDir, identity)
+	store, saved, err := replica.Open(d.settings.Control.DataDir, identity, 0)
 	if err != nil {
 		return err
 	}
--- a/io/disk/read.go
+++ b/io/disk/read.go
@@ -52,10 +52,12 @@
 }
 
 func (s *Store) readLog(saved *Saved) (err error) {
-	completeBytes, tornBytes, err := s.readRecords(logFile, saved.addRecord)
+	reader := logReader{saved: saved, fold: s.fold}
+	completeBytes, tornBytes, err := s.readRecords(logFile, reader.accept)
 	if err != nil {
 		return err
 	}
+	reader.foldAll()
 	saved.TornBytes = int(tornBytes)
 	if err := s.reopenLog(completeBytes); err != nil {
 		return err
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -47,6 +47,7 @@
 	Entries   []raft.Entry
 	Withdrawn []string // key ids
 	TornBytes int      // of an incomplete write, removed from the end of the log
+	Folded    bool     // the snapshot is newer than the one on disk
 }
 
 // Store is an open data folder, locked to this process.
@@ -57,6 +58,7 @@
 	BeforeWrite func(size int) (written int, err error)
 
 	folder        string
+	fold          Fold // applied to the log as it is read
 	lock          *os.File
 	log           *os.File
 	size          int64 // of the log up to the last complete write, bytes
@@ -67,8 +69,11 @@
 // Open locks a data folder and reads it. It fails if another process has the folder
 // open, if the identity differs from the folder's, or with ErrDamaged.
 func Open(folder string, identity Identity) (s *Store, saved Saved, err error) {
-	defer fault.Annotate(&err, "open data folder %s", folder)
-	s = &Store{folder: folder}
+	return open(&Store{folder: folder}, identity)
+}
+
+func open(s *Store, identity Identity) (opened *Store, saved Saved, err error) {
+	defer fault.Annotate(&err, "open data folder %s", s.folder)
 	if err := s.acquireLock(); err != nil {
 		return nil, Saved{}, err
 	}
--- a/io/replica/apply.go
+++ b/io/replica/apply.go
@@ -72,11 +72,7 @@
 }
 
 func (r *Replica) applyCommand(data []byte) (result control.Result, err error) {
-	message := &state.Command{}
-	if err := proto.Unmarshal(data, message); err != nil {
-		return result, err
-	}
-	command, err := codec.ToCommand(message)
+	command, err := decodeCommand(data)
 	if err != nil {
 		return result, err
 	}
@@ -88,6 +84,14 @@
 	return result, nil
 }
 
+func decodeCommand(data []byte) (command control.Command, err error) {
+	message := &state.Command{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		return command, err
+	}
+	return codec.ToCommand(message)
+}
+
 func (r *Replica) answer(entry raft.Entry, result control.Result) {
 	w, found := r.pendingProposals[entry.Index]
 	if !found {
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -142,6 +142,8 @@
 	if unreadable != nil {
 		r.hold(options.Saved.Snapshot.Index+1, unreadable)
 	}
+	r.saveFolded()
+	r.options.Saved = disk.Saved{} // the entries would stay in memory
 	r.publishStatus()
 	options.Published(r.state.Catalogue, nil)
 	return r
