--- a/io/replica/compact.go
+++ b/io/replica/compact.go
@@ -15,7 +15,8 @@
 	trailingShare = 0.5
 	// snapshotsBetween is how many times the size of the last snapshot the entries between two
 	// have at least. A follower that gets a snapshot then finds the entries behind it still in
-	// the log, if it receives as fast as entries are committed.
+	// the log, if it receives as fast as entries are committed. For a state larger than
+	// SnapshotBytes this is given up, so that the log stays bounded.
 	snapshotsBetween = 2
 )
 
@@ -47,7 +48,7 @@
 	if configured == 0 {
 		configured = defaultSnapshotBytes
 	}
-	return max(configured, snapshotsBetween*r.capturedBytes)
+	return max(configured, snapshotsBetween*min(r.capturedBytes, configured))
 }
 
 func (r *Replica) compactDue() bool {
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -56,7 +56,8 @@
 	Log       *slog.Logger
 	TickEvery time.Duration
 	// SnapshotBytes is the size of the applied entries after which a snapshot is taken, 0 for
-	// the default. The log is at most about one and a half times as large.
+	// the default. The log is at most about one and a half times as large, and twice that
+	// with a large state.
 	SnapshotBytes int
 	// Published is called with each new catalogue and the change that led to it,
 	// or nil at the start and after a snapshot was restored.
