Data folder: one save is one batch again, as far as it fits in a record

With batches of 2 MB a save of more could end, by a crash, with entries on disk and not the hard state that was saved with them. No vote is lost by that (a vote is saved before any entry of its term), but it is a state that no test has, and it was rare before (16 MB).

Change: a save fills a record as before; batches of 2 MB are for a log that is replaced as a whole.

Evidence: TestFullDiskBetweenBatches (new) lets the second of two writes of 20 MB fail halfway; the same save succeeds later and each entry is there once.

--- a/io/disk/record.go
+++ b/io/disk/record.go
@@ -33,10 +33,13 @@
 	batchRecord
 )
 
-// batchSize is the size in bytes of a batch to which no more entries are added, and
-// hardStateSize more than the record of a hard state has.
 const (
-	batchSize     = 2 << 20
+	// saveBatchSize bounds the batches of one save, which are synced one after the other: as
+	// a rule there is one, so that the entries and the hard state are on disk together.
+	saveBatchSize = maxRecordSize - hardStateSize
+	// replaceBatchSize bounds those of a log that is replaced as a whole.
+	replaceBatchSize = 2 << 20
+	// hardStateSize is more than the record of a hard state has.
 	hardStateSize = 4 << 10
 )
 
@@ -144,13 +147,14 @@
 	return b.data
 }
 
-// writeBatches encodes entries and the hard state that follows them as batches, and writes
-// each before it encodes the next in the same memory. The hard state is in the last one.
-func writeBatches(hard raft.HardState, entries []raft.Entry, write func(batch []byte) error) error {
+// writeBatches encodes entries and the hard state that follows them as batches of at most a
+// size (or one entry), and writes each before it encodes the next in the same memory. The
+// hard state is in the last one.
+func writeBatches(hard raft.HardState, entries []raft.Entry, size int, write func(batch []byte) error) error {
 	b := newBatch()
 	for _, entry := range entries {
 		message := codec.FromEntry(entry)
-		if !b.empty() && len(b.data)+headerSize+proto.Size(message) > batchSize {
+		if !b.empty() && len(b.data)+headerSize+proto.Size(message) > size {
 			if err := write(b.encoded()); err != nil {
 				return err
 			}
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -96,13 +96,14 @@
 // nothing: such a hard state differs only in the commit index, which the replica
 // learns again, and the next write contains it. An unsynced write could be torn
 // while a later one is intact, which Open takes for damage. After an error other
-// than ErrSync, nothing has been written and Save may be called again.
+// than ErrSync, some of the entries may be on disk but not the hard state, and Save
+// may be called again with all of them.
 func (s *Store) Save(hard raft.HardState, entries []raft.Entry, sync bool) (err error) {
 	defer fault.Annotate(&err, "save to %s", s.path(logFile))
 	if !sync {
 		return nil
 	}
-	return writeBatches(hard, entries, func(batch []byte) error { return s.appendBatch(s.log, &s.size, batch) })
+	return writeBatches(hard, entries, saveBatchSize, func(batch []byte) error { return s.appendBatch(s.log, &s.size, batch) })
 }
 
 // appendBatch writes a batch at the end of a file, syncs it and adds it to the size of
@@ -148,7 +149,7 @@
 	}
 	size := int64(0)
 	err = s.replaceFile(logFile, func(file *os.File) error {
-		return writeBatches(hard, entries, func(batch []byte) error {
+		return writeBatches(hard, entries, replaceBatchSize, func(batch []byte) error {
 			size += int64(len(batch))
 			return s.write(file, batch)
 		})
--- a/io/disk/stream_test.go
+++ b/io/disk/stream_test.go
@@ -1,6 +1,7 @@
 package disk_test
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -93,3 +94,29 @@
 		}
 	}
 }
+
+// TestFullDiskBetweenBatches lets the second write of a large save fail halfway. The same
+// save must succeed later, and each entry be there once.
+func TestFullDiskBetweenBatches(t *testing.T) {
+	folder := formatFolder(t)
+	store, _ := open(t, folder)
+	full, writes := errors.New("no space left on device"), 0
+	store.BeforeWrite = func(size int) (int, error) {
+		if writes++; writes == 2 {
+			return size / 2, full
+		}
+		return size, nil
+	}
+	hard, entries := raft.HardState{Term: 1, Vote: "vm-1"}, largeEntries(1, 20)
+	if err := store.Save(hard, entries, true); !errors.Is(err, full) || errors.Is(err, disk.ErrSync) {
+		t.Fatalf("error %v, want the disk's own", err)
+	}
+	if err := store.Save(hard, entries, true); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	_, saved := open(t, folder)
+	if len(saved.Entries) != 20 || saved.Entries[19].Index != 20 || saved.HardState != hard {
+		t.Errorf("%d entries and hard state %+v were read, want 20 and %+v", len(saved.Entries), saved.HardState, hard)
+	}
+}
