Orders to evacuate are carried out once, and not after later ones

What callers saw: an end of an evacuation that a cut of 5 s held up between two control VMs came into force after its repetition and a newer start were acknowledged.

Cause: platform/control proposed evacuations for any revision and without a request id, so that the leader could not tell a late copy from a new order. io/propose hands the proposal on over a connection that delivers it after the cut, and the leader commits it though the caller has left.

Ruled out: a deadline that the sender states needs clocks that agree, and new bytes. A round trip for the newest revision before each proposal costs up to 220 ms and is not needed: an older revision is as safe, it only fails more often.

Change: propose.Order. The accepting VM proposes for the revision that it knew when the order came, with a request id of that acceptance. If the leader names a newer revision, it proposes for that one in the first 900 ms of its own boot time, before operators send the order to another VM.

A VM that stood still doesn't renew (TestOrderIsNotRenewedByAVMThatStoodStill). An order whose answer was lost gets the first answer by its request id (TestOrderWhoseAnswerIsLostIsCarriedOutOnce).

--- /dev/null
+++ b/io/propose/order.go
@@ -0,0 +1,57 @@
+package propose
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"kingcuprill/core/control"
+	"kingcuprill/core/fault"
+	"kingcuprill/io/boottime"
+	"kingcuprill/rpc/state"
+)
+
+// renewableFor is how long after its acceptance an order may be proposed for a newer
+// revision. It is below the second after which operators send an order to another VM:
+// until then there is no later order of the same operator.
+const renewableFor = 900 * time.Millisecond
+
+// Order is an operator's order without a version of its own. It is carried out at most
+// once, and not after a later order of its operator: it is proposed for the revision that
+// this VM knew when the order came. A copy that is held up on its way fails once a later
+// order has changed the catalogue.
+type Order struct {
+	revision uint64
+	age      func() time.Duration
+	propose  func(ctx context.Context, command *state.Command) (control.Result, error)
+}
+
+// Accept returns an order that has come just now.
+func (p *Proposer) Accept() Order {
+	accepted := boottime.Now()
+	return Order{
+		revision: p.VMState.Catalogue.Read().Revision, age: func() time.Duration { return boottime.Now() - accepted }, propose: p.Propose,
+	}
+}
+
+// Commit commits the change that is ordered. If the catalogue has changed since the order
+// came, it is proposed again for the revision that the leader names, while the order is
+// young. All copies have one request id, so that only one of them is carried out. An error
+// of code fault.StaleRevision means that the change was not and will not be made.
+func (o Order) Commit(ctx context.Context, change *state.Change) (result control.Result, err error) {
+	id, revision := "order-"+uuid.NewString(), o.revision
+	for {
+		result, err = o.propose(ctx, &state.Command{RequestId: id, ExpectedRevision: revision, Kind: &state.Command_Change{Change: change}})
+		if err != nil || result.Err == nil {
+			return result, err
+		}
+		if result.Err.Code != fault.StaleRevision {
+			return result, result.Err
+		}
+		if o.age() > renewableFor {
+			return result, fault.New(fault.StaleRevision, "the catalogue has changed since the order came; nothing was changed; send it again (%v)", result.Err)
+		}
+		revision = result.Revision
+	}
+}
