An entry VM isn't named by the last word of a control VM that is down

Cause: io/follow kept the rows of a control VM that no longer answers, and entry.Union took a VM as ready if any report said so. A far control VM, which is asked for the rows then, said that the VM isn't ready, and was not heard.

Evidence: TestRowsOfASilentControlVMDoNotOutliveLaterNews before the change: "not within 10s: the lost entry VM isn't ready".

Ruled out: to drop the rows as soon as the control VM is silent, or after a time.

Change: entry.Report says whether its control VM is silent. The rows of silent ones count only for VMs that no answering control VM reports.

Why it works: all entry VMs poll all control VMs, so that one which answers has heard later than one which doesn't. If none answers, all rows count as before.

Left: if each control VM that answers has started after the entry VM was lost, none of them knows it, and the silent one's row holds.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -141,18 +141,29 @@
 	return best, highest
 }
 
-// Union returns every VM that any control VM reports, ordered by ID. Reports are
-// keyed by control VM, then by entry VM. A VM is ready, or accepts connections, if any
-// report says so.
-func Union(reports map[string]map[string]VM) []VM {
-	all := map[string]VM{}
-	for _, rows := range reports {
-		for _, row := range rows {
-			if known, found := all[row.ID]; found {
-				row.Ready = row.Ready || known.Ready
-				row.CallerAddress = cmp.Or(row.CallerAddress, known.CallerAddress)
-			}
-			all[row.ID] = row
+// Report is what a control VM says of the entry VMs.
+type Report struct {
+	VMs map[string]VM // by id
+	// Silent says that the control VM doesn't answer any more. It can't have heard what
+	// has happened since.
+	Silent bool
+}
+
+// Union returns every VM that any control VM reports, ordered by ID. Reports are keyed
+// by control VM. A VM is ready, or accepts connections, if any report says so. Those of
+// silent control VMs count only for VMs that no other one reports.
+func Union(reports map[string]Report) []VM {
+	all, late := map[string]VM{}, map[string]VM{}
+	for _, report := range reports {
+		if report.Silent {
+			merge(late, report.VMs)
+		} else {
+			merge(all, report.VMs)
+		}
+	}
+	for id, row := range late {
+		if _, found := all[id]; !found {
+			all[id] = row
 		}
 	}
 	ids := slices.Sorted(maps.Keys(all))
@@ -162,3 +173,13 @@
 	}
 	return vms
 }
+
+func merge(all, rows map[string]VM) {
+	for _, row := range rows {
+		if known, found := all[row.ID]; found {
+			row.Ready = row.Ready || known.Ready
+			row.CallerAddress = cmp.Or(row.CallerAddress, known.CallerAddress)
+		}
+		all[row.ID] = row
+	}
+}
--- a/core/entry/entry_test.go
+++ b/core/entry/entry_test.go
@@ -133,14 +133,30 @@
 }
 
 func TestUnion(t *testing.T) {
-	all := Union(map[string]map[string]VM{"x": {"a": {ID: "a", Ready: true}}, "y": {"a": {ID: "a"}, "b": {ID: "b"}}})
+	report := func(vms ...VM) Report {
+		r := Report{VMs: map[string]VM{}}
+		for _, v := range vms {
+			r.VMs[v.ID] = v
+		}
+		return r
+	}
+	all := Union(map[string]Report{"x": report(VM{ID: "a", Ready: true}), "y": report(VM{ID: "a"}, VM{ID: "b"})})
 	if len(all) != 2 || !all[0].Ready || all[1].Ready {
 		t.Errorf("union is %v", all)
 	}
 	for range 20 { // map order varies
-		stops := Union(map[string]map[string]VM{"x": {"a": {ID: "a", CallerAddress: "a:1"}}, "y": {"a": {ID: "a"}}})
+		stops := Union(map[string]Report{"x": report(VM{ID: "a", CallerAddress: "a:1"}), "y": report(VM{ID: "a"})})
 		if len(stops) != 1 || stops[0].CallerAddress != "a:1" {
 			t.Errorf("union is %v", stops)
 		}
+		silent := report(VM{ID: "a", CallerAddress: "a:1", Ready: true}, VM{ID: "b", Ready: true})
+		silent.Silent = true
+		later := Union(map[string]Report{"x": silent, "y": report(VM{ID: "a"})})
+		if len(later) != 2 || later[0] != (VM{ID: "a"}) || !later[1].Ready {
+			t.Errorf("a silent control VM's word of a VM that another one reports: union is %v", later)
+		}
+		if alone := Union(map[string]Report{"x": silent}); len(alone) != 2 || !alone[0].Ready {
+			t.Errorf("no control VM answers: union is %v", alone)
+		}
 	}
 }
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -274,6 +275,30 @@
 	check("the far control VM tells its entry VMs", func() bool { return len(f.entries) == 52 })
 }
 
+// The control VM of a region is lost, and then an entry VM, as another control VM notices.
+// The last rows of the lost one must no longer say that the entry VM is ready, nor be
+// forgotten as far as no other control VM reports the VM.
+func TestRowsOfASilentControlVMDoNotOutliveLaterNews(t *testing.T) {
+	far, near := startControl(t, "far", "abroad"), startControl(t, "near", "near")
+	for _, id := range []string{"lost", "alive"} {
+		near.server.recordEntry(&vm.EntryVM{Id: id, Region: "near", Ready: true, CallerAddress: id})
+	}
+	f := startFollower(t, far, near)
+	ready := func(id string) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return slices.ContainsFunc(f.entries, func(v entry.VM) bool { return v.ID == id && v.Ready })
+	}
+	eventually.Until(t, "both are ready", func() bool { return ready("lost") && ready("alive") })
+	near.web.CloseClientConnections()
+	_ = near.web.Listener.Close()
+	far.server.recordEntry(&vm.EntryVM{Id: "lost", Region: "near"})
+	eventually.Until(t, "the lost entry VM isn't ready", func() bool { return !ready("lost") })
+	if !ready("alive") {
+		t.Error("a VM that only the silent control VM reports is forgotten")
+	}
+}
+
 func TestDecompressRefusesInvalidData(t *testing.T) {
 	for name, data := range map[string][]byte{"no gzip": []byte("rubbish"), "cut": bytes.Repeat([]byte{0x1f, 0x8b}, 1)} {
 		if _, err := decompress(data); err == nil {
--- a/io/follow/scope.go
+++ b/io/follow/scope.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"kingcuprill/core/entry"
@@ -72,7 +73,11 @@
 
 // publishEntries calls OnEntries. The caller holds mu.
 func (c *Client) publishEntries(now time.Time) {
-	vms := entry.Union(c.entries)
+	said := map[string]entry.Report{}
+	for address, rows := range c.entries {
+		said[address] = entry.Report{VMs: rows, Silent: !slices.Contains(c.reachable, address)}
+	}
+	vms := entry.Union(said)
 	count := len(vms)
 	for _, r := range c.reports {
 		if now.Sub(r.at) < reportExpiry {
