propose: the leader carries out an order for any revision

Change: the accepting VM that leads puts the order into its own log at once. Its place there is behind the orders that came before and ahead of all later ones, so that it can't come late; a leader that was replaced meanwhile loses the entry, or it is the one that is carried out, once by its request id. Only what is handed on names a revision.

Evidence: TestOrdersAreCarriedOutWhileTheConfigurationChanges fails without it (each proposal is stale until 900 ms have passed).

--- a/io/propose/order.go
+++ b/io/propose/order.go
@@ -8,6 +8,7 @@
 
 	"kingcuprill/core/control"
 	"kingcuprill/core/fault"
+	"kingcuprill/core/raft"
 	"kingcuprill/io/boottime"
 	"kingcuprill/rpc/state"
 )
@@ -24,25 +25,47 @@
 type Order struct {
 	revision uint64
 	age      func() time.Duration
-	propose  func(ctx context.Context, command *state.Command) (control.Result, error)
+	// lead proposes at this VM's own replica. It fails with fault.NoQuorum if that doesn't
+	// lead.
+	lead    func(ctx context.Context, command *state.Command) (control.Result, error)
+	propose func(ctx context.Context, command *state.Command) (control.Result, error)
 }
 
 // Accept returns an order that has come just now.
 func (p *Proposer) Accept() Order {
 	accepted := boottime.Now()
 	return Order{
-		revision: p.VMState.Catalogue.Read().Revision, age: func() time.Duration { return boottime.Now() - accepted }, propose: p.Propose,
+		revision: p.VMState.Catalogue.Read().Revision, age: func() time.Duration { return boottime.Now() - accepted },
+		lead: p.proposeHere, propose: p.Propose,
 	}
 }
 
-// Commit commits the change that is ordered. If the catalogue has changed since the order
+// proposeHere commits a command if this VM's replica leads.
+func (p *Proposer) proposeHere(ctx context.Context, command *state.Command) (result control.Result, err error) {
+	if p.Replica == nil || p.Replica.Status().Role != raft.Leader {
+		return result, fault.New(fault.NoQuorum, "the replica of this VM doesn't lead")
+	}
+	return p.Replica.Propose(ctx, command)
+}
+
+// Commit commits the change that is ordered. A leader puts it into its log at once, behind
+// the orders that came before and ahead of all later ones, for any revision. Another VM hands
+// it on: if the catalogue has changed since the order
 // came, it is proposed again for the revision that the leader names, while the order is
 // young. All copies have one request id, so that only one of them is carried out. An error
 // of code fault.StaleRevision means that the change was not and will not be made.
 func (o Order) Commit(ctx context.Context, change *state.Change) (result control.Result, err error) {
 	id, revision := "order-"+uuid.NewString(), o.revision
+	kind := &state.Command_Change{Change: change}
+	result, err = o.lead(ctx, &state.Command{RequestId: id, AnyRevision: true, Kind: kind})
+	if err == nil && result.Err != nil {
+		return result, result.Err
+	}
+	if fault.CodeOf(err) != fault.NoQuorum {
+		return result, err
+	}
 	for {
-		result, err = o.propose(ctx, &state.Command{RequestId: id, ExpectedRevision: revision, Kind: &state.Command_Change{Change: change}})
+		result, err = o.propose(ctx, &state.Command{RequestId: id, ExpectedRevision: revision, Kind: kind})
 		if err != nil || result.Err == nil {
 			return result, err
 		}
--- a/io/propose/order_test.go
+++ b/io/propose/order_test.go
@@ -103,12 +103,16 @@
 	defer cancel()
 	begun := time.Now()
 	v.mu.Lock()
-	given := Order{revision: v.revision, age: func() time.Duration { return time.Since(begun) }, propose: v.propose}
+	given := Order{revision: v.revision, age: func() time.Duration { return time.Since(begun) }, lead: notLeading, propose: v.propose}
 	v.mu.Unlock()
 	_, err := given.Commit(ctx, evacuation(ended))
 	return err == nil
 }
 
+func notLeading(context.Context, *state.Command) (control.Result, error) {
+	return control.Result{}, fault.New(fault.NoQuorum, "another replica leads")
+}
+
 func evacuation(ended bool) *state.Change {
 	return codec.FromChange(catalogue.Change{SetEvacuation: &catalogue.Evacuation{DataCentre: "d", Ended: ended}})
 }
@@ -212,7 +216,7 @@
 	const newest = 7 // revision
 	for stood, wanted := range map[time.Duration]int{0: 2, 2 * time.Second: 1} {
 		begun, proposed := time.Now(), 0
-		given := Order{revision: 5, age: func() time.Duration { return stood + time.Since(begun) }}
+		given := Order{revision: 5, lead: notLeading, age: func() time.Duration { return stood + time.Since(begun) }}
 		given.propose = func(_ context.Context, command *state.Command) (control.Result, error) {
 			proposed++
 			if command.GetAnyRevision() || command.GetExpectedRevision() != newest {
@@ -233,7 +237,7 @@
 	w := newWorld(t)
 	w.apply(&state.Command{AnyRevision: true, Kind: &state.Command_Change{Change: evacuation(false)}})
 	age := time.Duration(0)
-	given := Order{revision: 1, age: func() time.Duration { age += renewableFor / 3; return age }}
+	given := Order{revision: 1, lead: notLeading, age: func() time.Duration { age += renewableFor / 3; return age }}
 	given.propose = func(_ context.Context, command *state.Command) (control.Result, error) {
 		if w.apply(command).Err == nil && !w.isEvacuated() {
 			w.apply(&state.Command{AnyRevision: true, Kind: &state.Command_Change{Change: evacuation(false)}})
@@ -244,3 +248,21 @@
 		t.Errorf("error %v; the other operator's start is in force: %v", err, w.isEvacuated())
 	}
 }
+
+// While the configuration changes again and again, each change overtakes an order for the
+// revision before. The leader itself must still carry it out.
+func TestOrdersAreCarriedOutWhileTheConfigurationChanges(t *testing.T) {
+	w := newWorld(t)
+	version := uint64(0)
+	overtaken := func(_ context.Context, command *state.Command) (control.Result, error) {
+		version++
+		plan := catalogue.Change{PutPlan: &catalogue.Plan{Version: version, Document: []byte("{}")}}
+		w.apply(&state.Command{AnyRevision: true, Kind: &state.Command_Change{Change: codec.FromChange(plan)}})
+		return w.apply(command), nil
+	}
+	begun := time.Now()
+	given := Order{age: func() time.Duration { return time.Since(begun) }, lead: overtaken, propose: overtaken}
+	if _, err := given.Commit(t.Context(), evacuation(false)); err != nil || !w.isEvacuated() {
+		t.Errorf("error %v; the data centre is evacuated: %v", err, w.isEvacuated())
+	}
+}
