The rest of a stream goes to no other start of a target

What callers saw: a stream with events of two versions. A target that had started again under its id and address with another version got the rest of a stream of the version before, until the VM heard of its registration.

Cause: the VM that sends goes by the registration. The connections of the start before have broken, but a new one tells nothing, and no answer names the software's version.

Evidence, failing before: TestRestOfAStreamAtARestartedTarget, "events of both versions: id: 1 data: v1, id: 2 data: v1, id: 3 data: v2", each run.

Ruled out: a question on a connection of its own (the target may start again before the rest arrives, and each rest costs a connection and a probe); connections that have been open since the version was learnt (that rests on heartbeats, which may come late from the start before, and most rests need a new connection); doubt of targets whose connections broke (no stream could go on for seconds after a reset of connections).

Change: before the rest of a stream, the target is asked for the start that it is, on the connection that then carries the rest, once on each connection. It must be the start of the registration that names the version, read together with the version. Another start, or one that isn't told or registered, gets no rest and the request is not sent: another target of the version is tried, else the caller may try again. A target found to have started anew gets no rests until its registration comes, and streams that begin there meanwhile aren't taken up. Hedged tries and forwarded rests pass the same way. Nothing that VMs send each other, store or apply has changed.

Why it works: a connection leads to one process from its begin to its end, so nothing can come between the question and the rest (TestRestOfAStreamAtATargetThatRestartsMeanwhile).

Tests: the scripted targets of io/front tell their start, and their registrations name it. TestRestOfAStreamAtARestartedTarget now lets the target tell its new start, as the platform's targets do, and asks more: the exact body, also with a third target, eight times each.

--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -213,7 +213,7 @@
 
 // eligible reports whether a target may take the request, whatever its load.
 func (p *Placer) eligible(t *Target, r Request, preferred *Target) bool {
-	if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) || !r.accepts(t.Version) {
+	if !t.usable(r.Now) || r.Evacuated[t.DataCentre] || slices.Contains(r.Excluded, t.ID) || !t.suits(r) {
 		return false
 	}
 	return !r.Coordinated || t.coordinator == p.Self || t == preferred
@@ -249,7 +249,7 @@
 	if !t.usable(r.Now) || t.State == instance.Silent || r.Evacuated[t.DataCentre] || r.Now.Before(t.ColdUntil) {
 		return false
 	}
-	return r.accepts(t.Version) && !slices.Contains(r.Excluded, t.ID)
+	return t.suits(r) && !slices.Contains(r.Excluded, t.ID)
 }
 
 // cost returns the predicted time until the target begins to answer, and that
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -86,6 +86,8 @@
 	brittle        brittle.State
 	leavingUntil   time.Time // it has said in an answer that it leaves
 	pausedUntil    time.Time // it has refused a request of this VM and wants no other one before
+	// restarted says that another start than that of the registration has answered.
+	restarted bool
 	// displacedUntil is set when another target has answered at the address.
 	displacedUntil time.Time
 }
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -65,6 +65,7 @@
 type Options struct {
 	Config  vmconfig.Config
 	Headers front.Headers
+	Starts  *front.Starts // how targets are asked which start they are
 	// Decode parses the document of a plan.
 	Decode func(document []byte) (plan.Plan, error)
 	Log    *slog.Logger
@@ -117,7 +118,7 @@
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
-		Metrics: v.Metrics, Log: o.Log,
+		Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
 	}
 	v.front.Targets.DialAddress = peers.VM.Dial
 	v.front.Links = targetlink.NewMonitor(v.front.Targets, func() []place.Address { return v.placer.Usable(time.Now()) }, o.Log)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -38,9 +38,16 @@
 	Tokens: "Tokens", Parts: "Parts", LastEvent: "Last-Event-Id", Own: []string{"Secret"},
 }
 
+var testStarts = Starts{URI: "/start", Read: func(answer []byte) (start int64, known bool) {
+	start, err := strconv.ParseInt(string(answer), 10, 64)
+	return start, err == nil && start > 0
+}}
+
 // target is a scripted target: each request gets the next answer, and all further
-// ones the last answer.
+// ones the last answer. It tells its start.
 type target struct {
+	start   atomic.Int64
+	told    func(conn net.Conn) // called when it has told its start; may be nil
 	mu      sync.Mutex
 	answers []func(conn net.Conn, request *http.Request)
 	seen    []*http.Request
@@ -58,6 +65,7 @@
 	}
 	t.Cleanup(func() { listener.Close() })
 	s := &target{answers: answers, address: listener.Addr().String(), listener: listener, ended: make(chan struct{}, 16)}
+	s.start.Store(1)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -79,6 +87,13 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
+		if request.RequestURI == testStarts.URI {
+			status(200, "", strconv.FormatInt(s.start.Load(), 10))(conn, request)
+			if s.told != nil {
+				s.told(conn)
+			}
+			continue
+		}
 		s.mu.Lock()
 		answer := s.answers[min(len(s.seen), len(s.answers)-1)]
 		s.seen = append(s.seen, request)
@@ -156,7 +171,7 @@
 	rows := map[string]instance.Registration{}
 	for i, s := range targets {
 		id := fmt.Sprintf("t%d", i)
-		rows[id] = instance.Registration{ID: id, Service: "s", Address: s.address, State: instance.Ready, Slots: 8, Heard: time.Now()}
+		rows[id] = instance.Registration{ID: id, Service: "s", Address: s.address, Born: 1, State: instance.Ready, Slots: 8, Heard: time.Now()}
 	}
 	placer := place.NewPlacer("vm", "region")
 	placer.Retries = place.Retries{Ratio: 0.2, Slack: 10}
@@ -172,7 +187,7 @@
 		Self: "vm", Region: "region", Headers: testHeaders, State: watch.NewValue(&State{Plan: plan.NewIndex(p)}), Lease: configurationLease,
 		Placer: placer, Quota: limiter, Quarantine: quarantine.NewList(), Drawer: &draw.Client{Limiter: limiter, Controls: func() []string { return nil }, Log: log},
 		Targets: upstream.NewClient(nil), Peers: upstream.NewClient(nil), Entries: entries,
-		Metrics: metrics.New(), Log: log,
+		Starts: &testStarts, Metrics: metrics.New(), Log: log,
 	}
 	w.server.Links = targetlink.NewMonitor(w.server.Targets, func() []place.Address { return placer.Usable(time.Now()) }, log)
 	w.front = httptest.NewServer(w.server)
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -12,6 +12,7 @@
 	"kingcuprill/core/entry"
 	"kingcuprill/core/place"
 	"kingcuprill/io/targetlink"
+	"kingcuprill/io/upstream"
 )
 
 // maxNeighbours is the number of VMs of one region, this one or another, to which a request is
@@ -103,6 +104,9 @@
 	if endedByStop(ctx) || x.caller.Context().Err() != nil || errors.Is(err, errSuspect) || errors.Is(err, errLinksLost) || errors.Is(err, errNotNeeded) {
 		return place.Inconclusive
 	}
+	if errors.Is(err, upstream.ErrLaterStart) || errors.Is(err, upstream.ErrStartUnknown) {
+		return place.Inconclusive
+	}
 	if !x.server.Links.ReachesOther(target) {
 		x.server.Log.Info("failed try says nothing about its target, as this VM reaches no other one", "request", x.id, "target", target)
 		return place.Inconclusive
--- a/io/front/rest_test.go
+++ b/io/front/rest_test.go
@@ -32,7 +32,7 @@
 			t.Cleanup(web.Close)
 			here.coordinated(t, "there", web.Listener.Addr().String())
 			row := func(id string, s *target, version string) instance.Registration {
-				return instance.Registration{ID: id, Service: "s", Address: s.address, Version: version, State: instance.Ready, Slots: 8, Heard: time.Now()}
+				return instance.Registration{ID: id, Service: "s", Address: s.address, Version: version, Born: 1, State: instance.Ready, Slots: 8, Heard: time.Now()}
 			}
 			rows := map[string]instance.Registration{unsure: row(unsure, upgraded, "v2")}
 			for i := range 8 {
@@ -71,7 +71,7 @@
 	t.Cleanup(web.Close)
 	here.coordinated(t, "there", web.Listener.Addr().String())
 	for i := range 100 { // until the other VM coordinates the target
-		row := instance.Registration{ID: fmt.Sprintf("t%d", i), Service: "s", Address: s.address, Version: "v1", State: instance.Ready, Slots: 8, Heard: time.Now()}
+		row := instance.Registration{ID: fmt.Sprintf("t%d", i), Service: "s", Address: s.address, Version: "v1", Born: 1, State: instance.Ready, Slots: 8, Heard: time.Now()}
 		here.server.Placer.SetTargets(map[string]instance.Registration{row.ID: row}, func(string) string { return "region" })
 		row.Version = "v2"
 		there.server.Placer.SetTargets(map[string]instance.Registration{row.ID: row}, func(string) string { return "region" })
--- a/io/front/restart_test.go
+++ b/io/front/restart_test.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
+	"time"
+
+	"kingcuprill/core/instance"
 )
 
 // answersAs sends the events 1 and 2 and breaks off, or goes on after them. Each names the
@@ -31,23 +33,111 @@
 	}
 }
 
+// startVersions starts targets of one version, which is that of their start: v1. begins is
+// called when one begins a stream.
+func startVersions(t *testing.T, count int, begins func(at int, targets []*target)) (targets []*target) {
+	for i := range count {
+		targets = append(targets, startTarget(t, func(conn net.Conn, request *http.Request) {
+			if request.Header.Get("Last-Event-Id") == "" {
+				begins(i, targets)
+			}
+			answersAs(fmt.Sprint("v", targets[i].start.Load()))(conn, request)
+		}))
+	}
+	return targets
+}
+
+const wholeOfV1 = "id: 1\ndata: v1\n\nid: 2\ndata: v1\n\nid: 3\ndata: v1\n\n"
+
 // A target has started again under its id and address with another version, and this VM
 // hasn't heard of it yet. The rest of a stream must not go there.
 func TestRestOfAStreamAtARestartedTarget(t *testing.T) {
-	var targets []*target
-	var begun atomic.Bool // at the target that is asked first, which hasn't started again
-	for range 2 {
-		targets = append(targets, startTarget(t, func(conn net.Conn, request *http.Request) {
-			version := "v1"
-			if begun.Swap(true) {
-				version = "v2"
+	for name, test := range map[string]struct {
+		targets int
+		body    string
+	}{"no other target": {2, wholeOfV1[:len(wholeOfV1)*2/3]}, "another target of the version": {3, wholeOfV1}} {
+		t.Run(name, func(t *testing.T) {
+			for range 8 {
+				targets := startVersions(t, test.targets, func(at int, targets []*target) {
+					targets[(at+1)%len(targets)].start.Store(2)
+				})
+				w := newFixture(t, resumable, targets...)
+				w.register(targets, "v1", "v1", "v1")
+				if _, body, _ := w.ask(t, "k"); body != test.body {
+					t.Errorf("events of both versions: %q", body)
+				}
 			}
-			answersAs(version)(conn, request)
-		}))
+		})
+	}
+}
+
+// The target starts again after it has told its start, before or while the rest comes.
+func TestRestOfAStreamAtATargetThatRestartsMeanwhile(t *testing.T) {
+	for _, after := range []time.Duration{0, 100 * time.Microsecond, time.Millisecond, 10 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			for range 8 {
+				targets := startVersions(t, 2, func(int, []*target) {})
+				for _, s := range targets {
+					s.told = func(conn net.Conn) {
+						time.AfterFunc(after, func() {
+							conn.Close()
+							s.start.Store(2)
+						})
+					}
+				}
+				w := newFixture(t, resumable, targets...)
+				w.register(targets, "v1", "v1")
+				if _, body, _ := w.ask(t, "k"); !strings.Contains(body, "v1") || strings.Contains(body, "v2") {
+					t.Errorf("events of both versions: %q", body)
+				}
+			}
+		})
+	}
+}
+
+// A target doesn't tell its start, or its registration doesn't.
+func TestRestOfAStreamAtATargetWithoutAStart(t *testing.T) {
+	for name, change := range map[string]func(w *fixture, targets []*target){
+		"not told": func(_ *fixture, targets []*target) {
+			for _, s := range targets {
+				s.start.Store(0)
+			}
+		},
+		"not registered": func(w *fixture, targets []*target) {
+			rows := map[string]instance.Registration{}
+			for i, s := range targets {
+				id := fmt.Sprint("t", i)
+				rows[id] = instance.Registration{ID: id, Service: "s", Address: s.address, Version: "v1", State: instance.Ready, Slots: 8, Heard: time.Now()}
+			}
+			w.server.Placer.SetTargets(rows, func(string) string { return "region" })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			targets := startVersions(t, 2, func(int, []*target) {})
+			w := newFixture(t, resumable, targets...)
+			w.register(targets, "v1", "v1")
+			change(w, targets)
+			if code, body, _ := w.ask(t, "k"); code != 0 || targets[0].resumed()+targets[1].resumed() > 0 {
+				t.Errorf("status %d, events %q", code, body)
+			}
+		})
 	}
+}
+
+// A stream begins at a target that is known to have started again. Its version isn't that of
+// the registration.
+func TestStreamBegunAtARestartedTarget(t *testing.T) {
+	targets := startVersions(t, 2, func(int, []*target) {})
 	w := newFixture(t, resumable, targets...)
 	w.register(targets, "v1", "v1")
-	if _, body, _ := w.ask(t, "k"); strings.Contains(body, "v1") && strings.Contains(body, "v2") {
-		t.Errorf("events of both versions: %q", body)
+	targets[0].start.Store(2)
+	w.server.Placer.MarkRestarted("t0", 1)
+	for range 40 {
+		if _, body, _ := w.ask(t, "k"); strings.Contains(body, "v1") && strings.Contains(body, "v2") {
+			t.Errorf("events of both versions: %q", body)
+		}
+	}
+	if targets[0].count() == 0 || targets[0].resumed() > 0 {
+		t.Errorf("%d requests, %d rests at the target that has started again", targets[0].count(), targets[0].resumed())
 	}
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -54,6 +54,9 @@
 	// Streams remembers at which versions of targets streams have begun; nil if streams
 	// can't be taken up again.
 	Streams *streamversion.Client
+	// Starts is how targets are asked which start they are; nil if they can't be, so that
+	// their registrations are relied on.
+	Starts *Starts
 	// Quarantine holds what is known of requests that crash targets.
 	Quarantine *quarantine.List
 	Drawer     *draw.Client        // draws tokens of rate limits from the control VMs
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"kingcuprill/core/place"
-	"kingcuprill/core/streamversion"
 	"kingcuprill/io/upstream"
 )
 
@@ -15,21 +14,23 @@
 // tried beside it.
 func (x *exchange) try(ctx context.Context, reserved reservation) outcome {
 	target, _ := reserved.Where()
-	x.answering = &streamversion.Version{Service: x.service, Version: reserved.Version()}
+	x.answering = x.versionAt(reserved)
 	x.tries++
 	x.target = target
 	x.excluded = append(x.excluded, target)
-	if x.outlastsStop() || x.unconfirmed() || !x.maySend(reserved) {
+	start, known := x.startOf(reserved)
+	if x.outlastsStop() || x.unconfirmed() || !known || !x.maySend(reserved) {
 		x.unsent++
 		reserved.Done(place.Inconclusive, time.Now())
 		return notRun
 	}
 	bounded, h := x.startHedge(ctx, x.tryTimeout(), 1)
-	return h.finish(x.tryTarget(bounded, h, reserved))
+	return h.finish(x.tryTarget(bounded, h, reserved, start))
 }
 
-// tryTarget sends the request to the target of a reservation and delivers the answer.
-func (x *exchange) tryTarget(ctx context.Context, h *hedge, reserved reservation) outcome {
+// tryTarget sends the request to the target of a reservation, or to no other start of it if
+// one is given, and delivers the answer.
+func (x *exchange) tryTarget(ctx context.Context, h *hedge, reserved reservation, start *upstream.Start) outcome {
 	s := x.server
 	target, address := reserved.Where()
 	observed := place.Inconclusive
@@ -38,11 +39,12 @@
 	links := x.watchLinks(ctx, h)
 	defer links.stop()
 	request := x.request(x.targetHeader(target, reserved.Source()))
-	request.Connecting = links.connecting
+	request.Connecting, request.Start = links.connecting, start
 	response, err := x.sendWatched(ctx, target, address, request)
 	if err != nil {
 		h.leave()
 		observed = x.blame(ctx, target, err)
+		x.noteStart(target, start, err)
 		x.recordBreak(target, address, false, err)
 		result := x.recordConnectionError(err, 1)
 		if result == notRun {
--- a/io/front/versions_test.go
+++ b/io/front/versions_test.go
@@ -49,7 +49,7 @@
 	rows := map[string]instance.Registration{}
 	for i, s := range targets {
 		id := fmt.Sprintf("t%d", i)
-		rows[id] = instance.Registration{ID: id, Service: "s", Address: s.address, Version: versions[i], State: instance.Ready, Slots: 8, Heard: time.Now()}
+		rows[id] = instance.Registration{ID: id, Service: "s", Address: s.address, Version: versions[i], Born: 1, State: instance.Ready, Slots: 8, Heard: time.Now()}
 	}
 	w.server.Placer.SetTargets(rows, func(string) string { return "region" })
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -64,6 +64,8 @@
 	// usually the request's id. If it is empty, no header is checked.
 	EchoHeader string
 	EchoValue  string
+	// Start is the start of the peer that the request is for; nil for any.
+	Start *Start
 }
 
 // Client sends requests and keeps idle connections to peers for reuse. It is
@@ -150,12 +152,12 @@
 func (c *Client) connect(ctx context.Context, peer, address string, request Request) (*conn, error) {
 	also := request.Connecting
 	if also == nil {
-		return c.acquire(ctx, peer, address, request.EchoValue)
+		return c.obtain(ctx, peer, address, request)
 	}
 	both, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(also, func() { cancel(context.Cause(also)) })()
-	conn, err := c.acquire(both, peer, address, request.EchoValue)
+	conn, err := c.obtain(both, peer, address, request)
 	if err != nil && both.Err() != nil {
 		return nil, context.Cause(both)
 	}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -32,6 +32,7 @@
 	writer *bufio.Writer
 
 	answered []string // ids of the last requests that it has carried
+	start    int64    // of the peer, 0 if it wasn't asked
 
 	mu        sync.Mutex
 	expecting bool          // a request waits for its response
