An order whose caller has gone already is not proposed

What callers would see: an order that comes late at the first VM (it was held up by a cut, or the VM stood still), after its repetition and a newer order were acknowledged elsewhere, was carried out after the newer one.

Cause: the order is accepted when its bytes are read, and the end of the connection, which comes right behind, was noticed after the proposal only.

Evidence: TestLateOrderOfACallerThatHasGoneIsNotProposed before the change: "the order is proposed".

Ruled out: an age of the order by the caller's word; the platform's calls have none.

Change: propose.Order waits 50 ms before the first proposal and gives up if the context of the call has ended by then.

Why it works: the server reads ahead on the connection while the call runs, and ends its context at the end of the connection.

Each start or end of an evacuation takes 50 ms more.

--- a/io/propose/order.go
+++ b/io/propose/order.go
@@ -17,6 +17,10 @@
 // until then there is no later order of the same operator.
 const renewableFor = 900 * time.Millisecond
 
+// noticeTime is how long an order waits before it is proposed, in which the end of its
+// caller's connection is noticed. One that was held up on its way often comes with it.
+const noticeTime = 50 * time.Millisecond
+
 // Order is an operator's order without a version of its own. It is carried out at most
 // once, and not after a later order of its operator: it is proposed for the revision that
 // this VM knew when the order came. A copy that is held up on its way fails once a later
@@ -35,11 +39,19 @@
 	}
 }
 
-// Commit commits the change that is ordered. If the catalogue has changed since the order
+// Commit commits the change that is ordered, unless the caller leaves at once, which ends
+// the context. If the catalogue has changed since the order
 // came, it is proposed again for the revision that the leader names, while the order is
 // young. All copies have one request id, so that only one of them is carried out. An error
 // of code fault.StaleRevision means that the change was not and will not be made.
 func (o Order) Commit(ctx context.Context, change *state.Change) (result control.Result, err error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(noticeTime):
+	}
+	if ctx.Err() != nil {
+		return result, fault.New(fault.NoQuorum, "the caller has gone; nothing was changed")
+	}
 	id, revision := "order-"+uuid.NewString(), o.revision
 	for {
 		result, err = o.propose(ctx, &state.Command{RequestId: id, ExpectedRevision: revision, Kind: &state.Command_Change{Change: change}})
--- a/io/propose/order_test.go
+++ b/io/propose/order_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -244,3 +247,26 @@
 		t.Errorf("error %v; the other operator's start is in force: %v", err, w.isEvacuated())
 	}
 }
+
+// An order that was held up comes when its caller has closed the connection already, and
+// has sent it to another VM. It must not be proposed.
+func TestLateOrderOfACallerThatHasGoneIsNotProposed(t *testing.T) {
+	done := make(chan error, 1)
+	web := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		given := Order{age: func() time.Duration { return 0 }}
+		given.propose = func(context.Context, *state.Command) (control.Result, error) { return control.Result{}, nil }
+		_, err := given.Commit(r.Context(), evacuation(true))
+		done <- err
+	}))
+	conn, err := net.Dial("tcp", web.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n")
+	_ = conn.Close()
+	web.Start()
+	t.Cleanup(web.Close)
+	if err := <-done; err == nil {
+		t.Error("the order is proposed")
+	}
+}
