The withdrawal of a key that was granted again is committed

What operators would see: a key whose id had been withdrawn before, removed with its organisation and granted again stays granted in the catalogue when it is withdrawn; the call says that it is committed. Each VM proposes it again every 2 s. Found by reading, while the commands that can come twice were listed.

Cause: io/withdraw commits under the request id "withdraw-" and the key's id. The state machine remembers the answer of the first life of that id and gives it again.

Evidence: TestWithdrawalOfAKeyThatIsGrantedAgainIsCommitted before the change: "secret b: withdrawn false, by two commands at revisions 6 and 6".

Ruled out: no request id, as each VM commits each withdrawal, and each would raise the revision.

Change: the request id also holds the hash of the key's secret.

Why it works: all VMs still use the same id for one key, and another one for the next key with that id. A key can't be granted twice with one secret while it exists. Beside, both ids may be committed; the second changes nothing but the revision.

--- a/io/withdraw/withdraw.go
+++ b/io/withdraw/withdraw.go
@@ -12,6 +12,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"kingcuprill/core/catalogue"
 	"kingcuprill/core/membership"
 	"kingcuprill/core/vmstate"
 	"kingcuprill/core/withdrawal"
@@ -127,7 +128,7 @@
 // Commit commits one withdrawal to the control log. It is idempotent.
 func (w *Withdrawer) Commit(ctx context.Context, key string) error {
 	result, err := w.Proposer.Propose(ctx, &state.Command{
-		RequestId:   "withdraw-" + key,
+		RequestId:   requestID(w.VMState.Catalogue.Read(), key),
 		AnyRevision: true,
 		Kind:        &state.Command_Change{Change: &state.Change{Kind: &state.Change_WithdrawKey{WithdrawKey: key}}},
 	})
@@ -140,6 +141,12 @@
 	return nil
 }
 
+// requestID returns the id under which all VMs commit a withdrawal. It is another one if
+// the key's id is granted again after the organisation was removed.
+func requestID(c *catalogue.Catalogue, key string) string {
+	return "withdraw-" + key + "-" + c.Keys[key].SecretHash
+}
+
 // Run commits uncommitted withdrawals to the control log until the tomb dies. It
 // retries those that fail.
 func (w *Withdrawer) Run(t *tomb.Tomb) error {
