Take targets that nothing was heard of since an evacuation for cold

Cause: only a target's own heartbeat says that it is cold. These didn't arrive, and the last one before counted as long as the target wasn't silent (3 periods), and beyond that, as silent targets are used for 10 s.

Ruled out: going by silence. The targets were silent for 2 s when the evacuation ended, and count as silent after 3.6 s.

Change: an entry VM that hears of the end of an evacuation takes the targets of that data centre for cold until a heartbeat of each came after it, for at most 10 s. A control VM publishes all heartbeats of that data centre for three periods after the end, also those that say nothing new; else warm targets would be taken for cold. Every VM that picks a target (coordinator or not) goes by it.

TestHeartbeatsAfterAnEvacuationArePublished is new.

Left: an entry VM that starts after the end, or was cut off for the whole evacuation, doesn't know of it.

--- a/core/instance/instance_test.go
+++ b/core/instance/instance_test.go
@@ -56,6 +56,37 @@
 	}
 }
 
+// Entry VMs take targets for cold after an evacuation until they hear of them. Heartbeats that
+// say nothing new weren't published.
+func TestHeartbeatsAfterAnEvacuationArePublished(t *testing.T) {
+	r := NewRegistry(time.Second)
+	report := func(sequence int64, dataCentre string, after time.Duration) (published bool) {
+		row := heartbeat(Ready, 1, sequence)
+		row.DataCentre, row.Heard = dataCentre, start.Add(after)
+		row.ID = dataCentre
+		before, _ := r.Table.Version()
+		if _, changed := r.Report(row); changed && sequence > 1 {
+			t.Errorf("heartbeat %d of %s counts as a change", sequence, dataCentre)
+		}
+		version, _ := r.Table.Version()
+		return version > before
+	}
+	for _, dataCentre := range []string{"evacuated", "other"} {
+		report(1, dataCentre, 0)
+		if report(2, dataCentre, time.Second) {
+			t.Errorf("a heartbeat of %s that says nothing new is published", dataCentre)
+		}
+	}
+	r.EndEvacuation("evacuated", start.Add(1500*time.Millisecond))
+	for sequence, after := range []time.Duration{2 * time.Second, 3 * time.Second, 10 * time.Second} {
+		for dataCentre, want := range map[string]bool{"evacuated": after < 4*time.Second, "other": false} {
+			if published := report(int64(3+sequence), dataCentre, after); published != want {
+				t.Errorf("heartbeat of %s after %v: published %v, want %v", dataCentre, after, published, want)
+			}
+		}
+	}
+}
+
 // TestFleet merges control VMs that got different reports.
 func TestFleet(t *testing.T) {
 	f := NewFleet()
--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -20,12 +20,14 @@
 type Registry struct {
 	Table  *versioned.Table[Registration]
 	period time.Duration
+	// ended is when the last evacuation of a data centre ended.
+	ended map[string]time.Time
 }
 
 // NewRegistry returns an empty registry of targets that send a heartbeat in
 // every period.
 func NewRegistry(period time.Duration) *Registry {
-	return &Registry{Table: versioned.NewTable[Registration](), period: period}
+	return &Registry{Table: versioned.NewTable[Registration](), period: period, ended: map[string]time.Time{}}
 }
 
 // Report records a heartbeat or a leave report (State is Left). It returns the
@@ -42,10 +44,24 @@
 	if !accepted {
 		return old, false
 	}
-	r.put(merged, changed)
+	r.put(merged, changed || r.confirmsReturn(merged))
 	return merged, changed
 }
 
+// EndEvacuation notes that the evacuation of a data centre has ended. The next heartbeats of
+// its targets are published even if they say nothing new, as entry VMs take a target that
+// they haven't heard of since for cold.
+func (r *Registry) EndEvacuation(dataCentre string, now time.Time) {
+	r.ended[dataCentre] = now
+}
+
+// confirmsReturn reports whether a heartbeat is among those that are published after an
+// evacuation. An entry VM may hear of its end later than this VM.
+func (r *Registry) confirmsReturn(row Registration) bool {
+	ended, found := r.ended[row.DataCentre]
+	return found && row.State == Ready && row.Heard.Sub(ended) < missedHeartbeats*r.period
+}
+
 func (r *Registry) put(row Registration, publish bool) {
 	r.Table.Put(row.ID, row, publish)
 }
--- a/core/place/capacity.go
+++ b/core/place/capacity.go
@@ -42,7 +42,7 @@
 	if r.Memory > 0 && t.inFlight > 0 && (t.memory.tokens+t.memory.need(r.Demand))*vms > int(memoryShare*float64(r.Memory)) {
 		return false
 	}
-	return !r.Now.Before(t.ColdUntil) || p.hasColdCapacity(t, r)
+	return !r.Now.Before(p.coldUntil(t)) || p.hasColdCapacity(t, r)
 }
 
 // hasColdCapacity reports whether this VM may send to a cold target now.
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -51,13 +51,15 @@
 	allVMs       []string                 // all entry VMs of the region, ready or not
 	eligibleVMs  []string                 // ready entry VMs as others see them: without this one while it starts or stops
 	coordinators []string                 // ready entry VMs that coordinate the targets of the region
+	evacuated    map[string]bool          // data centres
+	ended        map[string]time.Time     // when the last evacuation of a data centre ended
 }
 
 // NewPlacer returns a placer without targets.
 func NewPlacer(self, region string) *Placer {
 	return &Placer{
 		Self: self, Region: region, started: time.Now(), targets: map[string]*Target{}, models: map[string]*latencyModel{},
-		refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, away: awayCounts{},
+		refusals: refusals{rows: map[string]refusal{}}, budgets: map[string]*retry.Budget{}, away: awayCounts{}, ended: map[string]time.Time{},
 		readyVMs: []string{self}, allVMs: []string{self}, eligibleVMs: []string{self},
 	}
 }
@@ -246,7 +248,7 @@
 
 // mayPrefer reports whether a target may be the preferred one of a request.
 func (p *Placer) mayPrefer(t *Target, r Request) bool {
-	if !t.usable(r.Now) || t.State == instance.Silent || r.Evacuated[t.DataCentre] || r.Now.Before(t.ColdUntil) {
+	if !t.usable(r.Now) || t.State == instance.Silent || r.Evacuated[t.DataCentre] || r.Now.Before(p.coldUntil(t)) {
 		return false
 	}
 	return r.accepts(t.Version) && !slices.Contains(r.Excluded, t.ID)
@@ -322,7 +324,7 @@
 	if r.Sticky {
 		t.recordParts(r.Demand, r.Memory, r.Now)
 	}
-	if r.Now.Before(t.ColdUntil) && r.ColdRate > 0 {
+	if r.Now.Before(p.coldUntil(t)) && r.ColdRate > 0 {
 		senders := float64(min(len(p.allVMs), coldSenders))
 		t.nextCold = r.Now.Add(units.Seconds(senders / r.ColdRate))
 	}
--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -175,10 +175,22 @@
 // publish puts a committed catalogue in force on this VM.
 func (v *VM) publish(c *catalogue.Catalogue, _ *catalogue.Change) {
 	before := v.VMState.Catalogue.Read()
+	v.noteReturns(before.Evacuated, c.Evacuated)
 	v.VMState.Catalogue.Update(func(*catalogue.Catalogue) *catalogue.Catalogue { return c })
 	v.Log.Info("catalogue is in force", "revision", c.Revision, "plan", c.Plan.Version, "before", before.Revision, "evacuated", len(c.Evacuated))
 }
 
+// noteReturns tells the registry which evacuations have ended.
+func (v *VM) noteReturns(before, after map[string]bool) {
+	v.registryMu.Lock()
+	defer v.registryMu.Unlock()
+	for dataCentre := range before {
+		if !after[dataCentre] {
+			v.registry.EndEvacuation(dataCentre, time.Now())
+		}
+	}
+}
+
 // Report records a heartbeat of a target.
 func (v *VM) Report(report instance.Registration) {
 	v.hear(report) // first, as entry VMs may use the target as soon as the registry has it
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -188,6 +188,7 @@
 // stays, and the error says why.
 func (v *VM) applyCatalogue(c *catalogue.Catalogue) (err error) {
 	defer fault.Annotate(&err, "decode plan %d", c.Plan.Version)
+	v.placer.SetEvacuated(c.Evacuated, time.Now()) // before any request goes to a data centre that isn't evacuated any more
 	old := v.state.Read()
 	next := &front.State{Plan: old.Plan, Revision: c.Revision, Evacuated: c.Evacuated}
 	if c.Plan.Version > 0 && (old.Plan == nil || c.Plan.Version > old.Plan.Plan.Version) {
