Run no request by a plan that may be three seconds old

Cause: only what needs a key asked for a confirmation, and the lease is sized for withdrawn keys.

Why it works: what was acknowledged before the question is in the plan, or the answer confirms nothing. What is acknowledged later must hold for requests sent 3 s after that, which arrive later still.

Ruled out: handing requests over to a confirmed neighbour (their bodies may go where a newer plan forbids it); the bound for requests without a key only (leaves 1.1 s with one); the routes that no newer plan could forbid: there are none.

Tests changed: TestForwardedRequestsAreServedWhileControlIsLost asked for service without any bound, which is the fault; its replacement asks that forwarded requests are served and refused like the VM's own callers', on both sides of the bound. The rests of streams lose their lease after they are admitted, as they aren't admitted without one.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -51,6 +51,13 @@
 	return time.Duration(l.until.Load()) - l.clock()
 }
 
+// Within reports whether the newest confirmed question was sent less than bound ago, and
+// the lease is valid. 0 is no bound.
+func (l *Lease) Within(bound time.Duration) bool {
+	left := l.Left()
+	return left > 0 && (bound == 0 || l.duration-left < bound)
+}
+
 // Valid reports whether the lease is valid now.
 func (l *Lease) Valid() bool {
 	return l.Left() > 0
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -115,7 +115,7 @@
 	drawer := draw.NewClient(peers, v.quota, v.client.Controls, o.Log)
 	v.front = &front.Server{
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
-		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
+		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, NewestWithin: c.NewestWithin, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		Metrics: v.Metrics, Log: o.Log,
 	}
--- a/io/front/forwarded_test.go
+++ b/io/front/forwarded_test.go
@@ -16,15 +16,19 @@
 
 // While no control VM can be reached, a region without targets got 503 for routes without a
 // key, though another region, which isn't confirmed either, served its own callers.
-func TestForwardedRequestsAreServedWhileControlIsLost(t *testing.T) {
-	route := plan.Route{Kind: plan.Idempotent, Attempts: 1, Open: true}
-	there, here := newFixture(t, route, startTarget(t, status(200, "", "fine"))), newFixture(t, route)
-	there.leased.Store(-int64(time.Second))
-	here.leased.Store(-int64(time.Second))
-	here.server.Entries.Store(&[]entry.VM{there.abroad(t, "there")})
-	here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "there", Region: "there", Targets: 1}})
-	if code, body, _ := here.ask(t, ""); code != 200 {
-		t.Errorf("status %d, %q", code, body)
+func TestForwardedRequestsAreServedLikeOthersWhileControlIsLost(t *testing.T) {
+	for after, want := range map[time.Duration]int{2900 * time.Millisecond: 200, 3100 * time.Millisecond: 503} {
+		route := plan.Route{Kind: plan.Idempotent, Attempts: 1, Open: true}
+		there, here := newFixture(t, route, startTarget(t, status(200, "", "fine"))), newFixture(t, route)
+		there.unconfirmed(after)
+		here.unconfirmed(0)
+		here.server.Entries.Store(&[]entry.VM{there.abroad(t, "there")})
+		here.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "there", Region: "there", Targets: 1}})
+		for name, w := range map[string]*fixture{"its own callers": there, "forwarded": here} {
+			if code, body, _ := w.ask(t, ""); code != want {
+				t.Errorf("%s, %v after the last confirmation: status %d, %q, want %d", name, after, code, body, want)
+			}
+		}
 	}
 }
 
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -137,6 +137,8 @@
 	server *Server
 	front  *httptest.Server
 	leased atomic.Int64 // nanoseconds
+	// admits is set if the lease holds once more when it is read next.
+	admits atomic.Bool
 }
 
 func newFixture(t testing.TB, route plan.Route, targets ...*target) *fixture {
@@ -166,7 +168,12 @@
 	log := slog.New(slog.DiscardHandler)
 	entries := &atomic.Pointer[[]entry.VM]{}
 	entries.Store(&[]entry.VM{})
-	configurationLease := lease.New(func() time.Duration { return -time.Duration(w.leased.Load()) }, 0)
+	configurationLease := lease.New(func() time.Duration {
+		if w.admits.Swap(false) {
+			return -time.Minute
+		}
+		return -time.Duration(w.leased.Load())
+	}, 0)
 	configurationLease.Confirm(0)
 	w.server = &Server{
 		Self: "vm", Region: "region", Headers: testHeaders, State: watch.NewValue(&State{Plan: plan.NewIndex(p)}), Lease: configurationLease,
--- a/io/front/rest_test.go
+++ b/io/front/rest_test.go
@@ -17,7 +17,7 @@
 	"kingcuprill/io/streamversion"
 )
 
-// A VM that nothing confirmed sent the rest of a stream where only its coordinator, which was
+// A VM that nothing confirmed any more once it had admitted the request sent the rest of a stream where only its coordinator, which was
 // behind, named the version.
 func TestRestsOfStreamsNeedAnOwnRegistration(t *testing.T) {
 	route := resumable
@@ -46,6 +46,7 @@
 			here.server.Streams = streamversion.NewClient(peer.NewUnsigned("vm"), none, none, func() int64 { return 1 }, func() bool { return false }, slog.New(slog.DiscardHandler))
 			here.server.Streams.Record("7", corestream.Version{Service: "s", Version: "v1"})
 			for range 40 {
+				here.admits.Store(true)
 				here.ask(t, "", "Last-Event-Id", "2", "Resumes", "7")
 			}
 			if places.Given() == 0 || old.resumed() == 0 || upgraded.resumed() > 0 {
@@ -55,7 +56,7 @@
 	}
 }
 
-// A VM that nothing confirmed sent the rest of a stream by its old registration, though the
+// A VM that nothing confirmed any more once it had admitted the request sent the rest of a stream by its old registration, though the
 // coordinator had no target of that version.
 func TestRestsOfStreamsNeedTheCoordinator(t *testing.T) {
 	route := resumable
@@ -85,6 +86,7 @@
 	here.server.Streams = streamversion.NewClient(peer.NewUnsigned("vm"), none, none, func() int64 { return 1 }, func() bool { return false }, slog.New(slog.DiscardHandler))
 	here.server.Streams.Record("7", corestream.Version{Service: "s", Version: "v1"})
 	for range 10 {
+		here.admits.Store(true)
 		if code, _, _ := here.ask(t, "", "Last-Event-Id", "2", "Resumes", "7"); code != http.StatusServiceUnavailable {
 			t.Errorf("status %d", code)
 		}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -45,8 +45,11 @@
 	Region  string
 	Headers Headers
 	State   *watch.Value[State]
-	Lease   *lease.Lease  // valid while the configuration counts as confirmed
-	Placer  *place.Placer // chooses targets of this region and regions to forward to
+	Lease   *lease.Lease // valid while keys of the configuration may be used
+	// NewestWithin is the time after a change in which requests may still run by the
+	// configuration before it; 0 for the duration of the lease.
+	NewestWithin time.Duration
+	Placer       *place.Placer // chooses targets of this region and regions to forward to
 	// Coordinators reserves places at targets that other VMs coordinate; nil if
 	// this is the only VM.
 	Coordinators *coordinator.Client
@@ -162,34 +165,29 @@
 	s := x.server
 	x.deadline = x.arrived.Add(s.Headers.timeLeft(x.caller.Header, defaultTimeLeft))
 	caughtUp := x.caughtUp()
+	// A confirmation that comes after the state is read may be of a newer one.
+	newest := s.Lease.Within(s.NewestWithin)
 	state := s.State.Read()
 	if state.Plan == nil {
 		return x.configurationRefusal(noConfiguration)
 	}
 	x.state = state
 	x.header = x.caller.Header
-	if !caughtUp {
+	// A newer plan may forbid where a request runs, and have routes and keys that this one
+	// doesn't.
+	if !caughtUp || !newest {
 		return x.configurationRefusal(notConfirmed)
 	}
 	host := x.caller.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	// A refusal needs a confirmed configuration too: the route or the key may be
-	// new.
-	confirmed := s.Lease.Valid()
 	route, found := state.Plan.Match(host, x.caller.URL.Path)
-	if !found && !confirmed {
-		return x.configurationRefusal(notConfirmed)
-	}
 	if !found {
 		return &refusal{status: http.StatusNotFound, reason: "no_route", notRun: true}
 	}
 	x.route = route
 	if state.Plan.NeedsKey(route) {
-		if !confirmed {
-			return x.configurationRefusal(notConfirmed)
-		}
 		key, _ := strings.CutPrefix(x.header.Get(keyHeader), "Bearer ")
 		if x.organisation, x.keyed = state.Plan.ByKey(key); !x.keyed {
 			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key", notRun: true}
--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -41,12 +41,18 @@
 
 	MemoryBytes  int64         // bytes that the process may use
 	RevokeWithin time.Duration // within which the withdrawal of a key takes effect on all entry VMs
+	// NewestWithin is the time after a change of the configuration in which requests may
+	// still run by the one before it.
+	NewestWithin time.Duration
 	Grace        time.Duration // from the signal to stop until the process must have ended
 	RetryRatio   float64       // retries for each request
 	RetrySlack   float64       // retries beyond RetryRatio, of all entry VMs together
 	DirectoryTTL time.Duration // how long callers may cache a directory answer
 }
 
+// defaultNewestWithin is NewestWithin where the settings don't say.
+const defaultNewestWithin = 3 * time.Second
+
 type fileJSON struct {
 	VM struct {
 		ID          string `json:"id"`
@@ -77,6 +83,7 @@
 	Limits  struct {
 		MemoryMB      float64 `json:"memory_mb"`
 		RevokeMS      float64 `json:"revoke_ms"`
+		NewestMS      float64 `json:"newest_ms"`
 		GraceS        float64 `json:"grace_s"`
 		RetryRatio    float64 `json:"retry_ratio"`
 		RetrySlack    float64 `json:"retry_slack"`
@@ -116,7 +123,7 @@
 		DirectoryAddress: f.Listen.Directory, MetricsAddress: f.Listen.Metrics,
 		DataDir: f.Control.DataDir, FirstStart: f.Control.FirstStart, Replicas: 2*f.Control.Failures + 1,
 		Heartbeat: units.Milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, MemoryBytes: int64(f.Limits.MemoryMB * mebibyte),
-		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
+		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), NewestWithin: units.Milliseconds(f.Limits.NewestMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
 		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: units.Milliseconds(f.Limits.DirectoryTTLS * 1000),
 	}
 	reject := func(format string, args ...any) {
@@ -135,6 +142,12 @@
 			reject("%s: %v must be above 0", name, value)
 		}
 	}
+	if c.NewestWithin < 0 {
+		reject("limits.newest_ms: %v must not be below 0", f.Limits.NewestMS)
+	}
+	if c.NewestWithin == 0 {
+		c.NewestWithin = defaultNewestWithin
+	}
 	if f.Control.Failures < 0 {
 		reject("control.failures: %d must not be below 0", f.Control.Failures)
 	}
--- a/io/vmconfig/vmconfig_test.go
+++ b/io/vmconfig/vmconfig_test.go
@@ -27,6 +27,7 @@
 		`control.heartbeat_ms: -1`:       {`1200`, `-1`},
 		`limits.memory_mb: 0`:            {`284`, `0`},
 		`control.failures: -2`:           {`"failures":1`, `"failures":-2`},
+		`limits.newest_ms: -1`:           {`"grace_s"`, `"newest_ms":-1,"grace_s"`},
 		`vm.dial_through.0.through: "9"`: {`10.0.0.9:1`, `9`},
 		`not valid JSON`:                 {`{"vm"`, `{vm`},
 	}
@@ -37,3 +38,12 @@
 		}
 	}
 }
+
+// Settings of an earlier release don't name the time in which a change must be in force.
+func TestNewestWithin(t *testing.T) {
+	for text, want := range map[string]time.Duration{valid: 3 * time.Second, strings.Replace(valid, `"grace_s"`, `"newest_ms":2500,"grace_s"`, 1): 2500 * time.Millisecond} {
+		if c, err := Parse([]byte(text)); err != nil || c.NewestWithin != want {
+			t.Errorf("%v, error %v, want %v", c.NewestWithin, err, want)
+		}
+	}
+}
