--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -116,7 +116,7 @@
 	drawer := draw.NewClient(peers, v.quota, v.client.Controls, o.Log)
 	v.front = &front.Server{
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
-		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
+		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, NewestWithin: c.NewestWithin, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
 	}
@@ -189,6 +189,7 @@
 // stays, and the error says why.
 func (v *VM) applyCatalogue(c *catalogue.Catalogue) (err error) {
 	defer fault.Annotate(&err, "decode plan %d", c.Plan.Version)
+	v.placer.SetEvacuated(c.Evacuated, time.Now()) // before any request goes to a data centre that isn't evacuated any more
 	old := v.state.Read()
 	next := &front.State{Plan: old.Plan, Revision: c.Revision, Evacuated: c.Evacuated}
 	if c.Plan.Version > 0 && (old.Plan == nil || c.Plan.Version > old.Plan.Plan.Version) {
