New streams have the version of the start that begins them

What callers saw: events of two versions. A stream that began at a target which had started again under its id and address as another version was recorded as of the version before, until the VM heard of the new registration; its rest went to a target of the version before.

Evidence, failing before: TestStreamBegunAtATargetThatHasStartedAgain, "events of both versions: id: 1 data: v2, id: 2 data: v2, id: 3 data: v1", 3 of 3 runs. With real programs, and without this change, TestRestsAtATargetThatHasStartedAgain: "stream 13 has events of both versions: [v2 v2 v2 v2 v2 v1 v1 v1 v1 v1]", 3 of 12 streams.

Ruled out: to ask the target that began a stream when it breaks off. It is mostly down then.

Change: before a new stream that may go on elsewhere, the target is asked which start it is, on the connection that then carries it, once on each connection and for 100 ms at most. The stream is sent whatever the answer is. It has a version only if the start that answers is the one of the registration; else it is neither recorded nor continued. Other requests ask nothing.

--- a/core/place/start.go
+++ b/core/place/start.go
@@ -27,11 +27,3 @@
 		t.restarted = true
 	}
 }
-
-// Restarted reports whether a target has started anew since its registration.
-func (p *Placer) Restarted(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t, found := p.targets[id]
-	return found && t.restarted
-}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -62,6 +62,7 @@
 
 	origin    streamOrigin
 	answering *streamversion.Version // of the target that answers the current try, nil if it isn't known
+	start     *upstream.Start        // of the target of the last try that the request is for, nil if it isn't asked
 
 	crashIdentity quarantine.Request // see identity
 	trial         bool               // it runs apart from other requests with its suspect parts
--- a/io/front/restart_test.go
+++ b/io/front/restart_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,9 +77,13 @@
 	for _, after := range []time.Duration{0, 100 * time.Microsecond, time.Millisecond, 10 * time.Millisecond} {
 		t.Run(after.String(), func(t *testing.T) {
 			for range 8 {
-				targets := startVersions(t, 2, func(int, []*target) {})
+				var begun atomic.Bool // the next one that tells its start is asked before the rest
+				targets := startVersions(t, 2, func(int, []*target) { begun.Store(true) })
 				for _, s := range targets {
 					s.told = func(conn net.Conn) {
+						if !begun.Load() {
+							return
+						}
 						time.AfterFunc(after, func() {
 							conn.Close()
 							s.start.Store(2)
@@ -141,3 +146,17 @@
 		t.Errorf("%d requests, %d rests at the target that has started again", targets[0].count(), targets[0].resumed())
 	}
 }
+
+// A target has started again as another version before a stream begins there, and this VM
+// hasn't heard of it. The rest went to a target of the version before.
+func TestStreamBegunAtATargetThatHasStartedAgain(t *testing.T) {
+	targets := startVersions(t, 2, func(int, []*target) {})
+	w := newFixture(t, resumable, targets...)
+	w.register(targets, "v1", "v1")
+	targets[0].start.Store(2)
+	for range 20 {
+		if _, body, _ := w.ask(t, "k"); strings.Contains(body, "v1") && strings.Contains(body, "v2") {
+			t.Fatalf("events of both versions: %q", body)
+		}
+	}
+}
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kingcuprill/core/place"
+	"kingcuprill/core/streamversion"
 	"kingcuprill/io/upstream"
 )
 
@@ -14,23 +15,23 @@
 // tried beside it.
 func (x *exchange) try(ctx context.Context, reserved reservation) outcome {
 	target, _ := reserved.Where()
-	x.answering = x.versionAt(reserved)
+	x.answering = &streamversion.Version{Service: x.service, Version: reserved.Version()}
 	x.tries++
 	x.target = target
 	x.excluded = append(x.excluded, target)
-	start, known := x.startOf(reserved)
+	known := false
+	x.start, known = x.startOf(reserved)
 	if x.outlastsStop() || x.unconfirmed() || !known || !x.maySend(reserved) {
 		x.unsent++
 		reserved.Done(place.Inconclusive, time.Now())
 		return notRun
 	}
 	bounded, h := x.startHedge(ctx, x.tryTimeout(), 1)
-	return h.finish(x.tryTarget(bounded, h, reserved, start))
+	return h.finish(x.tryTarget(bounded, h, reserved))
 }
 
-// tryTarget sends the request to the target of a reservation, or to no other start of it if
-// one is given, and delivers the answer.
-func (x *exchange) tryTarget(ctx context.Context, h *hedge, reserved reservation, start *upstream.Start) outcome {
+// tryTarget sends the request to the target of a reservation and delivers the answer.
+func (x *exchange) tryTarget(ctx context.Context, h *hedge, reserved reservation) outcome {
 	s := x.server
 	target, address := reserved.Where()
 	observed := place.Inconclusive
@@ -39,12 +40,12 @@
 	links := x.watchLinks(ctx, h)
 	defer links.stop()
 	request := x.request(x.targetHeader(target, reserved.Source()))
-	request.Connecting, request.Start = links.connecting, start
+	request.Connecting, request.Start = links.connecting, x.start
 	response, err := x.sendWatched(ctx, target, address, request)
+	x.noteStart(target, response, err)
 	if err != nil {
 		h.leave()
 		observed = x.blame(ctx, target, err)
-		x.noteStart(target, start, err)
 		x.recordBreak(target, address, false, err)
 		result := x.recordConnectionError(err, 1)
 		if result == notRun {
@@ -94,6 +95,8 @@
 	x.runs += runs
 	if reserved == nil {
 		x.answering = x.answeringVersion(response)
+	} else if !x.confirmed(response) {
+		x.answering = nil
 	}
 	x.progress = answerProgress{mark: x.server.Quarantine.Mark()}
 	h.wait(x.tryTimeout())
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -95,6 +95,7 @@
 // for each.
 type Response struct {
 	*http.Response
+	Start  int64 // of the peer that has answered, 0 if it isn't known
 	client *Client
 	peer   string
 	conn   *conn
@@ -122,7 +123,7 @@
 		return nil, &Failure{Sent: true, Err: cause(ctx, err)}
 	}
 	conn.noteAnswered(request.EchoValue)
-	return &Response{Response: parsed, client: c, peer: peer, conn: conn, stop: stop, sent: sent}, nil
+	return &Response{Response: parsed, Start: conn.start, client: c, peer: peer, conn: conn, stop: stop, sent: sent}, nil
 }
 
 // cause returns the context's cause for a timeout that the end of the context
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -32,7 +32,8 @@
 	writer *bufio.Writer
 
 	answered []string // ids of the last requests that it has carried
-	start    int64    // of the peer, 0 if it wasn't asked
+	asked    bool     // the peer, for its start
+	start    int64    // of the peer, 0 if it isn't known
 
 	mu        sync.Mutex
 	expecting bool          // a request waits for its response
