--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -100,10 +100,12 @@
 	if err := proto.Unmarshal(body, message); err != nil {
 		return request, message, fault.New(fault.Invalid, "the forwarded request is not valid: %v", err)
 	}
-	if err := s.awaitRevision(r.Context(), message.GetCatalogueRevision()); err != nil {
+	request = toRequest(message)
+	waiting, cancel := context.WithDeadline(r.Context(), request.Deadline)
+	defer cancel()
+	if err := s.awaitRevision(waiting, message.GetCatalogueRevision()); err != nil {
 		return request, message, err
 	}
-	request = toRequest(message)
 	if request.Path, err = hops.ParsePath(message.GetPath()).Arrive(s.VMState.Self); err != nil {
 		return request, message, err
 	}
@@ -141,7 +143,7 @@
 		case <-timeout:
 			return fault.New(fault.NoTarget, "VM %s has catalogue revision %d, the forwarded request was checked by revision %d; send it to another VM", s.VMState.Self, known, revision)
 		case <-ctx.Done():
-			return ctx.Err()
+			return fault.New(fault.Deadline, "the forwarded request ended before VM %s had catalogue revision %d", s.VMState.Self, revision)
 		}
 	}
 }
--- a/io/forward/server_test.go
+++ b/io/forward/server_test.go
@@ -23,7 +23,9 @@
 
 // countingRunner counts the requests that run.
 type countingRunner struct {
-	ran int
+	ran      int
+	begun    time.Time
+	deadline time.Duration // of the last call, since begun
 }
 
 func (r *countingRunner) Generate(context.Context, exchange.Request, bool, func(exchange.Token) error) (exchange.Usage, error) {
@@ -31,8 +33,9 @@
 	return exchange.Usage{}, nil
 }
 
-func (r *countingRunner) Call(context.Context, exchange.Request) (exchange.Answer, error) {
+func (r *countingRunner) Call(_ context.Context, request exchange.Request) (exchange.Answer, error) {
 	r.ran++
+	r.deadline = request.Deadline.Sub(r.begun)
 	return exchange.Answer{Status: http.StatusOK}, nil
 }
 
@@ -97,21 +100,24 @@
 }
 
 // A VM that was cut off from the control VMs ran forwarded requests by its older catalogue,
-// which a newer one may forbid.
+// which a newer one may forbid. Waiting for the newer one must not outlast the request.
 func TestForwardedRequestsAreRunByNoOlderCatalogue(t *testing.T) {
 	for name, test := range map[string]struct {
 		revision uint64
 		arrives  time.Duration // of the newer catalogue, 0 for never
+		timeLeft time.Duration
 		want     fault.Code
 	}{
-		"same":           {revision: 1},
-		"sender behind":  {revision: 0},
-		"cut off":        {revision: 2, want: fault.NoTarget},
-		"a moment later": {revision: 2, arrives: 100 * time.Millisecond},
+		"same":           {revision: 1, timeLeft: time.Minute},
+		"sender behind":  {revision: 0, timeLeft: time.Minute},
+		"cut off":        {revision: 2, timeLeft: time.Minute, want: fault.NoTarget},
+		"a moment later": {revision: 2, timeLeft: time.Minute, arrives: 100 * time.Millisecond},
+		"too late":       {revision: 2, timeLeft: 50 * time.Millisecond, arrives: 100 * time.Millisecond, want: fault.Deadline},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				server, runner := newServer()
+				runner.begun = time.Now()
 				if test.arrives > 0 {
 					time.AfterFunc(test.arrives, func() {
 						server.VMState.Catalogue.Update(func(c *catalogue.Catalogue) *catalogue.Catalogue {
@@ -123,7 +129,7 @@
 				}
 				body, err := proto.Marshal(&vm.ForwardRequest{
 					RequestId: "r", Path: "vm-1", Organisation: "puja", KeyId: "web", Route: "plans",
-					TimeLeftNanoseconds: int64(time.Minute), Method: http.MethodGet, Url: "/", CatalogueRevision: test.revision,
+					TimeLeftNanoseconds: int64(test.timeLeft), Method: http.MethodGet, Url: "/", CatalogueRevision: test.revision,
 				})
 				if err != nil {
 					t.Fatal(err)
@@ -135,6 +141,9 @@
 					t.Fatal(err)
 				}
 				refused := test.want != ""
+				if runner.deadline > test.timeLeft {
+					t.Errorf("it may run for %v, want at most %v", runner.deadline, test.timeLeft)
+				}
 				if fault.Code(frame.GetErrorCode()) != test.want || frame.GetNotRun() != refused || refused != (runner.ran == 0) {
 					t.Errorf("code %q, not run %v, ran %d times", frame.GetErrorCode(), frame.GetNotRun(), runner.ran)
 				}
