disk: nothing is saved to a log that was replaced

What could happen: a control VM acknowledges entries and votes that are gone after its next start, so that a term may have two leaders.

The store went on with the old file, which has no name any more; the error was only logged.

Change: from then on each save fails with ErrSync, upon which the replica ends, as after any failed sync of the log.

Evidence: TestNothingIsSavedToAReplacedLog: the entry was saved without an error before.

--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -57,6 +57,10 @@
 	// are written nevertheless.
 	BeforeWrite func(size int) (written int, err error)
 
+	// BeforeFolderSync may let a sync of the folder fail, in tests.
+	BeforeFolderSync func() error
+
+	failed        error // the log in use may not be the one on disk any more
 	folder        string
 	fold          Fold // applied to the log as it is read
 	lock          *os.File
@@ -100,6 +104,9 @@
 // may be called again with all of them.
 func (s *Store) Save(hard raft.HardState, entries []raft.Entry, sync bool) (err error) {
 	defer fault.Annotate(&err, "save to %s", s.path(logFile))
+	if s.failed != nil {
+		return s.failed
+	}
 	if !sync {
 		return nil
 	}
@@ -154,10 +161,24 @@
 			return s.write(file, batch)
 		})
 	})
+	replaced := err == nil || s.isReplaced()
+	if err == nil {
+		err = s.reopenLog(size)
+	}
+	if err != nil && replaced {
+		s.failed = fmt.Errorf("%w: the log was replaced: %w", ErrSync, err)
+	}
+	return err
+}
+
+// isReplaced reports whether the log in use is not the one that has its name.
+func (s *Store) isReplaced() bool {
+	used, err := s.log.Stat()
 	if err != nil {
-		return err
+		return true
 	}
-	return s.reopenLog(size)
+	named, err := os.Stat(s.path(logFile))
+	return err != nil || !os.SameFile(used, named)
 }
 
 func (s *Store) reopenLog(size int64) (err error) {
@@ -215,6 +236,11 @@
 }
 
 func (s *Store) syncFolder() error {
+	if s.BeforeFolderSync != nil {
+		if err := s.BeforeFolderSync(); err != nil {
+			return err
+		}
+	}
 	folder, err := os.Open(s.folder)
 	if err != nil {
 		return err
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// The log was replaced by a shorter one, and then the sync of the folder failed. What was
+// saved later went to the file that no longer had a name, was acknowledged, and was lost.
+func TestNothingIsSavedToAReplacedLog(t *testing.T) {
+	folder := formatFolder(t)
+	writeEntries(t, folder)
+	store, saved := open(t, folder)
+	broken := errors.New("too many open files")
+	syncs := 0
+	store.BeforeFolderSync = func() error {
+		syncs++
+		if syncs == 2 { // the first one is that of the snapshot
+			return broken
+		}
+		return nil
+	}
+	snapshot := raft.Snapshot{Index: 2, Term: 1, Membership: saved.Snapshot.Membership}
+	if err := store.SaveSnapshot(snapshot, raft.HardState{Term: 1}, saved.Entries[2:]); !errors.Is(err, broken) {
+		t.Fatalf("error %v, want %v", err, broken)
+	}
+	if err := store.Save(raft.HardState{Term: 2}, []raft.Entry{entry(6, 2)}, true); !errors.Is(err, disk.ErrSync) {
+		t.Errorf("an entry is saved, error %v, want %v", err, disk.ErrSync)
+	}
+}
+
 // TestFullDisk lets a write fail with a disk error. The log must be unchanged, and
 // the same write must succeed later.
 func TestFullDisk(t *testing.T) {
