--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -148,6 +148,7 @@
 	for id, p := range n.progress {
 		if id != n.config.ID {
 			p.ticksSinceReply++
+			p.ticksSinceCounted++
 		}
 	}
 	if n.electionElapsed >= n.config.ElectionTicks {
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -18,10 +18,12 @@
 	next             uint64 // next entry to send
 	inFlight         int    // append messages without a reply
 	probing          bool   // one message at a time until a matching entry is found
-	heartbeatReplies int    // heartbeat replies since the last append reply
+	heartbeatReplies int    // heartbeats answered since the last append reply, one in HeartbeatTicks
 	active           bool   // replied since the last quorum check
 	snapshot         uint64 // index of the snapshot being sent, 0 for none
 	ticksSinceReply  int    // since the last reply of any kind
+
+	ticksSinceCounted int // since the last reply in heartbeatReplies
 }
 
 // heartbeatsToResend is the number of heartbeat replies without an append reply
@@ -239,7 +241,10 @@
 	if p.match >= n.log.lastIndex() {
 		return
 	}
-	p.heartbeatReplies++
+	if p.ticksSinceCounted >= n.config.HeartbeatTicks {
+		p.ticksSinceCounted = 0
+		p.heartbeatReplies++
+	}
 	if p.heartbeatReplies > n.repliesToResend(p) {
 		p.heartbeatReplies = 0
 		p.snapshot = 0
--- a/core/raft/transfer_test.go
+++ b/core/raft/transfer_test.go
@@ -66,7 +66,12 @@
 			t.Errorf("%d bytes are unanswered, want at most %d", open, inFlight+batch)
 		}
 		for range min(10*round, 10) { // the first probe holds no entries
-			n.Step(raft.Message{Kind: raft.HeartbeatReply, From: "b", To: "a", Term: n.Status().Term})
+			for range config.HeartbeatTicks {
+				n.Tick()
+			}
+			for range 20 { // reads ask for more than one in that time
+				n.Step(raft.Message{Kind: raft.HeartbeatReply, From: "b", To: "a", Term: n.Status().Term})
+			}
 		}
 		if again := collect(); again > 0 {
 			t.Fatalf("%d entries were sent again, after 10 answered heartbeats and before the first could have arrived", again)
