--- a/io/propose/order.go
+++ b/io/propose/order.go
@@ -66,6 +66,9 @@
 	}
 	id := "order-" + uuid.NewString()
 	kind := &state.Command_Change{Change: change}
+	if o.age() > renewableFor {
+		return o.handOn(ctx, id, kind) // this VM stood still
+	}
 	result, err = o.lead(ctx, &state.Command{RequestId: id, AnyRevision: true, Kind: kind})
 	if err == nil && result.Err != nil {
 		return result, result.Err
