follow: a confirmation is as old as its question

Change: overdue is counted from the question, with 0.4 s beyond the second for which polls are held.

--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -30,9 +30,8 @@
 	farPollWait = 2 * time.Second
 	// overdueWait is pollWait while no confirmation has come for longer than confirmedLately.
 	overdueWait = 250 * time.Millisecond
-	// confirmedLately is longer than the time between two confirmations by a control VM that
-	// may hold polls for pollWait.
-	confirmedLately = pollWait + 200*time.Millisecond
+	// confirmedLately is longer than a confirmed poll that is held for pollWait takes.
+	confirmedLately = pollWait + 400*time.Millisecond
 	// answerTimeout bounds a poll beyond its wait: a confirmation and the round trip.
 	answerTimeout = confirmTimeout + 500*time.Millisecond
 	// catalogueWait is how long the nearest control VM may take to send a catalogue
@@ -74,7 +73,7 @@
 	seeds     []string
 	polls     map[string]context.CancelFunc // by control VM's peer address
 	revision  uint64
-	confirmed time.Time     // when a control VM that isn't far confirmed the catalogue last
+	confirmed time.Time     // when the last poll was sent that a control VM which isn't far has confirmed
 	unusable  error         // why the catalogue of this revision isn't in force as a whole
 	newer     chan struct{} // closed when a newer catalogue arrives
 	fleet     *instance.Fleet
@@ -222,7 +221,7 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
-	sent := c.Lease.Now()
+	sent, begun := c.Lease.Now(), time.Now()
 	answer, err := c.Peers.At(address).Follow(ctx, &vm.FollowRequest{
 		Entry: codec.FromEntryVM(c.Self()), Revision: revision, Epoch: seen.epoch,
 		TargetsVersion: seen.targets, EntriesVersion: seen.entries, WaitNanoseconds: int64(wait),
@@ -241,7 +240,7 @@
 		c.Lease.Confirm(sent)
 		c.mu.Lock()
 		if !seen.noEntries {
-			c.confirmed = time.Now()
+			c.confirmed = begun
 		}
 		c.mu.Unlock()
 	}
