instance: heartbeats are published for as long as targets may be taken for cold

What callers would see: after an evacuation beside a cut, most targets of a data centre take little for ten seconds.

Change: all heartbeats are published for 12 s after the end, a little longer than entry VMs take a target for cold without one. Price: one row for each target and period to the entry VMs in that time.

--- a/core/instance/registry.go
+++ b/core/instance/registry.go
@@ -13,6 +13,9 @@
 	// endedKeptFor is how long the rows of targets that aren't ready are kept. It
 	// is longer than a heartbeat can be in transit.
 	endedKeptFor = 2 * time.Minute
+	// returnPublishedFor is how long after an evacuation all heartbeats are published. Entry
+	// VMs that were cut off hear of its end seconds later than others.
+	returnPublishedFor = 12 * time.Second
 )
 
 // Registry is the table of the targets that report to one control VM. Calls
@@ -59,7 +62,7 @@
 // evacuation. An entry VM may hear of its end later than this VM.
 func (r *Registry) confirmsReturn(row Registration) bool {
 	ended, found := r.ended[row.DataCentre]
-	return found && row.State == Ready && row.Heard.Sub(ended) < missedHeartbeats*r.period
+	return found && row.State == Ready && row.Heard.Sub(ended) < returnPublishedFor
 }
 
 func (r *Registry) put(row Registration, publish bool) {
