upstream: a peer that didn't tell its start is asked again

What callers would see: streams that can't go on or be taken up, at a target that was slow or busy once when it was asked, for as long as the connection lives.

Change: before the rest of a stream, a connection without a known start is asked each time, before a new stream again after 2 s. The time for the questions begins with the first connection.

Evidence: TestBusyPeersAreAskedForTheirStartAgain failed before.

--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -31,9 +31,9 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 
-	answered []string // ids of the last requests that it has carried
-	asked    bool     // the peer, for its start
-	start    int64    // of the peer, 0 if it isn't known
+	answered []string  // ids of the last requests that it has carried
+	asked    time.Time // when the peer was asked for its start last
+	start    int64     // of the peer, 0 if it isn't known
 
 	mu        sync.Mutex
 	expecting bool          // a request waits for its response
--- a/io/upstream/start.go
+++ b/io/upstream/start.go
@@ -14,6 +14,9 @@
 	// a kept one may be closed meanwhile, and an answer may close its connection.
 	startConnections = 3
 	maxStartAnswer   = 1 << 20 // bytes
+	// askAgainAfter is the pause after which a peer that didn't tell its start is asked again
+	// on a connection, before a request for any start.
+	askAgainAfter = 2 * time.Second
 )
 
 var (
@@ -28,7 +31,7 @@
 // Start is the start of a peer that a request is for, and how to ask for it. A connection
 // leads to one process from its begin to its end. So the question goes over the connection
 // that then carries the request: if the peer starts anew in between, the request doesn't
-// arrive. Each connection is asked once.
+// arrive. Each connection is asked until it is told.
 type Start struct {
 	URI    string // of the question
 	Header http.Header
@@ -47,13 +50,17 @@
 	if s == nil {
 		return c.acquire(ctx, peer, address, request.EchoValue)
 	}
-	asking, cancel := context.WithTimeout(ctx, s.Within)
-	defer cancel()
+	var asking context.Context // begins with the first connection
 	for left := startConnections - 1; ; left-- {
 		if obtained, err = c.acquire(ctx, peer, address, request.EchoValue); err != nil {
 			return nil, err
 		}
-		kept := obtained.asked
+		if asking == nil {
+			var cancel context.CancelFunc
+			asking, cancel = context.WithTimeout(ctx, s.Within)
+			defer cancel()
+		}
+		kept := !obtained.asked.IsZero()
 		usable, err := obtained.confirm(asking, address, s)
 		if err == nil || usable && s.Any {
 			return obtained, nil
@@ -69,11 +76,12 @@
 	}
 }
 
-// acquireUnasked returns a connection on which no later request for any start asks either.
+// acquireUnasked returns a connection on which later requests for any start don't ask for a
+// while either.
 func (c *Client) acquireUnasked(ctx context.Context, peer, address string, request Request) (*conn, error) {
 	acquired, err := c.acquire(ctx, peer, address, request.EchoValue)
 	if err == nil {
-		acquired.asked = true
+		acquired.asked = time.Now()
 	}
 	return acquired, err
 }
@@ -81,12 +89,12 @@
 // confirm makes sure that the connection leads to a start of the peer. It remains usable if
 // it leads to another one, or if that isn't told.
 func (c *conn) confirm(ctx context.Context, address string, s *Start) (usable bool, err error) {
-	if !c.asked {
+	if c.mayAsk(s) {
 		answer, err := c.askStart(ctx, address, s)
 		if err != nil {
 			return false, fmt.Errorf("%w: %v", ErrStartUnknown, err)
 		}
-		c.asked = true
+		c.asked = time.Now()
 		if start, known := s.Read(answer); known {
 			c.start = start
 		}
@@ -100,6 +108,12 @@
 	return true, ErrStartUnknown
 }
 
+// mayAsk reports whether the start is not known, and not known to be untold. A peer that was
+// slow or busy may tell it later.
+func (c *conn) mayAsk(s *Start) bool {
+	return c.start == 0 && (!s.Any || time.Since(c.asked) > askAgainAfter)
+}
+
 // askStart asks the peer and makes the connection ready for the request. The answer is empty
 // if the peer refuses to tell.
 func (c *conn) askStart(ctx context.Context, address string, s *Start) (answer []byte, err error) {
--- a/io/upstream/start_test.go
+++ b/io/upstream/start_test.go
@@ -154,6 +154,29 @@
 	}
 }
 
+// A peer was too busy to tell its start. On that connection no request for a start was sent
+// any more, though the peer told it soon after.
+func TestBusyPeersAreAskedForTheirStartAgain(t *testing.T) {
+	var first atomic.Bool
+	s := startStarted(t, nil)
+	s.tell = func(w http.ResponseWriter) {
+		if !first.Swap(true) {
+			http.Error(w, "", http.StatusTooManyRequests)
+			return
+		}
+		fmt.Fprint(w, 5)
+	}
+	c := NewClient(func() { s.connected.Add(1) })
+	s.any = true
+	if err := s.send(t.Context(), c, 5); err != nil || s.answered != 0 {
+		t.Fatalf("error %v, start %d", err, s.answered)
+	}
+	s.any = false
+	if err := s.send(t.Context(), c, 5); err != nil || s.answered != 5 || s.connected.Load() != 1 {
+		t.Errorf("error %v, start %d, %d connections", err, s.answered, s.connected.Load())
+	}
+}
+
 func BenchmarkRequestToAStart(b *testing.B) {
 	for name, want := range map[string]int64{"any": 0, "asked": 5} {
 		b.Run(name, func(b *testing.B) {
