--- a/io/forward/server_test.go
+++ b/io/forward/server_test.go
@@ -58,6 +58,22 @@
 	return &Server{VMState: s, Runner: runner, Enter: enter}, runner
 }
 
+// call forwards a call to a server and returns the frame that answers it.
+func call(t *testing.T, server *Server, message *vm.ForwardRequest) *vm.ForwardFrame {
+	t.Helper()
+	body, err := proto.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorder := httptest.NewRecorder()
+	server.ServeCall(recorder, httptest.NewRequest(http.MethodPost, CallPath, bytes.NewReader(body)))
+	frame := &vm.ForwardFrame{}
+	if err := readFrame(bufio.NewReader(recorder.Body), frame); err != nil {
+		t.Fatal(err)
+	}
+	return frame
+}
+
 // TestAdmit expects a VM to repeat the checks of the entry VM on a forwarded
 // request: path, access, key and residency.
 func TestAdmit(t *testing.T) {
@@ -76,19 +92,10 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			server, runner := newServer()
-			body, err := proto.Marshal(&vm.ForwardRequest{
+			frame := call(t, server, &vm.ForwardRequest{
 				RequestId: "r", Path: test.path, Organisation: test.organisation, KeyId: test.key, Route: test.route,
 				TimeLeftNanoseconds: int64(time.Minute), Method: http.MethodGet, Url: "/",
 			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			recorder := httptest.NewRecorder()
-			server.ServeCall(recorder, httptest.NewRequest(http.MethodPost, CallPath, bytes.NewReader(body)))
-			frame := &vm.ForwardFrame{}
-			if err := readFrame(bufio.NewReader(recorder.Body), frame); err != nil {
-				t.Fatal(err)
-			}
 			if fault.Code(frame.GetErrorCode()) != test.want {
 				t.Fatalf("code %q (%s), want %q", frame.GetErrorCode(), frame.GetErrorText(), test.want)
 			}
@@ -127,19 +134,10 @@
 						})
 					})
 				}
-				body, err := proto.Marshal(&vm.ForwardRequest{
+				frame := call(t, server, &vm.ForwardRequest{
 					RequestId: "r", Path: "vm-1", Organisation: "puja", KeyId: "web", Route: "plans",
 					TimeLeftNanoseconds: int64(test.timeLeft), Method: http.MethodGet, Url: "/", CatalogueRevision: test.revision,
 				})
-				if err != nil {
-					t.Fatal(err)
-				}
-				recorder := httptest.NewRecorder()
-				server.ServeCall(recorder, httptest.NewRequest(http.MethodPost, CallPath, bytes.NewReader(body)))
-				frame := &vm.ForwardFrame{}
-				if err := readFrame(bufio.NewReader(recorder.Body), frame); err != nil {
-					t.Fatal(err)
-				}
 				refused := test.want != ""
 				if runner.deadline > test.timeLeft {
 					t.Errorf("it may run for %v, want at most %v", runner.deadline, test.timeLeft)
