front: nothing is sent where a newer plan forbids it

A request that had been admitted in time went on by the homes of its arrival for as long as it lasted, up to its deadline: while its body came, while a connection was made and the target was asked for its start, at each retry and hedged try, and for the rest of a stream. So the caller's data went to the old home seconds after the VM itself had the plan that forbids it.

Cause: the exchange keeps the plan of its arrival, and homes were looked up in that one only.

Change: a request may run, and its body may be sent, where the plan of its arrival and the newest one both allow it. It is looked at for each choice of a region, and once more when the connection is there, right before the first byte (upstream.Request.MaySend).

Why it works: all that leaves the VM with a body goes through upstream.Client.Do, for targets and for other VMs alike.

Ruled out: going by the newest plan alone. A request that was sent before the change could then run where the plan that was in force when it was sent forbids it.

--- a/core/plan/index.go
+++ b/core/plan/index.go
@@ -14,11 +14,12 @@
 	routes   map[routeKey]Route
 	services map[string]Service
 	byKey    map[string]Organisation
+	byName   map[string]Organisation
 }
 
 // NewIndex returns the index of a plan.
 func NewIndex(p Plan) *Index {
-	x := &Index{Plan: p, routes: map[routeKey]Route{}, services: map[string]Service{}, byKey: map[string]Organisation{}}
+	x := &Index{Plan: p, routes: map[routeKey]Route{}, services: map[string]Service{}, byKey: map[string]Organisation{}, byName: map[string]Organisation{}}
 	for _, r := range p.Routes {
 		x.routes[routeKey{r.Host, r.Prefix}] = r
 	}
@@ -26,6 +27,7 @@
 		x.services[s.Name] = s
 	}
 	for _, o := range p.Organisations {
+		x.byName[o.Name] = o
 		for _, key := range o.Keys {
 			x.byKey[key] = o
 		}
@@ -60,6 +62,12 @@
 	return organisation, found
 }
 
+// Organisation returns an organisation by its name.
+func (x *Index) Organisation(name string) (organisation Organisation, found bool) {
+	organisation, found = x.byName[name]
+	return organisation, found
+}
+
 // Service returns a service by its name.
 func (x *Index) Service(name string) (service Service, found bool) {
 	service, found = x.services[name]
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -255,10 +255,11 @@
 	}
 }
 
-// request returns the request as it is sent to a target or an entry VM.
-func (x *exchange) request(header http.Header) upstream.Request {
+// request returns the request as it is sent to a target or an entry VM of a region.
+func (x *exchange) request(header http.Header, region string) upstream.Request {
 	return upstream.Request{
 		Method: x.caller.Method, URI: x.caller.RequestURI, Host: x.caller.Host, Header: header, Body: x.body,
+		MaySend:    func() error { return x.checkHome(region) },
 		EchoHeader: x.server.Headers.RequestID, EchoValue: x.id,
 	}
 }
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -10,7 +10,6 @@
 
 	"kingcuprill/core/entry"
 	"kingcuprill/core/place"
-	"kingcuprill/core/plan"
 )
 
 const (
@@ -24,16 +23,6 @@
 	interRegionLatency = 60 * time.Millisecond
 )
 
-// regions returns the regions where the request may run.
-func (x *exchange) regions() (homes []string, everywhere bool) {
-	return plan.Regions(x.route.Homes, x.organisation.Homes)
-}
-
-func (x *exchange) atHome(region string) bool {
-	homes, everywhere := x.regions()
-	return everywhere || slices.Contains(homes, region)
-}
-
 // forwardCandidates returns entry VMs of other regions where the request may run,
 // this VM's partner in each region, the best region first. Regions in backoff are
 // left out if the request may run in this region, which has targets.
@@ -108,7 +97,7 @@
 	return max(1, x.attempts()-x.runs-1)
 }
 
-// forwardTo sends the request to one entry VM of another region.
+// forwardTo sends the request to one entry VM of this or another region.
 func (x *exchange) forwardTo(ctx context.Context, v entry.VM) outcome {
 	x.server.Metrics.Away.Inc(1)
 	x.target = vmPrefix + v.ID
@@ -132,7 +121,7 @@
 // request was forwarded to: not if the caller has left, or the request's own time has
 // ended before an answer could be expected.
 func (x *exchange) blamesVM(err error, after time.Duration) bool {
-	if x.caller.Context().Err() != nil || errors.Is(err, errNotNeeded) {
+	if x.caller.Context().Err() != nil || errors.Is(err, errNotNeeded) || errors.Is(err, errNotAtHome) {
 		return false
 	}
 	return after >= minTryTimeout || time.Now().Before(x.deadline)
@@ -151,7 +140,7 @@
 // tryVM sends the request to an entry VM and delivers the answer.
 func (x *exchange) tryVM(ctx context.Context, h *hedge, v entry.VM, header http.Header) outcome {
 	begun := time.Now()
-	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header))
+	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header, v.Region))
 	if err != nil {
 		h.leave()
 		if x.blamesVM(err, time.Since(begun)) {
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -101,7 +101,7 @@
 // blame returns what a failed try says about its target: nothing, if this VM has ended it or
 // doesn't reach other targets either.
 func (x *exchange) blame(ctx context.Context, target string, err error) place.Result {
-	if endedByStop(ctx) || x.caller.Context().Err() != nil || errors.Is(err, errSuspect) || errors.Is(err, errLinksLost) || errors.Is(err, errNotNeeded) {
+	if endedByStop(ctx) || x.caller.Context().Err() != nil || errors.Is(err, errSuspect) || errors.Is(err, errLinksLost) || errors.Is(err, errNotNeeded) || errors.Is(err, errNotAtHome) {
 		return place.Inconclusive
 	}
 	if errors.Is(err, upstream.ErrLaterStart) || errors.Is(err, upstream.ErrStartUnknown) {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -181,11 +180,7 @@
 	if !caughtUp || !newest {
 		return x.configurationRefusal(notConfirmed)
 	}
-	host := x.caller.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	route, found := state.Plan.Match(host, x.caller.URL.Path)
+	route, found := state.Plan.Match(hostName(x.caller.Host), x.caller.URL.Path)
 	if !found {
 		return &refusal{status: http.StatusNotFound, reason: "no_route", notRun: true}
 	}
--- a/io/front/try.go
+++ b/io/front/try.go
@@ -39,7 +39,7 @@
 	sent := time.Now()
 	links := x.watchLinks(ctx, h)
 	defer links.stop()
-	request := x.request(x.targetHeader(target, reserved.Source()))
+	request := x.request(x.targetHeader(target, reserved.Source()), s.Region)
 	request.Connecting, request.Start = links.connecting, x.start
 	response, err := x.sendWatched(ctx, target, address, request)
 	x.noteStart(target, response, err)
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -61,6 +61,9 @@
 	// Connecting bounds the wait for a connection, besides the context of the request. It
 	// may be nil.
 	Connecting context.Context
+	// MaySend is asked once the connection is there, right before the request is sent. If it
+	// returns an error, nothing is sent. It may be nil.
+	MaySend func() error
 	// EchoHeader names the response header that must have the value EchoValue,
 	// usually the request's id. If it is empty, no header is checked.
 	EchoHeader string
@@ -69,6 +72,13 @@
 	Start *Start
 }
 
+func (r Request) check() error {
+	if r.MaySend == nil {
+		return nil
+	}
+	return r.MaySend()
+}
+
 // Client sends requests and keeps idle connections to peers for reuse. It is
 // safe for concurrent use.
 type Client struct {
@@ -117,6 +127,10 @@
 	if err != nil {
 		return nil, &Failure{Err: err}
 	}
+	if err := request.check(); err != nil {
+		conn.discard()
+		return nil, &Failure{Err: err}
+	}
 	// The end of the context interrupts reads and writes on the connection.
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	sent := make(chan error, 1)
