dispatch: requests aren't sent where a newer residency rule forbids it

What callers saw: at the daemons' own interface, a request ran in a region that its VM knew to be forbidden by then: a retry, the rest of a generation, and one that had waited up to 3 s for a target.

Cause: the permitted regions were read once, when the request was dispatched.

Change: they are narrowed by the newest rules each time a place is chosen. A request that no region may run any more is refused at once, instead of waiting 3 s for a target.

Why it works: every attempt, forwarded or not, begins with choose, and the attempt is sent right after.

Ruled out: replacing them by the newest rules. A rule that has been loosened since says nothing about a request that was sent under the tighter one.

--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -41,11 +41,24 @@
 	return p.all
 }
 
+// Nowhere reports whether no region is permitted.
+func (p Permitted) Nowhere() bool {
+	return !p.all && len(p.regions) == 0
+}
+
 // Allows reports whether a region is permitted.
 func (p Permitted) Allows(region string) bool {
 	return p.all || slices.Contains(p.regions, region)
 }
 
+// And returns the regions that both allow.
+func (p Permitted) And(other Permitted) Permitted {
+	if other.all {
+		return p
+	}
+	return p.intersect(other.regions)
+}
+
 func (p Permitted) intersect(regions []string) Permitted {
 	if p.all {
 		return Permitted{regions: regions}
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -82,10 +82,7 @@
 
 func (d *Dispatcher) newRun(request exchange.Request, suspect bool) *run {
 	r := &run{d: d, request: request}
-	r.routing = route.Request{
-		Service:   request.Route.Service,
-		Permitted: residency.Of(d.VMState.Catalogue.Read(), request.Organisation, request.Route.Name),
-	}
+	r.routing = route.Request{Service: request.Route.Service, Permitted: r.permitted()}
 	if g := request.Generation; g != nil {
 		r.routing.Model = g.Model
 		r.routing.Prefixes = target.PrefixHashes(g.Model, g.Prompt)
@@ -97,6 +94,11 @@
 	return r
 }
 
+// permitted returns the regions that the newest residency rules allow.
+func (r *run) permitted() residency.Permitted {
+	return residency.Of(r.d.VMState.Catalogue.Read(), r.request.Organisation, r.request.Route.Name)
+}
+
 // Generate runs a generation to its end and passes each token to sink once and in
 // order, over all attempts. The error is an *exchange.Failure.
 func (d *Dispatcher) Generate(ctx context.Context, request exchange.Request, suspect bool, sink func(exchange.Token) error) (usage exchange.Usage, err error) {
--- a/io/dispatch/place.go
+++ b/io/dispatch/place.go
@@ -28,7 +28,14 @@
 
 // choose compares the best target of this data centre with the best other data
 // centre. found is false if no place is available now.
+//
+// Rules that have changed since the request came may only restrict it further: its caller has
+// relied on the earlier ones.
 func (r *run) choose(now time.Time) (p place, found bool, err error) {
+	r.routing.Permitted = r.routing.Permitted.And(r.permitted())
+	if r.routing.Permitted.Nowhere() {
+		return place{}, false, fault.New(fault.Residency, "residency rules allow no region for requests of organisation %q on route %q", r.request.Organisation, r.request.Route.Name)
+	}
 	local, localCost, hasLocal := r.chooseLocal(now)
 	remote, remoteCost, hasRemote := r.chooseRemote(now)
 	if hasRemote && (!hasLocal || r.preferRemote(localCost, remoteCost)) {
