book: kept answers aren't sent where a newer residency rule forbids it

What callers saw: a booking with a residency rule keeps its answer on the VM that ran it.

Evidence: TestKeptAnswersAreNotSentWhereANewerRuleForbidsIt failed before (the answer was given to siliguri after the rule named kolkata only) and passes now, with -race.

Left: answers that no rule bound when the booking ran are in the control log of all regions.

--- a/io/book/answers.go
+++ b/io/book/answers.go
@@ -18,9 +18,11 @@
 
 // WithheldAnswer is an answer that residency rules bind to some regions.
 type WithheldAnswer struct {
-	ContentType string
-	Body        []byte
-	Permitted   residency.Permitted
+	ContentType  string
+	Body         []byte
+	Organisation string
+	Route        string
+	Permitted    residency.Permitted // when the booking ran
 }
 
 // Answers holds, in memory, the answers of bookings that ran on this VM and whose
@@ -52,12 +54,16 @@
 }
 
 // Read returns an answer for a VM of a region. found is false if the answer isn't
-// held or may not be sent to the region.
+// held or may not be sent to the region, by the rules when the booking ran or the newest ones.
 func (a *Answers) Read(claimID, region string) (answer WithheldAnswer, found bool) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	answer, found = a.kept[claimID]
-	return answer, found && answer.Permitted.Allows(region)
+	a.mu.Unlock()
+	if !found {
+		return answer, false
+	}
+	newest := residency.Of(a.VMState.Catalogue.Read(), answer.Organisation, answer.Route)
+	return answer, answer.Permitted.And(newest).Allows(region)
 }
 
 // Fetch returns the answer of a booking from the VM that ran it. Its error has
--- a/io/book/book.go
+++ b/io/book/book.go
@@ -193,7 +193,9 @@
 	permitted := residency.Of(b.VMState.Catalogue.Read(), call.Organisation, call.Request.Route.Name)
 	finish.Withheld = !permitted.Everywhere()
 	if finish.Withheld {
-		b.Answers.Keep(finish.ClaimId, WithheldAnswer{ContentType: finish.ContentType, Body: finish.Body, Permitted: permitted})
+		b.Answers.Keep(finish.ClaimId, WithheldAnswer{
+			ContentType: finish.ContentType, Body: finish.Body, Organisation: call.Organisation, Route: call.Request.Route.Name, Permitted: permitted,
+		})
 		finish.ContentType, finish.Body = "", nil
 	}
 }
--- a/io/book/book_test.go
+++ b/io/book/book_test.go
@@ -39,3 +39,33 @@
 		}
 	}
 }
+
+// The answer of a booking went to regions that a rule forbade which had come after the
+// booking ran.
+func TestKeptAnswersAreNotSentWhereANewerRuleForbidsIt(t *testing.T) {
+	s := vmstate.New(membership.Member{ID: "vm-1", Region: "kolkata", DataCentre: "d"}, time.Second)
+	restrict := func(regions ...string) {
+		s.Catalogue.Update(func(c *catalogue.Catalogue) *catalogue.Catalogue {
+			next, err := c.With(catalogue.Change{PutResidency: &catalogue.Residency{Name: "rule", Regions: regions}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return next
+		})
+	}
+	restrict("kolkata", "siliguri")
+	booker := &Booker{VMState: s, Answers: &Answers{VMState: s}}
+	booker.setAnswer(Call{Organisation: "puja"}, &state.Finish{ClaimId: "1"}, exchange.Answer{Status: 201, Body: []byte("secret-lantern")})
+	for _, step := range []struct {
+		regions []string
+		found   bool
+	}{{[]string{"kolkata", "siliguri"}, true}, {[]string{"kolkata"}, false}, {[]string{"kolkata", "siliguri", "durgapur"}, true}} {
+		restrict(step.regions...)
+		if _, found := booker.Answers.Read("1", "siliguri"); found != step.found {
+			t.Errorf("rule %v: the answer is given to siliguri: %v", step.regions, found)
+		}
+		if _, found := booker.Answers.Read("1", "durgapur"); found {
+			t.Errorf("rule %v: the answer is given to durgapur, where it might not go when the booking ran", step.regions)
+		}
+	}
+}
