--- a/core/lease/safety_test.go
+++ b/core/lease/safety_test.go
@@ -123,9 +123,10 @@
 	s.after(s.randomUpTo(10*time.Second), s.suspend)
 }
 
-func (s *simulation) run(length time.Duration) {
+// run plays a VM to which requests come in the way that begin begins.
+func (s *simulation) run(length time.Duration, begin func(now time.Duration)) {
 	s.sendQuestion(0)
-	s.serve(0)
+	begin(0)
 	s.after(s.randomUpTo(2*time.Second), s.commitRevision)
 	s.after(s.randomUpTo(10*time.Second), s.suspend)
 	for len(s.events) > 0 {
@@ -144,7 +145,7 @@
 	requestsRun := 0
 	for seed := range uint64(safetySeeds) {
 		s := newSimulation(t, seed)
-		s.run(20 * time.Second)
+		s.run(20*time.Second, s.serve)
 		requestsRun += s.requestsRun
 	}
 	if requestsRun < safetySeeds {
