front: bodies of callers share a budget of memory

What callers saw: anybody who sent large bodies to an entry VM could fill its memory: 500 MB of 300 with 50 callers of 4 MB each, 1,504 MB with 200.

Cause: each body was bounded, nothing bounded their sum. The buffer that grew while a body was read and a copy for the fingerprint took more again.

Change: all bodies borrow from one budget, an eighth of the VM's memory. A length is reserved before the first byte is read. No organisation, host or forwarding VM may have more than is left for all others. What doesn't fit is refused, 503 with Retry-After, not run; small bodies always pass. Bodies are kept in the parts in which they were read and hashed where they lie.

Why it works: the sum is bounded by what is counted, and a peer that takes all it may leaves as much for the next.

Ruled out: ending the largest body of the greediest peer, as for answers: it ends those that are nearly whole.

--- a/core/bytebudget/bytebudget.go
+++ b/core/bytebudget/bytebudget.go
@@ -1,7 +1,11 @@
-// Package bytebudget bounds the memory that all answers take together while they are read
-// or passed on. Each answer borrows its bytes from one budget; when that is used up, the
-// largest answer of the peer with the most bytes is ended, so that a peer whose answers have
-// no end costs others nothing.
+// Package bytebudget bounds the memory that all messages of one kind take together while they
+// are read or passed on: answers of targets, or bodies of requests. Each message borrows its
+// bytes from one budget.
+//
+// When a budget for answers is used up, the largest answer of the peer with the most bytes is
+// ended, so that a peer whose answers have no end costs others nothing. A budget for bodies
+// refuses a body before it is read, or while it grows: no peer may take more than is left for
+// all others, so that there is always room for the bodies of one more.
 package bytebudget
 
 import (
@@ -10,38 +14,55 @@
 	"sync"
 )
 
-// freeBytes of each answer aren't counted, so that small answers never wait for a lock
-// and are never ended for others.
-const freeBytes = 32 << 10
+const (
+	// freeAnswerBytes and freeBodyBytes of each message aren't counted, so that small ones
+	// never wait for a lock and are never refused or ended for others. Callers may open more
+	// connections than targets answer on.
+	freeAnswerBytes = 32 << 10
+	freeBodyBytes   = 8 << 10
+)
 
-// ErrUsedUp is the error of an answer that was ended because all answers together took
-// more memory than they may, and those of its peer took most.
-var ErrUsedUp = errors.New("all answers take too much memory together, and those of this peer take most")
+// ErrUsedUp is the error of a message that was refused or ended because all of its kind take
+// as much memory as they may, and those of its peer take most.
+var ErrUsedUp = errors.New("all messages take too much memory together, and those of this peer take most")
 
-// Budget is a number of bytes that answers may take together. Its methods are safe for
+// Budget is a number of bytes that messages may take together. Its methods are safe for
 // concurrent use. A nil budget has no bound.
 type Budget struct {
-	mu    sync.Mutex
-	limit int64
-	used  int64          // by the loans that aren't ended
-	loans map[*Loan]bool // with counted bytes
+	mu     sync.Mutex
+	limit  int64
+	free   int64 // of each message, not counted
+	bodies bool
+	used   int64            // by the loans that aren't ended
+	loans  map[*Loan]bool   // with counted bytes
+	peers  map[string]int64 // counted bytes
 }
 
-// New returns a budget of a number of bytes, nil if that is 0.
+// New returns a budget for answers of a number of bytes, nil if that is 0.
 func New(limit int64) *Budget {
 	if limit <= 0 {
 		return nil
 	}
-	return &Budget{limit: limit, loans: map[*Loan]bool{}}
+	return &Budget{limit: limit, free: freeAnswerBytes, loans: map[*Loan]bool{}, peers: map[string]int64{}}
+}
+
+// NewForBodies returns a budget for bodies of requests of a number of bytes, nil if that is 0.
+func NewForBodies(limit int64) *Budget {
+	b := New(limit)
+	if b != nil {
+		b.free, b.bodies = freeBodyBytes, true
+	}
+	return b
 }
 
-// Loan is the part of the budget that one answer has. Its methods are for the goroutine that
-// reads the answer. A nil loan has no bound.
+// Loan is the part of the budget that one message has. Its methods are for the goroutine that
+// reads the message. A nil loan has no bound.
 type Loan struct {
-	budget *Budget
-	peer   string
-	end    func() // interrupts the reading of the answer
-	large  bool   // it has had counted bytes
+	budget   *Budget
+	peer     string
+	end      func() // interrupts the reading of the message; nil if it ends by the error of Resize
+	large    bool   // it has had counted bytes
+	reserved int64  // bytes that it has even if it takes fewer
 
 	// Guarded by the budget's mutex.
 	counted int64
@@ -49,15 +70,16 @@
 	ended   bool
 }
 
-// Free returns the number of bytes that no answer takes.
+// Free returns the number of bytes that no message takes.
 func (b *Budget) Free() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.limit - b.used
 }
 
-// Open returns a loan without bytes for an answer of a peer. end is called, from any
-// goroutine, when the answer must be given up; it must not block. The loan must be closed.
+// Open returns a loan without bytes for a message of a peer. end is called, from any
+// goroutine, when an answer must be given up; it must not block. It may be nil for bodies. The
+// loan must be closed.
 func (b *Budget) Open(peer string, end func()) *Loan {
 	if b == nil {
 		return nil
@@ -65,18 +87,40 @@
 	return &Loan{budget: b, peer: peer, end: end}
 }
 
-// Resize sets the number of bytes that the answer takes. The error is ErrUsedUp if the
-// answer must be given up.
+// Reserve sets the number of bytes that the message has from now on, also before they have
+// come. Errors are those of Resize.
+func (l *Loan) Reserve(size int64) (err error) {
+	if l == nil {
+		return nil
+	}
+	l.reserved = size
+	return l.Resize(size)
+}
+
+// Resize sets the number of bytes that the message takes. The error is ErrUsedUp if it must be
+// given up, and ErrTooLarge if it alone is larger than the budget.
 func (l *Loan) Resize(size int64) (err error) {
-	if l == nil || (size <= freeBytes && !l.large) {
+	if l == nil {
+		return nil
+	}
+	b := l.budget
+	size = max(size, l.reserved)
+	if size <= b.free && !l.large {
 		return nil
 	}
 	l.large = true
 	ended := []*Loan{}
-	b := l.budget
 	b.mu.Lock()
-	if !l.ended {
-		b.set(l, max(size-freeBytes, 0))
+	switch counted := max(size-b.free, 0); {
+	case l.ended:
+	case b.bodies && counted > b.limit:
+		b.mu.Unlock()
+		return ErrTooLarge
+	case b.bodies && !b.hasRoom(l, counted):
+		l.ended = true
+		b.set(l, 0)
+	default:
+		b.set(l, counted)
 		ended = b.makeRoom()
 	}
 	if l.ended {
@@ -115,8 +159,20 @@
 	l.ended = true
 }
 
+// hasRoom reports whether a body may take a number of bytes: its peer must leave as much for
+// all others as it has itself then, unless nobody else has any.
+func (b *Budget) hasRoom(l *Loan, counted int64) bool {
+	more := counted - l.counted
+	left := b.limit - b.used - more
+	return more <= 0 || left >= b.peers[l.peer]+more || left >= 0 && b.used == l.counted
+}
+
 // set counts a number of bytes for a loan.
 func (b *Budget) set(l *Loan, counted int64) {
+	b.peers[l.peer] += counted - l.counted
+	if b.peers[l.peer] == 0 {
+		delete(b.peers, l.peer)
+	}
 	b.used += counted - l.counted
 	l.counted = counted
 	if counted == 0 {
--- a/core/bytebudget/bytebudget_test.go
+++ b/core/bytebudget/bytebudget_test.go
@@ -35,10 +35,10 @@
 		t.Error("the endless answer may go on")
 	}
 	endless.Close()
-	if err := sound.Resize(1<<20 + freeBytes); err != nil {
+	if err := sound.Resize(1<<20 + freeAnswerBytes); err != nil {
 		t.Errorf("all of the budget for one: %v", err)
 	}
-	if err := sound.Resize(1<<20 + freeBytes + 1); !errors.Is(err, ErrUsedUp) {
+	if err := sound.Resize(1<<20 + freeAnswerBytes + 1); !errors.Is(err, ErrUsedUp) {
 		t.Errorf("more than the budget for one: %v", err)
 	}
 }
@@ -73,7 +73,7 @@
 		t.Errorf("the next answer: %v; the whole one is ended: %v", err, whole.ended)
 	}
 	small := open(b, "b")
-	if err := small.Resize(freeBytes); err != nil {
+	if err := small.Resize(freeAnswerBytes); err != nil {
 		t.Errorf("a small answer: %v", err)
 	}
 }
--- a/core/bytebudget/whole.go
+++ b/core/bytebudget/whole.go
@@ -9,24 +9,24 @@
 )
 
 const (
-	// firstPart is the size of the first part of an answer of unknown length, and maxPart
+	// firstPart is the size of the first part of a message of unknown length, and maxPart
 	// that of the largest, in bytes. Each part is twice as large as the one before.
 	firstPart = 2 << 10
 	maxPart   = 256 << 10
 )
 
-// ErrTooLarge is the error of an answer beyond its own limit.
-var ErrTooLarge = errors.New("the answer is too large")
+// ErrTooLarge is the error of a message beyond its own limit, or beyond its whole budget.
+var ErrTooLarge = errors.New("the message is too large")
 
-// Whole is an answer that was read to its end. It must be closed.
+// Whole is a message that was read to its end. It must be closed. A nil one is empty.
 type Whole struct {
 	parts [][]byte
 	size  int64
 	loan  *Loan
 }
 
-// ReadWhole reads an answer of at most limit bytes and keeps it on a loan. length is what the
-// answer says of its length, negative if it says nothing. Errors are ErrUsedUp,
+// ReadWhole reads a message of at most limit bytes and keeps it on a loan. length is what the
+// message says of its length, negative if it says nothing. Errors are ErrUsedUp,
 // ErrTooLarge, and those of the source; the loan is closed then.
 func ReadWhole(source io.Reader, length, limit int64, loan *Loan) (w *Whole, err error) {
 	w = &Whole{loan: loan}
@@ -37,16 +37,18 @@
 	return w, nil
 }
 
+// FromBytes returns a message that borrows nothing.
+func FromBytes(data []byte) *Whole {
+	return &Whole{parts: [][]byte{data}, size: int64(len(data))}
+}
+
 func (w *Whole) read(source io.Reader, length, limit int64) error {
 	if length > limit {
 		return fmt.Errorf("%w: its length is %d bytes, more than %d", ErrTooLarge, length, limit)
 	}
-	capacity := int64(firstPart)
-	if length >= 0 {
-		capacity = min(length+1, maxPart) // a byte more shows the end at once
-	}
-	allocated := int64(0)
+	allocated, capacity := int64(0), int64(0)
 	for {
+		capacity = nextPart(capacity, allocated, length)
 		allocated += capacity
 		if err := w.loan.Resize(allocated); err != nil {
 			return err
@@ -64,12 +66,20 @@
 		if err != nil {
 			return cmp.Or(w.loan.Keep(), err)
 		}
-		capacity = min(2*capacity, maxPart)
 	}
 }
 
+// nextPart returns the size of the part after one of a size, once a number of bytes has been
+// allocated for a message of a length, which is negative if it isn't known.
+func nextPart(size, allocated, length int64) int64 {
+	if allocated <= length {
+		return min(length+1-allocated, maxPart) // a byte more shows the end at once
+	}
+	return min(max(2*size, firstPart), maxPart)
+}
+
 // fill reads until the part is full or the source fails. Unlike io.ReadFull it returns the
-// error of the source as it is: an answer that was cut off isn't one that has ended.
+// error of the source as it is: a message that was cut off isn't one that has ended.
 func fill(part []byte, source io.Reader) (n int, err error) {
 	for n < len(part) && err == nil {
 		var read int
@@ -81,16 +91,25 @@
 
 // Size returns the number of bytes.
 func (w *Whole) Size() int64 {
+	if w == nil {
+		return 0
+	}
 	return w.size
 }
 
-// Bytes returns a copy of the answer in one piece.
+// Bytes returns a copy of the message in one piece.
 func (w *Whole) Bytes() []byte {
+	if w == nil {
+		return nil
+	}
 	return slices.Concat(w.parts...)
 }
 
-// WriteTo writes the answer.
+// WriteTo writes the message.
 func (w *Whole) WriteTo(out io.Writer) (written int64, err error) {
+	if w == nil {
+		return 0, nil
+	}
 	for _, part := range w.parts {
 		n, err := out.Write(part)
 		written += int64(n)
@@ -103,5 +122,8 @@
 
 // Close gives the bytes back. Further calls do nothing.
 func (w *Whole) Close() {
+	if w == nil {
+		return
+	}
 	w.loan.Close()
 }
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"io"
 	"slices"
+	"strings"
 )
 
 // Request is what identifies the possible cause of a crash: the parts of a request
@@ -38,8 +40,16 @@
 // Fingerprint returns a hash that identifies the content of a request, so that a copy
 // that is sent again is recognised.
 func Fingerprint(organisation, route, content string) string {
-	sum := sha256.Sum256([]byte(organisation + "\x00" + route + "\x00" + content))
-	return "request:" + hex.EncodeToString(sum[:16])
+	return FingerprintWithBody(organisation, route, content, strings.NewReader(""))
+}
+
+// FingerprintWithBody returns the fingerprint of a content that a body ends, without a copy of
+// the body.
+func FingerprintWithBody(organisation, route, content string, body io.WriterTo) string {
+	hash := sha256.New()
+	_, _ = io.WriteString(hash, organisation+"\x00"+route+"\x00"+content)
+	_, _ = body.WriteTo(hash)
+	return "request:" + hex.EncodeToString(hash.Sum(nil)[:16])
 }
 
 // merge adds what another VM knows of the same crash, and reports whether that is new.
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -60,6 +60,8 @@
 	// answerShare is the part of the VM's memory that the answers of targets and of other
 	// entry VMs may take together.
 	answerShare = 0.25
+	// bodyShare is the same for the bodies of callers' requests.
+	bodyShare = 0.125
 	// retryBudgetShare is the part of the retry budget that VMs may use; the rest
 	// covers VMs that have just started, whose budgets are full.
 	retryBudgetShare = 0.8
@@ -126,6 +128,7 @@
 	}
 	answers := bytebudget.New(int64(answerShare * float64(c.MemoryBytes)))
 	v.front.Targets.Budget, v.front.Peers.Budget = answers, answers
+	v.front.Bodies = bytebudget.NewForBodies(int64(bodyShare * float64(c.MemoryBytes)))
 	v.front.Targets.DialAddress = peers.VM.Dial
 	v.front.Links = targetlink.NewMonitor(v.front.Targets, func() []place.Address { return v.placer.Usable(time.Now()) }, o.Log)
 	v.front.Links.Changed = v.reportLinks
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -41,7 +41,7 @@
 	demand       place.Demand
 	cost         float64 // tokens charged
 	deadline     time.Time
-	body         []byte
+	body         *bytebudget.Whole // closed at the end of the request
 
 	predicted time.Duration // from the last selection of a target to the begin of its answer
 	first     time.Duration // from the arrival to the begin of the answer
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -128,7 +128,7 @@
 }
 
 // reasonsOfOneVM are reasons of refusals by an entry VM that say nothing about its region.
-var reasonsOfOneVM = []string{linksReason, stoppingReason, notConfirmed, noConfiguration}
+var reasonsOfOneVM = []string{linksReason, stoppingReason, notConfirmed, noConfiguration, bodiesReason}
 
 // leaveOut sends no more of this request, and for a while nothing, to an entry VM that can't
 // serve it.
--- a/io/front/newerplan_test.go
+++ b/io/front/newerplan_test.go
@@ -143,7 +143,8 @@
 				w.server.Placer.SetRemote([]place.Remote{{Service: "s", DataCentre: "abroad", Region: "abroad", Targets: 1}})
 				w.server.Entries.Store(&[]entry.VM{
 					{ID: "vm", Region: "region", Ready: true},
-					{ID: "a", Region: region, PeerAddress: shared.address, Ready: true}, {ID: "b", Region: region, PeerAddress: shared.address, Ready: true},
+					{ID: "a", Region: region, PeerAddress: shared.address, Ready: true},
+					{ID: "b", Region: region, PeerAddress: shared.address, Ready: true},
 				})
 				if code, _, _ := w.ask(t, "k"); code != http.StatusServiceUnavailable || shared.count() != 1 {
 					t.Errorf("status %d; VMs of the region have had the body %d times, want once", code, shared.count())
--- a/io/front/otherregion_test.go
+++ b/io/front/otherregion_test.go
@@ -23,7 +23,7 @@
 // A VM of another region refused a request for a reason of its own, and the caller got the refusal though its neighbour had targets.
 func TestRefusalsOfOneVMAreNotThoseOfItsRegion(t *testing.T) {
 	for reason, code := range map[string]int{
-		stoppingReason: http.StatusOK, linksReason: http.StatusOK, notConfirmed: http.StatusOK, noConfiguration: http.StatusOK,
+		stoppingReason: http.StatusOK, linksReason: http.StatusOK, notConfirmed: http.StatusOK, noConfiguration: http.StatusOK, bodiesReason: http.StatusOK,
 		"slow": http.StatusServiceUnavailable, quarantinedReason: http.StatusServiceUnavailable,
 	} {
 		t.Run(reason, func(t *testing.T) {
--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -46,7 +46,7 @@
 		}
 		x.crashIdentity = quarantine.Request{
 			Service: service, Organisation: x.organisation.Name, Parts: x.demand.SharedIDs(),
-			Fingerprint: quarantine.Fingerprint(x.organisation.Name, x.route.Name, x.caller.Method+x.caller.RequestURI+"\x00"+string(x.body)),
+			Fingerprint: quarantine.FingerprintWithBody(x.organisation.Name, x.route.Name, x.caller.Method+x.caller.RequestURI+"\x00", x.body),
 		}
 	}
 	return x.crashIdentity
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +12,7 @@
 	"time"
 
 	"kingcuprill/core/backoff"
+	"kingcuprill/core/bytebudget"
 	"kingcuprill/core/drain"
 	"kingcuprill/core/entry"
 	"kingcuprill/core/inflight"
@@ -59,6 +59,8 @@
 	// Starts is how targets are asked which start they are; nil if they can't be, so that
 	// their registrations are relied on.
 	Starts *Starts
+	// Bodies bounds the memory of the bodies of all requests; nil is no bound.
+	Bodies *bytebudget.Budget
 	// Quarantine holds what is known of requests that crash targets.
 	Quarantine *quarantine.List
 	Drawer     *draw.Client        // draws tokens of rate limits from the control VMs
@@ -127,6 +129,7 @@
 	x := &exchange{server: s, writer: w, caller: r, arrived: time.Now(), id: r.Header.Get(s.Headers.RequestID), from: from}
 	s.Metrics.Requests.Inc(1)
 	defer x.settle()
+	defer func() { x.body.Close() }()
 	if refused := x.admit(); refused != nil {
 		x.refuse(refused)
 		return
@@ -197,23 +200,12 @@
 
 // read reads the body and charges the organisation for the request.
 func (x *exchange) read(ctx context.Context) *refusal {
-	if maxBody := x.state.Plan.Plan.MaxBody; maxBody > 0 {
-		x.caller.Body = http.MaxBytesReader(x.writer, x.caller.Body, maxBody)
-	}
-	body, err := x.readWithin(ctx)
-	if _, large := err.(*http.MaxBytesError); large {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", notRun: true}
-	}
-	if errors.Is(err, errLateBody) {
-		return x.lateBodyRefusal(ctx)
-	}
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "body_not_read: " + err.Error(), notRun: true, ended: endedNotRead}
+	if refused := x.readBody(ctx); refused != nil {
+		return refused
 	}
 	if refused := x.stopRefusal(); refused != nil {
 		return refused
 	}
-	x.body = body
 	x.demand = x.server.Headers.demand(x.header)
 	x.service = x.route.Choose(x.id)
 	if !x.keyed || x.from != "" {
--- a/io/front/stopping.go
+++ b/io/front/stopping.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -19,9 +18,6 @@
 	stoppingRetryAfter = 50 * time.Millisecond
 )
 
-// errLateBody is the error of a body that is not whole when its request ends.
-var errLateBody = errors.New("the body has not come in time")
-
 // Stop starts a planned stop: requests that may run beyond its end are refused, and those
 // that still run shortly before it get an answer.
 func (s *Server) Stop(stop drain.Stop) {
@@ -55,23 +51,3 @@
 		header.Set("Connection", "close")
 	}
 }
-
-// readWithin reads the body until the context ends.
-func (x *exchange) readWithin(ctx context.Context) (body []byte, err error) {
-	controller := http.NewResponseController(x.writer)
-	stop := context.AfterFunc(ctx, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
-	body, err = io.ReadAll(x.caller.Body)
-	if !stop() && (endedByStop(ctx) || context.Cause(ctx) == context.DeadlineExceeded) {
-		return nil, errLateBody
-	}
-	return body, err
-}
-
-// lateBodyRefusal refuses a request whose body has not come whole in time.
-func (x *exchange) lateBodyRefusal(ctx context.Context) *refusal {
-	x.writer.Header().Set("Connection", "close")
-	if endedByStop(ctx) {
-		return &refusal{status: http.StatusServiceUnavailable, reason: stoppingReason, retryAfter: stoppingRetryAfter, notRun: true, ended: endedNotRead}
-	}
-	return &refusal{status: http.StatusRequestTimeout, reason: "body_late", notRun: true, ended: endedNotRead}
-}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -57,7 +57,7 @@
 	URI    string // path and query, written as they are
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   *bytebudget.Whole // nil for none
 	// Connecting bounds the wait for a connection, besides the context of the request. It
 	// may be nil.
 	Connecting context.Context
@@ -328,11 +328,11 @@
 	w.Reset(conn.Conn)
 	_, _ = w.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(w)
-	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
-		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+	if request.Body.Size() > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
+		_, _ = w.WriteString("Content-Length: " + strconv.FormatInt(request.Body.Size(), 10) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(request.Body)
+	_, _ = request.Body.WriteTo(w)
 	return w.Flush()
 }
 
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"kingcuprill/core/bytebudget"
 )
 
 // peer is a server that counts its connections and requests.
@@ -60,7 +62,7 @@
 
 func send(ctx context.Context, c *Client, p *peer, id string) (body string, response *Response, err error) {
 	response, err = c.Do(ctx, "t", p.address, Request{
-		Method: "POST", URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), EchoHeader: "Id", EchoValue: id,
+		Method: "POST", URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: bytebudget.FromBytes([]byte("body")), EchoHeader: "Id", EchoValue: id,
 	})
 	if err != nil {
 		return "", nil, err
@@ -225,7 +227,7 @@
 	}()
 	c := NewClient(nil)
 	response, err := c.Do(t.Context(), "t", listener.Addr().String(), Request{
-		Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 32<<20)),
+		Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: bytebudget.FromBytes([]byte(strings.Repeat("x", 32<<20))),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/io/upstream/slowreader_test.go
+++ b/io/upstream/slowreader_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"kingcuprill/core/bytebudget"
 )
 
 // slowReader accepts a connection whose receive buffer is small, and reads a request only after a while.
@@ -49,7 +51,7 @@
 	address := slowReader(t, 5*time.Second)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	response, err := NewClient(nil).Do(ctx, "peer", address, Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 16<<20)})
+	response, err := NewClient(nil).Do(ctx, "peer", address, Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: bytebudget.FromBytes(make([]byte, 16<<20))})
 	if err != nil {
 		t.Fatal(err)
 	}
