caller: bodies at the daemons' door share a budget of memory

Change: limits.max_bodies_bytes bounds them, 64 MiB or four times max_body_bytes by default, shared by organisation, or by host before the key is known. What doesn't fit gets 503 with Retry-After and not_run.

Without the budget (Bodies nil, as before) all bodies are held.

--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -3,11 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
+	"kingcuprill/core/bytebudget"
 	"kingcuprill/core/exchange"
 	"kingcuprill/core/fault"
 	"kingcuprill/io/dispatch"
@@ -156,18 +157,45 @@
 // bodyTimeout bounds how long a caller may take to send the body.
 const bodyTimeout = 30 * time.Second
 
-// readBody reads the body within bodyTimeout and limits.max_body_bytes.
+// readBody reads the body within bodyTimeout and limits.max_body_bytes. It is refused, before
+// it is read if its length is known, if all bodies together would take more than
+// limits.max_bodies_bytes, or those of its organisation or host more than is left for others.
 func (s *Server) readBody(in *incomingRequest) (data []byte, err error) {
 	control := http.NewResponseController(in.w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	data, err = io.ReadAll(http.MaxBytesReader(in.w, in.r.Body, s.Limits.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	length := in.r.ContentLength
+	in.loan = s.Bodies.Open(bodyOwner(in), nil)
+	if length <= s.Limits.MaxBodyBytes {
+		err = in.loan.Reserve(length + 1) // as much as its reader allocates
+	}
+	if err != nil {
+		return nil, bodyFailure(err)
+	}
+	body, err := bytebudget.ReadWhole(http.MaxBytesReader(in.w, in.r.Body, s.Limits.MaxBodyBytes), length, s.Limits.MaxBodyBytes, in.loan)
+	var beyondLimit *http.MaxBytesError
+	if errors.As(err, &beyondLimit) || errors.Is(err, bytebudget.ErrTooLarge) {
 		return nil, fault.New(fault.Invalid, "the body is larger than limits.max_body_bytes (%d bytes)", s.Limits.MaxBodyBytes)
 	}
 	if err != nil {
-		return nil, fault.New(fault.Invalid, "the body could not be read: %v", err)
+		return nil, bodyFailure(err)
+	}
+	return body.Bytes(), nil
+}
+
+// bodyFailure returns the error for a body that was not read.
+func bodyFailure(err error) error {
+	if errors.Is(err, bytebudget.ErrUsedUp) {
+		return &exchange.Failure{NotRun: true, Err: fault.New(fault.Overloaded, "the bodies of requests take too much memory of this VM; try again later")}
+	}
+	return fault.New(fault.Invalid, "the body could not be read: %v", err)
+}
+
+// bodyOwner returns whose share of the memory for bodies the request takes.
+func bodyOwner(in *incomingRequest) string {
+	if in.key.Organisation != "" {
+		return "organisation " + in.key.Organisation
 	}
-	return data, nil
+	host, _, _ := net.SplitHostPort(in.r.RemoteAddr)
+	return "host " + host
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -18,6 +18,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"kingcuprill/core/access"
+	"kingcuprill/core/bytebudget"
 	"kingcuprill/core/catalogue"
 	"kingcuprill/core/exchange"
 	"kingcuprill/core/fault"
@@ -41,6 +42,7 @@
 	Booker     *book.Booker
 	Register   *inflight.Register
 	Limits     settings.Limits
+	Bodies     *bytebudget.Budget // bounds the memory of the bodies of all requests; nil is no bound
 	Metrics    *metrics.Metrics
 	Log        *slog.Logger
 	// Ready returns an error that says why this VM can't take requests, or nil.
@@ -72,8 +74,9 @@
 	key     catalogue.Key // zero if the request has none
 	route   catalogue.Route
 	status  int
-	used    int  // tokens
-	ended   bool // the log line of its end is written
+	used    int              // tokens
+	ended   bool             // the log line of its end is written
+	loan    *bytebudget.Loan // of its body
 	// revision is that of the catalogue at the arrival.
 	revision uint64
 	// untracked marks a health check or a lookup, which is neither logged nor
@@ -90,6 +93,7 @@
 		in := &incomingRequest{id: uuid.NewString(), started: time.Now(), w: w, r: r, status: http.StatusOK, revision: s.VMState.Catalogue.Read().Revision}
 		w.Header().Set("X-Request-Id", in.id)
 		defer s.running.Add(-1)
+		defer func() { in.loan.Close() }()
 		defer s.settle(in)
 		var err error
 		if s.running.Add(1) > int64(s.Limits.MaxConcurrent) {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -222,7 +222,7 @@
 	}
 	return &caller.Server{
 		VMState: d.vmState, Dispatcher: d.dispatcher, Reserver: reserver, Register: &d.inFlight, Limits: s.Limits,
-		Metrics: d.metrics, Log: d.log, Ready: d.ready,
+		Bodies: bytebudget.NewForBodies(s.Limits.MaxBodiesBytes), Metrics: d.metrics, Log: d.log, Ready: d.ready,
 		Booker: &book.Booker{
 			VMState: d.vmState, Proposer: d.proposer, Caller: d.dispatcher, Answers: d.answers, CommitTimeout: s.Timeouts.Commit, Log: d.log, Background: d.background,
 		},
--- a/io/settings/load.go
+++ b/io/settings/load.go
@@ -51,6 +51,7 @@
 	} `json:"targets"`
 	Limits struct {
 		MaxBodyBytes    int64  `json:"max_body_bytes"`
+		MaxBodiesBytes  int64  `json:"max_bodies_bytes"`
 		MaxAnswerBytes  int64  `json:"max_answer_bytes"`
 		MaxAnswersBytes int64  `json:"max_answers_bytes"`
 		MaxHeaderBytes  int    `json:"max_header_bytes"`
@@ -191,6 +192,7 @@
 		},
 		Limits: Limits{
 			MaxBodyBytes:    number(c, "limits.max_body_bytes", f.Limits.MaxBodyBytes, 4<<20, 1<<10, 1<<28),
+			MaxBodiesBytes:  number(c, "limits.max_bodies_bytes", f.Limits.MaxBodiesBytes, max(64<<20, 4*f.Limits.MaxBodyBytes), max(1<<10, f.Limits.MaxBodyBytes), 1<<34),
 			MaxAnswerBytes:  number(c, "limits.max_answer_bytes", f.Limits.MaxAnswerBytes, 8<<20, 1<<10, 1<<28),
 			MaxAnswersBytes: number(c, "limits.max_answers_bytes", f.Limits.MaxAnswersBytes, max(64<<20, 4*f.Limits.MaxAnswerBytes), max(1<<10, f.Limits.MaxAnswerBytes), 1<<34),
 			MaxHeaderBytes:  number(c, "limits.max_header_bytes", f.Limits.MaxHeaderBytes, 32<<10, 1<<10, 1<<20),
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -65,6 +65,7 @@
 // Limits bounds the resources that callers may use at this VM.
 type Limits struct {
 	MaxBodyBytes    int64
+	MaxBodiesBytes  int64 // that the bodies of all requests take together
 	MaxAnswerBytes  int64
 	MaxAnswersBytes int64 // that all answers take together
 	MaxHeaderBytes  int
