front: a trial goes to the next VM when one refuses it for itself

What callers saw: a request with a suspect part is a trial, which one VM of a region runs. If that VM refused it for a reason of its own (no confirmed configuration, no links, a planned stop, no room for its body), the caller got 503 trial_failed, though the region's next VM could have run it.

Cause: other forwarded requests go on to the next VM after such a refusal, trials went to one VM only.

Why it works: such a refusal says that the request has not run there, and that its VM runs no trials now.

Ruled out: running it at the VM that the caller is connected to at once. Several VMs would try the same part side by side.

--- a/io/front/quarantine.go
+++ b/io/front/quarantine.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +36,7 @@
 const (
 	quarantinedReason = "quarantined"
 	suspectReason     = "suspect_part"
+	trialFailedReason = "trial_failed"
 )
 
 // identity returns what identifies the request as a possible cause of crashes.
@@ -91,14 +93,13 @@
 func (x *exchange) tryApart(ctx context.Context, parts []string) {
 	s := x.server
 	owner := x.trialVM()
-	forwarded := x.from != ""
-	switch {
-	case !forwarded && owner.ID != s.Self:
-		x.trial = true
-		if result := x.forwardTo(ctx, owner); result != delivered {
-			x.giveUp(ctx, result, "trial_failed")
+	if x.from == "" && owner.ID != s.Self {
+		if owner = x.forwardTrial(ctx, owner); owner.ID != s.Self {
+			return
 		}
-	case forwarded && owner.ID != s.Self && x.header.Get(hopTrial) == "":
+	}
+	switch {
+	case owner.ID != s.Self && x.header.Get(hopTrial) == "":
 		x.refuseSuspect()
 	case !s.Quarantine.BeginTrial(x.identity().Service, parts):
 		x.refuseSuspect()
@@ -108,6 +109,27 @@
 	}
 }
 
+// forwardTrial sends the request to the VM that runs its trials, and to the next one if that
+// refuses it for itself. The request has ended unless next is this VM.
+func (x *exchange) forwardTrial(ctx context.Context, owner entry.VM) (next entry.VM) {
+	x.trial = true
+	for range maxNeighbours {
+		result := x.forwardTo(ctx, owner)
+		if result == delivered {
+			return owner
+		}
+		if result != notRun || !slices.Contains(x.outOfUse, owner.ID) {
+			x.giveUp(ctx, result, trialFailedReason)
+			return owner
+		}
+		if owner = x.trialVM(); owner.ID == x.server.Self {
+			return owner
+		}
+	}
+	x.giveUp(ctx, notRun, trialFailedReason)
+	return owner
+}
+
 func (x *exchange) refuseSuspect() {
 	wait := trialWait + time.Duration(rand.Int64N(int64(trialWait)))
 	wait = min(wait, time.Until(x.deadline)/retryAfterDivisor)
@@ -126,7 +148,7 @@
 		return
 	}
 	if result := x.try(ctx, reserved); result != delivered {
-		x.giveUp(ctx, result, "trial_failed")
+		x.giveUp(ctx, result, trialFailedReason)
 	}
 }
 
