place: predict by rank, and learn how fast each target reads

Callers of organisations with priority 1 got their first event after 1.1 to 1.8 s (median) while a region was at its peak, and a fifth of their requests never began, though they had been placed with predictions of 0.2 to 0.4 s. Those of priority 0 began within 0.3 s at the same targets.

Cause: engines serve more urgent requests first, and the prediction counted all waiting work alike. Logs of all entry VMs for two seconds, by organisation: the four with priority 0 have no request that never began, the twelve others have up to 25 in 100. Ruled out: slow targets (urgent requests at the same ones are in time), links (calls to plain services take 20 ms at the same VMs).

Change: core/backlog counts waiting work by rank and the share of a target's time that more urgent work takes; it measures each target's time per token while work waits. A request that leaves unanswered counts as a long wait. The rank tells routes apart within an organisation's priority.

--- a/core/place/assignment.go
+++ b/core/place/assignment.go
@@ -17,8 +17,10 @@
 	demand    Demand
 	work      int // tokens that the target has to read
 	workAhead int // work of the target until the answer begins, tokens
+	rank      int
 	begun     time.Time
 	predicted time.Duration
+	reading   time.Duration // predicted, until the target has read the prompt
 	answered  bool
 	source    string // address of the target from which the shared parts are fetched, empty for none
 
@@ -36,12 +38,14 @@
 	if a.answered {
 		return
 	}
-	if a.begun.After(a.Target.newestAnswered) {
-		a.Target.newestAnswered = a.begun
+	if a.begun.After(a.Target.newestAnswered[a.rank]) {
+		a.Target.newestAnswered[a.rank] = a.begun
 	}
 	a.placer.recordAnswer(a.Target, a.service, false, now)
-	took := now.Sub(a.begun)
-	a.Target.observe(a.workAhead, took, a.placer.model(a.service), now)
+	a.placer.observe(a, now.Sub(a.begun), now)
+	if tokens, took, measured := a.Target.backlog.Begin(a.rank, a.work, now); measured {
+		a.placer.model(a.service).speed.Add(tokens, took)
+	}
 	a.clearPending()
 }
 
@@ -123,6 +127,12 @@
 	}
 	a.placer.mu.Lock()
 	defer a.placer.mu.Unlock()
+	if !a.answered {
+		a.Target.backlog.Remove(a.rank, a.work)
+		if result == Success || result == Failure || result == Inconclusive {
+			a.placer.observeWait(a, now)
+		}
+	}
 	a.clearPending()
 	delete(t.streams, a)
 	if result == Refused {
--- a/core/place/elsewhere.go
+++ b/core/place/elsewhere.go
@@ -53,7 +53,7 @@
 	if !r.MayForward || preferred == nil {
 		return false
 	}
-	reading := p.model(r.Service).tokenTime() * time.Duration(preferred.missingShared(r.Demand))
+	reading := p.tokenTime(r.Service) * time.Duration(preferred.missingShared(r.Demand))
 	key := r.Service + "\x00" + r.Demand.shared()
 	count := p.away[key]
 	if r.Now.Sub(count.last) > awayExpiry {
--- a/core/place/latency.go
+++ b/core/place/latency.go
@@ -1,6 +1,11 @@
 package place
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"kingcuprill/core/backlog"
+)
 
 const (
 	// defaultWork is the work of a request without prompt length, in tokens.
@@ -35,6 +40,7 @@
 	n, x, y, xx, xy float64
 	base            time.Duration // base latency, moving average over all targets
 	size            float64       // of the requests, moving average
+	speed           backlog.Speed // of all targets, where requests are served by rank
 	errors          errorRate     // of all targets
 }
 
@@ -71,37 +77,97 @@
 	b.at = now
 }
 
-// predict returns the predicted time until the target begins to answer a new
-// request with this work in tokens. If requests wait there for longer than
-// stallFactor times their predicted time, the longest excess is added.
-func (t *Target) predict(work int, model *latencyModel, now time.Time) time.Duration {
-	first := t.base.average
-	if t.base.at.IsZero() || (t.inFlight == 0 && now.Sub(t.base.at) > baseExpiry) {
-		first = model.base
-	}
-	predicted := max(0, first) + model.tokenTime()*time.Duration(t.pending+work)
+// prediction is the predicted time until a target begins to answer a request.
+type prediction struct {
+	total   time.Duration
+	reading time.Duration // of it, until the target has read the request's prompt
+}
+
+// predict returns the predicted time until the target begins to answer a new request of
+// a rank with this work in tokens. If requests wait there for longer than stallFactor
+// times their predicted time, the longest excess is added.
+func (p *Placer) predict(t *Target, service string, rank, work int, now time.Time) prediction {
+	first := p.baseTime(t, service, rank, now)
+	reading := p.readingTime(t, service, rank, work, now)
 	stall := time.Duration(0)
 	for a := range t.waiting {
-		if t.answeredLater(a) {
+		if a.rank > rank || t.answeredLater(a) {
 			continue
 		}
 		stall = max(stall, now.Sub(a.begun)-stallFactor*a.predicted)
 	}
-	return predicted + stall
+	return prediction{total: max(0, first) + reading + stall, reading: reading}
+}
+
+// baseTime returns the part of the predicted time that doesn't depend on the work that
+// waits at a target.
+//
+// By rank, a long average expires also at a busy target. Otherwise, one that had kept less
+// urgent requests waiting would get none of them any more that could show it is faster now.
+func (p *Placer) baseTime(t *Target, service string, rank int, now time.Time) time.Duration {
+	base, usual := t.base[rank], p.model(service).base
+	age := now.Sub(base.at)
+	switch {
+	case base.at.IsZero() || t.inFlight == 0 && age > baseExpiry:
+		return usual
+	case p.ByRank && base.average > usual:
+		return usual + time.Duration(float64(base.average-usual)*math.Exp(-max(0, age.Seconds())/baseExpiry.Seconds()))
+	}
+	return base.average
+}
+
+// readingTime returns the time that the target needs for the prompts of the requests that
+// it serves before a new one, and for that one's.
+func (p *Placer) readingTime(t *Target, service string, rank, work int, now time.Time) time.Duration {
+	tokenTime := p.tokenTime(service)
+	if !p.ByRank {
+		return tokenTime * time.Duration(t.pending+work)
+	}
+	return t.backlog.Wait(rank, work, tokenTime, now)
+}
+
+// tokenTime returns the estimated time per token of work at the targets of a service.
+func (p *Placer) tokenTime(service string) time.Duration {
+	model := p.model(service)
+	if p.ByRank {
+		return model.speed.TokenTime(defaultTokenTime)
+	}
+	return model.tokenTime()
 }
 
 // observe updates the estimates with the latency of an answer that has begun.
-func (t *Target) observe(work int, took time.Duration, model *latencyModel, now time.Time) {
-	model.observe(work, took)
-	rest := took - model.tokenTime()*time.Duration(work)
-	t.base.observe(rest, now)
+func (p *Placer) observe(a *Assignment, took time.Duration, now time.Time) {
+	model := p.model(a.service)
+	rest := took - a.reading
+	if !p.ByRank {
+		model.observe(a.workAhead, took)
+		rest = took - model.tokenTime()*time.Duration(a.workAhead)
+	}
+	a.Target.base[a.rank].observe(rest, now)
 	model.base += time.Duration(baseWeight / 2 * float64(rest-model.base))
 }
 
+// observeWait updates the estimates with the time that a request has waited without an
+// answer, if that is longer than was predicted. Otherwise the requests that were overtaken
+// until their callers left would count for nothing.
+func (p *Placer) observeWait(a *Assignment, now time.Time) {
+	rest := now.Sub(a.begun) - a.reading
+	if base := &a.Target.base[a.rank]; p.ByRank && rest > base.average {
+		base.observe(rest, now)
+	}
+}
+
 // answeredLater reports whether the target has answered a request that was sent
 // after this one, so that it isn't stalled although this one still waits.
+//
+// More urgent requests that were sent later may well be answered earlier.
 func (t *Target) answeredLater(a *Assignment) bool {
-	return a.begun.Before(t.newestAnswered)
+	for _, newest := range t.newestAnswered[a.rank:] {
+		if a.begun.Before(newest) {
+			return true
+		}
+	}
+	return false
 }
 
 // lost returns the number of requests whose answers are considered lost. They
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kingcuprill/core/backlog"
 	"kingcuprill/core/instance"
 	"kingcuprill/core/retry"
 	"kingcuprill/core/units"
@@ -36,6 +37,9 @@
 	// Retries bounds the retries of the services that this VM coordinates. It must be
 	// set before the first use.
 	Retries Retries
+	// ByRank says that engines serve more urgent requests first, and that predictions take
+	// that into account. It must be set before the first use.
+	ByRank bool
 
 	started time.Time
 
@@ -257,7 +261,7 @@
 // cost returns the predicted time until the target begins to answer, and that
 // time plus the penalties that apply.
 func (p *Placer) cost(t *Target, r Request, preferred bool, source sources) (cost, predicted time.Duration) {
-	predicted = t.predict(t.work(r, t.holdsShared(r, preferred, source)), p.model(r.Service), r.Now)
+	predicted = p.predict(t, r.Service, p.rank(r), t.work(r, t.holdsShared(r, preferred, source)), r.Now).total
 	cost = predicted + p.errorPenalty(t, r)
 	if !preferred {
 		cost += nonPreferredPenalty
@@ -268,6 +272,14 @@
 	return cost, predicted
 }
 
+// rank returns the rank that a request has among those that wait at a target.
+func (p *Placer) rank(r Request) int {
+	if !p.ByRank {
+		return 0
+	}
+	return backlog.Clamp(r.Rank)
+}
+
 func (p *Placer) model(service string) *latencyModel {
 	model, found := p.models[service]
 	if !found {
@@ -305,10 +317,11 @@
 func (p *Placer) admit(t *Target, r Request, preferred bool, source sources) *Assignment {
 	fetches := t.fetches(r, source)
 	work := t.work(r, t.holdsShared(r, preferred, source))
+	predicted := p.predict(t, r.Service, p.rank(r), work, r.Now)
 	a := &Assignment{
 		Target: t, id: t.ID, address: t.Address, version: t.Version, placer: p, service: r.Service, demand: r.Demand, work: work, workAhead: t.pending + work, begun: r.Now,
-		predicted: t.predict(work, p.model(r.Service), r.Now),
-		deadline:  r.Deadline,
+		rank: p.rank(r), predicted: predicted.total, reading: predicted.reading,
+		deadline: r.Deadline,
 	}
 	if fetches {
 		a.source = source[t.Version].Address
@@ -319,6 +332,7 @@
 	t.inFlight++
 	t.limit.Take(r.Now)
 	t.pending += work
+	t.backlog.Add(a.rank, work, r.Now)
 	t.waiting[a] = true
 	t.memory.add(r.Demand)
 	if r.Sticky {
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -25,8 +25,10 @@
 	// EventTokens is the number of output tokens per event of a stream, 0 for
 	// answers that aren't streamed.
 	EventTokens int
-	Deadline    time.Time
-	Now         time.Time
+	// Rank is the priority of the request at an engine, 0 is the most urgent.
+	Rank     int
+	Deadline time.Time
+	Now      time.Time
 	// Coordinated restricts the selection to the targets that this VM
 	// coordinates, whose whole load it knows, and the preferred one.
 	Coordinated bool
--- a/core/place/returns_test.go
+++ b/core/place/returns_test.go
@@ -38,7 +38,7 @@
 	held[1].Answered(later)
 	held[0].Done(Success, later)
 	target := held[0].Target
-	target.base.average, target.base.at = testObjective*945/1000, later // answers begin late
+	target.base[0].average, target.base[0].at = testObjective*945/1000, later // answers begin late
 	if assignment, _, _ := p.Pick(returning("new", later)); assignment != nil {
 		t.Fatal("a new request is admitted, though its answer would begin late")
 	}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -20,6 +20,7 @@
 import (
 	"time"
 
+	"kingcuprill/core/backlog"
 	"kingcuprill/core/brittle"
 	"kingcuprill/core/circuit"
 	"kingcuprill/core/instance"
@@ -70,16 +71,17 @@
 	takenOver      time.Time // when this VM became its coordinator in place of another one
 	coordinator    string    // VM of the region that knows the target's whole load
 	inFlight       int
-	pending        int // work of the assignments whose answer has not begun, tokens
-	base           baseLatency
-	newestAnswered time.Time             // start of the latest assignment that was answered
-	waiting        map[*Assignment]bool  // assignments whose answer has not begun
-	streams        map[*Assignment]bool  // assignments whose answer is in progress
-	gap            time.Duration         // average time between two events of a stream
-	memory         runningMemory         // of the requests in flight
-	parts          map[string]cachedPart // by ID, those that the target has presumably read
-	cached         int                   // sum of the parts, tokens
-	nextCold       time.Time             // while the target is cold, this VM sends nothing before
+	pending        int                        // work of the assignments whose answer has not begun, tokens
+	backlog        backlog.Backlog            // the same, by rank
+	base           [backlog.Ranks]baseLatency // by rank
+	newestAnswered [backlog.Ranks]time.Time   // start of the latest assignment of a rank that was answered
+	waiting        map[*Assignment]bool       // assignments whose answer has not begun
+	streams        map[*Assignment]bool       // assignments whose answer is in progress
+	gap            time.Duration              // average time between two events of a stream
+	memory         runningMemory              // of the requests in flight
+	parts          map[string]cachedPart      // by ID, those that the target has presumably read
+	cached         int                        // sum of the parts, tokens
+	nextCold       time.Time                  // while the target is cold, this VM sends nothing before
 	lastSuccess    time.Time
 	errors         errorRate
 	limit          targetlimit.Limit // that it names in its answers
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -110,6 +110,7 @@
 		started: time.Now(), lease: lease.New(boottime.Now, c.RevokeWithin-revokeMargin), quota: quota.NewLimiter(), lastSeen: map[string]time.Time{},
 		quarantine: quarantine.NewList(), stops: entry.NewStops(c.Grace),
 	}
+	v.placer.ByRank = c.ByRank
 	v.placer.Retries = place.Retries{Ratio: c.RetryRatio * retryBudgetShare, Slack: c.RetrySlack * retryBudgetShare}
 	v.entries.Store(&[]entry.VM{})
 	peers := peer.NewUnsigned(c.ID, c.DialThrough...)
@@ -124,7 +125,7 @@
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, NewestWithin: c.NewestWithin, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
-		Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
+		ByRank: c.ByRank, Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
 	}
 	answers := bytebudget.New(int64(answerShare * float64(c.MemoryBytes)))
 	v.front.Targets.Budget, v.front.Peers.Budget = answers, answers
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -250,7 +250,7 @@
 	return place.Request{
 		EventTokens: eventTokens, SameVersion: x.origin.known, Version: x.origin.Version.Version,
 		Service: x.service, Demand: x.demand, Sticky: x.route.Sticky, Excluded: x.unusable(now), ColdRate: service.ColdPerSecond,
-		Retry: x.wasSent(), Apart: x.trial, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
+		Rank: x.placementRank(), Retry: x.wasSent(), Apart: x.trial, Memory: service.MemoryTokens, Fetch: service.Fetches, Evacuated: x.server.State.Read().Evacuated,
 		PreferredBound: x.preferredBound(now), Bound: x.bound(now), Objective: x.route.Objective, Deadline: x.deadline, Now: now,
 	}
 }
@@ -292,16 +292,33 @@
 // lowestRank is the least urgent priority at an engine.
 const lowestRank = 9
 
+// routePriorities is the number of priorities of routes that are told apart among requests
+// of organisations with the same priority.
+const routePriorities = 3
+
 // rank returns the priority of the request at an engine: that of its organisation, if
-// it has one, or else of its route.
+// it has one, or else of its route. By rank, the route's tells apart requests with the
+// same one.
 func (x *exchange) rank() int {
 	priority := x.route.Priority
 	if x.organisation.HasPriority {
 		priority = x.organisation.Priority
 	}
+	if x.server.ByRank {
+		priority = routePriorities*priority + min(max(0, x.route.Priority), routePriorities-1)
+	}
 	return min(max(0, priority), lowestRank)
 }
 
+// placementRank returns the rank by which the request is placed, 0 where all are placed
+// alike.
+func (x *exchange) placementRank() int {
+	if !x.server.ByRank {
+		return 0
+	}
+	return x.rank()
+}
+
 // targetHeader returns the headers for a target. source is the address of the target
 // from which it fetches shared prompt parts, empty for none.
 func (x *exchange) targetHeader(target, source string) http.Header {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -48,7 +48,10 @@
 	// NewestWithin is the time after a change in which requests may still run by the
 	// configuration before it; 0 for the duration of the lease.
 	NewestWithin time.Duration
-	Placer       *place.Placer // chooses targets of this region and regions to forward to
+	// ByRank says that requests are placed by their rank, and that the route's priority
+	// tells apart requests of organisations with the same priority.
+	ByRank bool
+	Placer *place.Placer // chooses targets of this region and regions to forward to
 	// Coordinators reserves places at targets that other VMs coordinate; nil if
 	// this is the only VM.
 	Coordinators *coordinator.Client
--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -48,6 +48,8 @@
 	RetryRatio   float64       // retries for each request
 	RetrySlack   float64       // retries beyond RetryRatio, of all entry VMs together
 	DirectoryTTL time.Duration // how long callers may cache a directory answer
+	// ByRank says that requests to engines are placed by their priority.
+	ByRank bool
 }
 
 // defaultNewestWithin is NewestWithin where the settings don't say.
@@ -79,8 +81,11 @@
 		Failures    int      `json:"failures"`
 		HeartbeatMS float64  `json:"heartbeat_ms"`
 	} `json:"control"`
-	Regions map[string]string `json:"regions"`
-	Limits  struct {
+	Regions   map[string]string `json:"regions"`
+	Placement struct {
+		ByRank bool `json:"by_rank"`
+	} `json:"placement"`
+	Limits struct {
 		MemoryMB      float64 `json:"memory_mb"`
 		RevokeMS      float64 `json:"revoke_ms"`
 		NewestMS      float64 `json:"newest_ms"`
@@ -125,6 +130,7 @@
 		Heartbeat: units.Milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, MemoryBytes: int64(f.Limits.MemoryMB * mebibyte),
 		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), NewestWithin: units.Milliseconds(f.Limits.NewestMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
 		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: units.Milliseconds(f.Limits.DirectoryTTLS * 1000),
+		ByRank: f.Placement.ByRank,
 	}
 	reject := func(format string, args ...any) {
 		errs = append(errs, fault.New(fault.Invalid, format, args...))
