follow, crashreport: crashes of many targets cause bounded traffic

Found while looking for why entry VMs of all regions can't reach each other after a quarter of the targets has crashed.

By reading and by a test: each VM reports each request that was at a crashed target, and what later answers clear. Each change ended the polls of all entry VMs at all control VMs at once, and each answer had all that had changed; with more crashes than are kept, reports of other VMs kept changing them.

Change: news of crashes and of entry VMs ends a poll after 250 ms at the earliest, an answer has at most 64 crashes, and only control VMs of the own region are asked for them while one answers. Reports to one VM go out twice a second, at most 32 crashes each, new ones first. Catalogues and targets end polls at once, as before.

--- a/core/versioned/table.go
+++ b/core/versioned/table.go
@@ -3,7 +3,11 @@
 // since the version they have. Versions start at 1 and are local to a table.
 package versioned
 
-import "sync"
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
 
 // Row is a value and the version of its last published change, 0 if none.
 type Row[V any] struct {
@@ -123,6 +127,29 @@
 	return values, t.version
 }
 
+// Next returns at most limit values whose last published change is after a version, the
+// earliest changes first, and the version from which on the others follow.
+func (t *Table[V]) Next(version uint64, limit int) (values []V, reached uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []Row[V]
+	for _, row := range t.rows {
+		if row.Version > version {
+			rows = append(rows, row)
+		}
+	}
+	reached = t.version
+	if len(rows) > limit {
+		slices.SortFunc(rows, func(a, b Row[V]) int { return cmp.Compare(a.Version, b.Version) })
+		rows = rows[:limit]
+		reached = rows[limit-1].Version
+	}
+	for _, row := range rows {
+		values = append(values, row.Value)
+	}
+	return values, reached
+}
+
 // Version returns the newest version and a channel that is closed at the next
 // published change.
 func (t *Table[V]) Version() (version uint64, changed <-chan struct{}) {
--- a/io/crashreport/crashreport.go
+++ b/io/crashreport/crashreport.go
@@ -3,8 +3,10 @@
 package crashreport
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,11 @@
 	// collectFor is how long crashes are collected into one call. The requests that a
 	// crash ends fail within a few milliseconds of each other.
 	collectFor = 20 * time.Millisecond
+	// callInterval is the least time between two calls to the same VM. Each sound answer
+	// may clear a part that many crashes have in common, and so change them all.
+	callInterval = 500 * time.Millisecond
+	// maxRows bounds the crashes in one call.
+	maxRows = 32
 	// callTimeout bounds one call.
 	callTimeout = time.Second
 	// retryAfter is the pause before a call that has failed is repeated, up to
@@ -71,18 +78,20 @@
 
 // run sends what waits for a VM, until nothing does.
 func (s *Sender) run(address string) {
+	time.Sleep(collectFor)
 	for {
-		time.Sleep(collectFor)
 		rows := s.take(address)
 		if len(rows) == 0 {
 			return
 		}
+		begun := time.Now()
 		s.deliver(address, rows)
+		time.Sleep(callInterval - time.Since(begun))
 	}
 }
 
-// take returns the crashes that wait for a VM. If there are none, the goroutine that
-// sends to it must end.
+// take returns the crashes that are sent to a VM next, those of which nothing is cleared yet
+// first. If there are none, the goroutine that sends to it must end.
 func (s *Sender) take(address string) (rows []quarantine.Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,7 +102,11 @@
 		delete(s.waiting, address)
 		return nil
 	}
-	s.waiting[address] = map[string]quarantine.Crash{}
+	slices.SortFunc(rows, func(a, b quarantine.Crash) int { return cmp.Compare(len(a.Cleared), len(b.Cleared)) })
+	rows = rows[:min(maxRows, len(rows))]
+	for _, row := range rows {
+		delete(s.waiting[address], row.ID)
+	}
 	return rows
 }
 
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -152,10 +153,19 @@
 	// needsCatalogue is set if this control VM has announced a catalogue that no
 	// other one has sent. The next poll then asks this one for it.
 	needsCatalogue bool
-	// noEntries is set if this control VM is not asked for the entry VMs.
+	// noEntries is set if this control VM is not asked for the entry VMs and the crashes of
+	// targets.
 	noEntries bool
 }
 
+// crashesSince returns the version from which on crashes of targets are asked for.
+func (seen *cursor) crashesSince() uint64 {
+	if seen.noEntries {
+		return math.MaxUint64
+	}
+	return seen.crashes
+}
+
 func (c *Client) poll(ctx context.Context, address string) error {
 	var seen cursor
 	pause := minBackoff
@@ -225,7 +235,7 @@
 	answer, err := c.Peers.At(address).Follow(ctx, &vm.FollowRequest{
 		Entry: codec.FromEntryVM(c.Self()), Revision: revision, Epoch: seen.epoch,
 		TargetsVersion: seen.targets, EntriesVersion: seen.entries, WaitNanoseconds: int64(wait),
-		Announce: revisionOnly, OnlyRegion: true, NoEntries: seen.noEntries, CrashesVersion: seen.crashes,
+		Announce: revisionOnly, OnlyRegion: true, NoEntries: seen.noEntries, CrashesVersion: seen.crashesSince(),
 	})
 	if err != nil {
 		return err
@@ -303,7 +313,9 @@
 		c.OnCrashes(address, codec.ToCrashes(answer.GetCrashes()), answer.GetWhole())
 	}
 	seen.epoch, seen.targets, seen.entries = answer.GetEpoch(), answer.GetTargetsVersion(), answer.GetEntriesVersion()
-	seen.crashes = answer.GetCrashesVersion()
+	if !seen.noEntries {
+		seen.crashes = answer.GetCrashesVersion()
+	}
 	c.named[address] = answer.GetControlAddresses()
 	c.startPolls(c.named[address])
 	return nil
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -27,6 +27,12 @@
 )
 
 const (
+	// newsInterval is how long a poll is held at least if only entry VMs or crashes of
+	// targets have changed. When many targets crash, each sound answer changes the crashes;
+	// polls that end at once would fill the links of all entry VMs.
+	newsInterval = 250 * time.Millisecond
+	// maxCrashRows bounds the crashes in one answer. The next poll gets the others.
+	maxCrashRows = 64
 	// confirmTimeout bounds the wait for a majority in one poll. It covers two
 	// round trips between regions and a round that is under way already.
 	confirmTimeout = 700 * time.Millisecond
@@ -139,13 +145,15 @@
 	confirmation := s.joinRound()
 	deadline := time.NewTimer(time.Duration(request.GetWaitNanoseconds()))
 	defer deadline.Stop()
+	settled := time.NewTimer(newsInterval)
+	defer settled.Stop()
 	confirmed := s.awaitConfirmation(ctx, confirmation)
-	for !s.hasNewer(request) {
+	for collected := false; !s.hasUrgent(request) && !(collected && s.hasNews(request)); {
 		targets, unknown := s.targetChanges(request)
 		entries := s.entryChanges(request)
 		_, crashes := s.VMState.Quarantine.Table.Version()
 		changed := s.VMState.Catalogue.Changed()
-		if s.hasNewer(request) {
+		if s.hasUrgent(request) || collected && s.hasNews(request) {
 			break
 		}
 		select {
@@ -153,16 +161,26 @@
 			return &vm.FollowResponse{}
 		case <-deadline.C:
 			return s.newAnswer(request, confirmed)
+		case <-settled.C:
+			collected = true
 		case <-targets:
 		case <-unknown:
-		case <-entries:
-		case <-crashes:
 		case <-changed:
+		case <-whenCollected(collected, entries):
+		case <-whenCollected(collected, crashes):
 		}
 	}
 	return s.newAnswer(request, confirmed)
 }
 
+// whenCollected returns the channel if news of its kind ends a poll already.
+func whenCollected(collected bool, changes <-chan struct{}) <-chan struct{} {
+	if collected {
+		return changes
+	}
+	return nil
+}
+
 // awaitConfirmation waits for a round and reports whether a majority confirmed a
 // revision that this VM has applied in time.
 func (s *Server) awaitConfirmation(ctx context.Context, confirmation *round) bool {
@@ -189,15 +207,18 @@
 	}
 }
 
-// hasNewer reports whether this VM has something newer than the versions in the
-// poll.
-func (s *Server) hasNewer(request *vm.FollowRequest) bool {
+// hasUrgent reports whether this VM has something newer than the versions in the poll that
+// must be known at once: a catalogue or a target.
+func (s *Server) hasUrgent(request *vm.FollowRequest) bool {
 	if request.GetEpoch() != s.Epoch || s.VMState.Catalogue.Read().Revision > request.GetRevision() {
 		return true
 	}
-	if s.targetsVersion(request) > request.GetTargetsVersion() {
-		return true
-	}
+	return s.targetsVersion(request) > request.GetTargetsVersion()
+}
+
+// hasNews reports whether this VM has newer entry VMs or crashes of targets than the versions
+// in the poll.
+func (s *Server) hasNews(request *vm.FollowRequest) bool {
 	entries, _ := s.entries.Version()
 	if !request.GetNoEntries() && entries > request.GetEntriesVersion() {
 		return true
@@ -223,7 +244,7 @@
 	if !request.GetNoEntries() {
 		s.addEntries(answer, entriesSince)
 	}
-	crashes, version := s.VMState.Quarantine.Table.Since(crashesSince)
+	crashes, version := s.VMState.Quarantine.Table.Next(crashesSince, maxCrashRows)
 	answer.Crashes, answer.CrashesVersion = codec.FromCrashes(crashes), version
 	answer.EntryCount = int32(s.entryCount())
 	return answer
