coordinator: fewer calls between VMs where links are narrow

Callers of a region at its peak got no answers for some 8 s, and its VMs lost each other, their control VMs and targets, with idle processors.

An entry VM with 1,250 KB/s took in 1,180 KB/s right before: 634 from callers, 450 in calls to it as a coordinator, 36 from targets. Half a second later dials began to time out. So the link is full, and coordination takes two thirds of what callers send.

Change, where limits.link_mbps is below 100: a coordinator without a place for an engine's request isn't asked for the same kind again for 20 to 160 ms, as for plain services; reports on requests to engines are collected for 60 ms and carry their age. All calls between VMs omit headers that no VM reads.

--- a/core/place/coordinate.go
+++ b/core/place/coordinate.go
@@ -131,6 +131,28 @@
 	return xxhash.Sum64String(vm + "\x00" + t.ID)
 }
 
+// TokenTimes returns the measured time per prompt token of the engines that this VM
+// coordinates: the average, and that of the slowest one. Both are 0 before any measurement.
+func (p *Placer) TokenTimes() (average, slowest time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tokens, took := 0.0, time.Duration(0)
+	for _, targets := range p.byService {
+		for _, t := range targets {
+			read, in := t.backlog.Speed.Measured()
+			if t.coordinator != p.Self || read == 0 {
+				continue
+			}
+			tokens, took = tokens+read, took+in
+			slowest = max(slowest, time.Duration(float64(in)/read))
+		}
+	}
+	if tokens > 0 {
+		average = time.Duration(float64(took) / tokens)
+	}
+	return average, slowest
+}
+
 // Coordinated returns the number of targets in the region that this VM
 // coordinates.
 func (p *Placer) Coordinated() (count int64) {
--- a/core/place/lateness.go
+++ b/core/place/lateness.go
@@ -15,6 +15,11 @@
 	longEvents = 10
 )
 
+// IsLong reports whether a request is expected to have a long answer.
+func (r Request) IsLong() bool {
+	return r.long()
+}
+
 // long reports whether a request is expected to have a long answer.
 func (r Request) long() bool {
 	return r.EventTokens > 0 && r.Demand.Expected >= longEvents*r.EventTokens
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -81,3 +81,8 @@
 	Elsewhere Reason = "elsewhere"  // it should run in the home region of its shared part
 	NoRetries Reason = "no_retries" // the retry budget of the service is used up
 )
+
+// IsForWantOfRoom reports whether there may be a place once others have ended.
+func (r Reason) IsForWantOfRoom() bool {
+	return r == Full || r == Limited || r == Slow
+}
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -20,19 +20,29 @@
 	backoffTime = time.Second
 	// reportDelay is how long reports to one VM are collected into one call.
 	reportDelay = 4 * time.Millisecond
+	// engineReportDelay is the same for reports on requests to engines, which last for a
+	// second or more, where calls are saved.
+	engineReportDelay = 60 * time.Millisecond
 	// reportTimeout bounds one Report call.
 	reportTimeout = 300 * time.Millisecond
 )
 
-// serviceAt is a service whose targets the VM at an address coordinates.
-type serviceAt struct{ address, service string }
+// serviceAt is a service whose targets the VM at an address coordinates, and the requests
+// for it that are refused alike.
+type serviceAt struct {
+	address, service string
+	rank             int
+	long             bool // requests with long answers
+}
 
 // shortestFull and longestFull bound how long a coordinator isn't asked for places of a
-// plain service after it has answered that all are taken.
+// service after it has answered that all are taken.
 //
 // Plain services have few targets, and so few coordinators. At twice their capacity the
 // questions of a hundred VMs fill a coordinator's link, so that it can't answer those
-// that it has places for.
+// that it has places for. Engines have more coordinators, which are asked one after the
+// other: where links are narrow, a region at its peak spends as much of them on refused
+// questions as on the requests themselves.
 const (
 	shortestFull = 20 * time.Millisecond
 	longestFull  = 160 * time.Millisecond
@@ -48,18 +58,30 @@
 	// be nil.
 	OnLimits func(limits []place.TargetLimit)
 
+	// SaveCalls says that the VM's link is narrow: coordinators without a place for an
+	// engine's request aren't asked again at once, and reports are collected for longer.
+	SaveCalls bool
+
 	full backoff.Tracker[serviceAt] // coordinators without a place
 
 	mu           sync.Mutex
-	backoffUntil map[string]time.Time         // when a VM that has not answered may be asked again, by address
-	reports      map[string][]*entry.Progress // not sent yet, by address
+	backoffUntil map[string]time.Time       // when a VM that has not answered may be asked again, by address
+	reports      map[string]*waitingReports // not sent yet, by address
+}
+
+// waitingReports are the reports that are sent to a VM with the next call.
+type waitingReports struct {
+	progress []*entry.Progress
+	since    []time.Time // of each report
+	timer    *time.Timer
+	due      time.Time
 }
 
 // NewClient returns a client that has called no VM yet.
 func NewClient(peers *peer.Peers, log *slog.Logger) *Client {
 	return &Client{
 		Peers: peers, Log: log, full: backoff.Tracker[serviceAt]{Shortest: shortestFull, Longest: longestFull},
-		backoffUntil: map[string]time.Time{}, reports: map[string][]*entry.Progress{},
+		backoffUntil: map[string]time.Time{}, reports: map[string]*waitingReports{},
 	}
 }
 
@@ -77,8 +99,9 @@
 // returns false for backoffTime.
 func (c *Client) Reserve(ctx context.Context, address string, r place.Request) (reservation *Reservation, predicted time.Duration, reason place.Reason, err error) {
 	plain := r.Memory == 0
-	coordinated := serviceAt{address: address, service: r.Service}
-	if plain && c.full.InBackoff(coordinated, r.Now) {
+	backsOff := plain || c.SaveCalls
+	coordinated := serviceAt{address: address, service: r.Service, rank: r.Rank, long: r.IsLong()}
+	if backsOff && c.full.InBackoff(coordinated, r.Now) {
 		return nil, 0, place.Full, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, reserveTimeout)
@@ -93,14 +116,14 @@
 		c.OnLimits(limits)
 	}
 	if answer.GetReservation() == 0 {
-		if refused := place.Reason(answer.GetReason()); plain && (refused == place.Full || refused == place.Limited) {
+		if refused := place.Reason(answer.GetReason()); backsOff && refused.IsForWantOfRoom() && !(plain && refused == place.Slow) {
 			c.full.Refused(coordinated, time.Now())
 		}
 		return nil, predicted, place.Reason(answer.GetReason()), nil
 	}
 	c.full.Succeeded(coordinated)
 	return &Reservation{
-		client: c, coordinator: address, id: answer.GetReservation(), target: answer.GetTarget(), address: answer.GetAddress(), source: answer.GetSource(), version: answer.GetVersion(),
+		client: c, coordinator: address, id: answer.GetReservation(), target: answer.GetTarget(), address: answer.GetAddress(), source: answer.GetSource(), version: answer.GetVersion(), engine: !plain,
 	}, predicted, "", nil
 }
 
@@ -114,26 +137,44 @@
 	c.Log.Warn("coordinator does not answer; targets are chosen without it", "coordinator", address, "for", backoffTime, "error", err)
 }
 
-// report sends the progress of a reservation after reportDelay, in one call with
-// all other reports to the same VM until then.
-func (c *Client) report(address string, progress *entry.Progress) {
+// report sends the progress of a reservation after a delay, in one call with all other
+// reports to the same VM until then.
+func (c *Client) report(address string, progress *entry.Progress, delay time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
+	due := now.Add(delay)
 	waiting, collecting := c.reports[address]
-	c.reports[address] = append(waiting, progress)
 	if !collecting {
-		time.AfterFunc(reportDelay, func() { c.sendReports(address) })
+		waiting = &waitingReports{due: due}
+		waiting.timer = time.AfterFunc(delay, func() { c.sendReports(address) })
+		c.reports[address] = waiting
+	}
+	waiting.progress = append(waiting.progress, progress)
+	waiting.since = append(waiting.since, now)
+	if due.Before(waiting.due) {
+		waiting.due = due
+		waiting.timer.Reset(delay)
 	}
 }
 
 func (c *Client) sendReports(address string) {
 	c.mu.Lock()
-	progress := c.reports[address]
+	waiting := c.reports[address]
 	delete(c.reports, address)
 	c.mu.Unlock()
+	if waiting == nil {
+		return
+	}
+	if c.SaveCalls {
+		now := time.Now()
+		for i, progress := range waiting.progress {
+			progress.AgeNanoseconds = int64(now.Sub(waiting.since[i]))
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	if _, err := c.Peers.Entry(address).Report(ctx, &entry.ReportRequest{Progress: progress}); err != nil {
-		c.Log.Warn("progress of reservations could not be reported; the coordinator ends them after their deadlines", "coordinator", address, "count", len(progress), "error", err)
+	if _, err := c.Peers.Entry(address).Report(ctx, &entry.ReportRequest{Progress: waiting.progress}); err != nil {
+		c.Log.Warn("progress of reservations could not be reported; the coordinator ends them after their deadlines", "coordinator", address, "count", len(waiting.progress), "error", err)
 	}
 }
--- a/io/coordinator/reservation.go
+++ b/io/coordinator/reservation.go
@@ -19,6 +19,7 @@
 	address     string
 	source      string
 	version     string
+	engine      bool // the target is an engine
 
 	begun    bool
 	events   int       // so far
@@ -34,6 +35,15 @@
 	reportGrowth = 4
 )
 
+// report sends progress with the next call to the coordinator.
+func (r *Reservation) report(progress *entry.Progress) {
+	delay := reportDelay
+	if r.engine && r.client.SaveCalls {
+		delay = engineReportDelay
+	}
+	r.client.report(r.coordinator, progress, delay)
+}
+
 // Where returns the target's id and address.
 func (r *Reservation) Where() (id, address string) {
 	return r.target, r.address
@@ -56,24 +66,24 @@
 		return
 	}
 	r.begun = true
-	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Begun: true})
+	r.report(&entry.Progress{Reservation: r.id, Begun: true})
 }
 
 // ObserveLimit reports to the coordinator what the head of the answer says about the
 // target's limit.
 func (r *Reservation) ObserveLimit(n targetlimit.Notice, _ time.Time) {
-	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Limit: &entry.LimitNotice{Named: n.Named, RatePerSecond: n.Rate}})
+	r.report(&entry.Progress{Reservation: r.id, Limit: &entry.LimitNotice{Named: n.Named, RatePerSecond: n.Rate}})
 }
 
 // ObserveLeaving reports to the coordinator that the target leaves.
 func (r *Reservation) ObserveLeaving(time.Time) {
-	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Leaving: true})
+	r.report(&entry.Progress{Reservation: r.id, Leaving: true})
 }
 
 // ObserveBrittle reports to the coordinator what the head of the answer says about the
 // refusals that the target survives.
 func (r *Reservation) ObserveBrittle(n brittle.Notice, _ time.Time) {
-	r.client.report(r.coordinator, &entry.Progress{Reservation: r.id, Brittle: &entry.BrittleNotice{Named: n.Named, Most: int32(n.Most)}})
+	r.report(&entry.Progress{Reservation: r.id, Brittle: &entry.BrittleNotice{Named: n.Named, Most: int32(n.Most)}})
 }
 
 // Event counts an event of a stream, and reports the progress of the stream now and
@@ -86,7 +96,7 @@
 	r.events++
 	r.last = now
 	if r.events >= max(firstReport, reportGrowth*r.reported) {
-		r.client.report(r.coordinator, r.progress())
+		r.report(r.progress())
 	}
 }
 
@@ -106,5 +116,5 @@
 func (r *Reservation) Done(result place.Result, _ time.Time) {
 	ended := r.progress()
 	ended.Ended, ended.Result = true, uint32(result)
-	r.client.report(r.coordinator, ended)
+	r.report(ended)
 }
--- a/io/coordinator/server.go
+++ b/io/coordinator/server.go
@@ -28,6 +28,8 @@
 	maxBodyBytes = 256 << 10
 	// expiryMargin is how long after its request's deadline a reservation is kept.
 	expiryMargin = time.Second
+	// maxReportAge is longer than reports are collected.
+	maxReportAge = 200 * time.Millisecond
 )
 
 // Server reserves places for other VMs at the targets that this VM coordinates.
@@ -106,7 +108,8 @@
 func (s *Server) Report(_ context.Context, request *entry.ReportRequest) (*entry.ReportResponse, error) {
 	now := time.Now()
 	for _, p := range request.GetProgress() {
-		s.applyProgress(p, now)
+		age := min(max(0, time.Duration(p.GetAgeNanoseconds())), maxReportAge)
+		s.applyProgress(p, now.Add(-age))
 	}
 	return &entry.ReportResponse{}, nil
 }
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -54,6 +54,9 @@
 	// still counts among those that share the rate limits and the retry budget. Its
 	// lease has ended by then.
 	shareTimeout = 6 * time.Second
+	// narrowLink is the rate of a link below which calls between VMs are saved, in bytes per
+	// second.
+	narrowLink = 100_000_000 / 8
 	// memoryShare is the part of the VM's memory that is the soft memory limit of
 	// the garbage collector.
 	memoryShare = 0.7
@@ -127,6 +130,7 @@
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		ByRank: c.ByRank, Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
 	}
+	v.front.Coordinators.SaveCalls = c.LinkRate > 0 && c.LinkRate < narrowLink
 	answers := bytebudget.New(int64(answerShare * float64(c.MemoryBytes)))
 	v.front.Targets.Budget, v.front.Peers.Budget = answers, answers
 	v.front.Bodies = bytebudget.NewForBodies(int64(bodyShare * float64(c.MemoryBytes)))
@@ -331,6 +335,14 @@
 	v.Metrics.Gauge("revision", func() int64 { return int64(v.state.Read().Revision) })
 	v.Metrics.Gauge("entry_vms", v.vmCount.Load)
 	v.Metrics.Gauge("coordinated_targets", v.placer.Coordinated)
+	v.Metrics.Gauge("engine_token_time_ns", func() int64 {
+		average, _ := v.placer.TokenTimes()
+		return average.Nanoseconds()
+	})
+	v.Metrics.Gauge("engine_token_time_slowest_ns", func() int64 {
+		_, slowest := v.placer.TokenTimes()
+		return slowest.Nanoseconds()
+	})
 	v.Metrics.Gauge("limited_targets", v.placer.Limited)
 	v.Metrics.Gauge("reserved_places", v.coordinator.Reserved)
 	v.Metrics.Gauge("asked_places", v.coordinator.Asked)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -286,6 +286,9 @@
 	x.writer.WriteHeader(r.status)
 	s.Metrics.Refused.Inc(1)
 	s.Metrics.Count("refused." + strconv.Itoa(r.status) + "." + r.kind())
+	if s.ByRank && x.demand.Prompt > 0 {
+		s.Metrics.Count("refused.rank." + strconv.Itoa(x.rank()))
+	}
 	fields := []any{"status", r.status, "reason", r.reason, "retry_after", r.retryAfter, "not_run", r.notRun}
 	if r.ended != "" {
 		x.end(r.ended, "request is refused", fields...)
@@ -304,6 +307,9 @@
 		"predicted", x.predicted.Round(time.Millisecond / 10), "first", x.first.Round(time.Millisecond / 10), "prompt", x.demand.Prompt,
 		"left", x.deadline.Sub(x.arrived).Round(time.Millisecond),
 	}
+	if s.ByRank {
+		fields = append(fields, "rank", x.rank())
+	}
 	if x.state != nil && x.state.Plan != nil {
 		fields = append(fields, "plan", x.state.Plan.Plan.Version, "lease_left", s.Lease.Left().Round(time.Millisecond))
 	}
--- a/io/peer/credentials.go
+++ b/io/peer/credentials.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// omitHeaders removes headers that no VM reads. At a peak, there are more calls between VMs
+// than requests, and a call's headers are longer than its body.
+func omitHeaders(header http.Header) {
+	header.Del("Accept")
+	header.Del("Twirp-Version")
+	header["User-Agent"] = nil
+}
+
 // RoundTrip signs and sends a request. It reads the whole body into memory. The answer to a
 // call is bounded, as clients read it whole; streams of other paths are not.
 func (s signingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -120,6 +128,7 @@
 	signed := request.Clone(request.Context())
 	signed.Body = io.NopCloser(bytes.NewReader(body))
 	signed.ContentLength = int64(len(body))
+	omitHeaders(signed.Header)
 	s.credentials.Sign(signed, body)
 	response, err := s.next.RoundTrip(signed)
 	if err == nil && strings.HasPrefix(request.URL.Path, callPrefix) {
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -54,6 +54,7 @@
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: maxHead,
+		DisableCompression:     true, // catalogues are compressed already, all else is small
 	}
 	p.http = &http.Client{Transport: signingTransport{credentials: p.Credentials, next: transport}}
 	return p
--- a/io/vmconfig/vmconfig_test.go
+++ b/io/vmconfig/vmconfig_test.go
@@ -28,6 +28,7 @@
 		`limits.memory_mb: 0`:            {`284`, `0`},
 		`control.failures: -2`:           {`"failures":1`, `"failures":-2`},
 		`limits.newest_ms: -1`:           {`"grace_s"`, `"newest_ms":-1,"grace_s"`},
+		`limits.link_mbps: -1`:           {`"grace_s"`, `"link_mbps":-1,"grace_s"`},
 		`vm.dial_through.0.through: "9"`: {`10.0.0.9:1`, `9`},
 		`not valid JSON`:                 {`{"vm"`, `{vm`},
 	}
