place: refuse a place if the request would begin earlier elsewhere

A coordinator gave a place to every request that it could serve in time, whatever the other regions would take.

Change: ReserveRequest.leave_nanoseconds (24) is the local prediction above which the request rather leaves; the coordinator answers with the reason busier instead of a place. 0, also from earlier builds, means never, and isn't sent. Such an answer is no refusal: it doesn't count for requests that return. Crossing tells what a request costs in another region.

--- a/core/place/elsewhere.go
+++ b/core/place/elsewhere.go
@@ -43,6 +43,12 @@
 	return region, region != p.Region
 }
 
+// leaves reports whether a request goes to another region rather than wait here for the
+// predicted time.
+func (r Request) leaves(predicted time.Duration) bool {
+	return r.LeaveAfter > 0 && predicted > r.LeaveAfter
+}
+
 // belongsElsewhere reports whether a request should run in the home region of its
 // shared part, since reading the part here takes longer than the way there.
 //
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -136,7 +136,7 @@
 	r = p.refusals.withReturn(r)
 	assignment, predicted, reason = p.pick(r)
 	switch {
-	case reason == Elsewhere:
+	case reason == Elsewhere, reason == Busier:
 	case assignment == nil:
 		p.refusals.add(r)
 	case r.Retry && r.Coordinated:
@@ -161,7 +161,7 @@
 	}
 	if preferred != nil && p.limitWait(preferred, r.Now) == 0 && !p.keepsForLarger(preferred, r, savedForLarge) && p.hasCapacity(preferred, r) && preferred.Circuit.Closed() && !preferred.refusesLong(r) {
 		_, predicted = p.cost(preferred, r, true, source)
-		if predicted <= r.PreferredBound && !p.failsMore(preferred, r.Service, r.Now) {
+		if predicted <= r.PreferredBound && !r.leaves(predicted) && !p.failsMore(preferred, r.Service, r.Now) {
 			return p.admit(preferred, r, true, source), predicted, ""
 		}
 	}
@@ -174,6 +174,8 @@
 		return nil, predicted, reason
 	case r.Bound > 0 && predicted > r.Bound && best.inFlight > 0:
 		return nil, predicted, Slow
+	case r.leaves(predicted):
+		return nil, predicted, Busier
 	case !best.Circuit.Allow():
 		return nil, predicted, Full
 	}
--- a/core/place/remote.go
+++ b/core/place/remote.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -58,6 +59,34 @@
 	return targets
 }
 
+// Crossing says what a request costs in another region.
+type Crossing struct {
+	// Own is the time to read the prompt without its shared parts, Shared to read those.
+	Own, Shared time.Duration
+	// Load is by how much a target there is busier on average when each VM of this region
+	// sends one such request.
+	Load time.Duration
+}
+
+// Crossing returns what a request costs in another region, as far as this VM knows the
+// speed of the service's targets.
+func (p *Placer) Crossing(r Request, region string) (c Crossing) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tokenTime := p.tokenTime(r.Service)
+	shared := 0
+	for _, part := range r.Demand.sharedParts() {
+		shared += part.Tokens
+	}
+	own := max(0, r.Demand.Prompt-shared)
+	if r.Demand.Prompt == 0 {
+		own = defaultWork
+	}
+	c.Own, c.Shared = tokenTime*time.Duration(own), tokenTime*time.Duration(shared)
+	c.Load = c.Own * time.Duration(len(p.eligibleVMs)) / time.Duration(max(1, p.remoteTargets(r)[region]))
+	return c
+}
+
 // weight returns the rendezvous weight of a region for a part. The region with the
 // highest weight is each one with a probability in proportion to its count.
 func weight(part, region string, count int) float64 {
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -41,6 +41,9 @@
 	// which is another one, and AwayTime how much later its answer then begins.
 	MayForward bool
 	AwayTime   time.Duration
+	// LeaveAfter is the predicted time until the answer begins above which the request
+	// rather goes to another region, 0 for never.
+	LeaveAfter time.Duration
 	// Limits are the limits of the coordinator's targets that the VM knows that asks.
 	Limits []TargetLimit
 	// Apart says that the request may crash its target, so that it should run where it
@@ -79,5 +82,6 @@
 	Limited   Reason = "limited"    // all get as many requests as they have asked for
 	Slow      Reason = "slow"       // none would begin to answer in time
 	Elsewhere Reason = "elsewhere"  // it should run in the home region of its shared part
+	Busier    Reason = "busier"     // it would begin to answer earlier in another region
 	NoRetries Reason = "no_retries" // the retry budget of the service is used up
 )
--- a/io/coordinator/codec.go
+++ b/io/coordinator/codec.go
@@ -12,7 +12,7 @@
 		Service: m.GetService(), Preferred: m.GetTarget(), Coordinated: true, Sticky: true, Fetch: m.GetFetch(), Home: m.GetHome(), Retry: m.GetRetry(), Apart: m.GetApart(), MayForward: m.GetMayForward(), AwayTime: time.Duration(m.GetAwayNanoseconds()),
 		Excluded: m.GetExcluded(), ColdRate: m.GetColdRate(), Memory: int(m.GetMemoryTokens()), EventTokens: int(m.GetEventTokens()),
 		PreferredBound: time.Duration(m.GetComfortNanoseconds()), Bound: time.Duration(m.GetBoundNanoseconds()), Objective: time.Duration(m.GetObjectiveNanoseconds()),
-		Rank: int(m.GetRank()), Now: now, Deadline: now.Add(time.Duration(m.GetLeftNanoseconds())),
+		LeaveAfter: time.Duration(m.GetLeaveNanoseconds()), Rank: int(m.GetRank()), Now: now, Deadline: now.Add(time.Duration(m.GetLeftNanoseconds())),
 	}
 	r.Demand = place.Demand{Prompt: int(m.GetPromptTokens()), Output: int(m.GetOutputTokens()), Expected: int(m.GetExpectedTokens())}
 	r.SameVersion, r.Version = m.Version != nil, m.GetVersion()
@@ -28,7 +28,7 @@
 		Service: r.Service, Target: r.Preferred, Excluded: r.Excluded, ColdRate: r.ColdRate, MemoryTokens: int64(r.Memory),
 		EventTokens: int64(r.EventTokens), ComfortNanoseconds: int64(r.PreferredBound), BoundNanoseconds: int64(r.Bound), ObjectiveNanoseconds: int64(r.Objective),
 		LeftNanoseconds: int64(r.Deadline.Sub(r.Now)), Fetch: r.Fetch, Home: r.Home, Retry: r.Retry, Apart: r.Apart, MayForward: r.MayForward, AwayNanoseconds: int64(r.AwayTime),
-		Rank: int32(r.Rank), PromptTokens: int64(r.Demand.Prompt), OutputTokens: int64(r.Demand.Output), ExpectedTokens: int64(r.Demand.Expected),
+		LeaveNanoseconds: int64(r.LeaveAfter), Rank: int32(r.Rank), PromptTokens: int64(r.Demand.Prompt), OutputTokens: int64(r.Demand.Output), ExpectedTokens: int64(r.Demand.Expected),
 	}
 	if r.SameVersion {
 		m.Version = &r.Version
