front: let requests leave a busy region before it is full

Cause: a request left its region only when the coordinators had refused it.

Change, where the settings have placement.by_region: the entry VM names the time from which a request rather leaves with its reservation. If all coordinators that it asks are busier, the request goes to the region with the shortest prediction, and comes back if none takes it. Answers and refusals to other regions carry Kc-Hop-Predicted. Refused requests go to the regions in the order of the predictions, too. Only first tries leave, and only to regions that the route and the organisation allow.

--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -125,7 +125,7 @@
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, NewestWithin: c.NewestWithin, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
-		ByRank: c.ByRank, Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
+		ByRank: c.ByRank, ByRegion: c.ByRegion, Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
 	}
 	answers := bytebudget.New(int64(answerShare * float64(c.MemoryBytes)))
 	v.front.Targets.Budget, v.front.Peers.Budget = answers, answers
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -90,6 +90,7 @@
 	deleteHops(header)
 	x.closeInStop(header)
 	x.setOrigin(header)
+	x.setPredicted(header)
 	if _, dated := header["Date"]; !dated {
 		// A nil value keeps net/http from adding a Date header: answers carry only
 		// the target's headers.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -58,7 +58,9 @@
 	begun       bool  // part of an answer has been sent to the caller
 	last        int64 // id of the last event delivered
 	hasLast     bool
-	stay        bool          // the home region of the shared part has refused the request
+	stay        bool          // another region has refused the request, which isn't sent there again
+	left        bool          // it was sent to another region, as this one is busy
+	regionSeed  uint64        // of the random numbers for the choice of a region, 0 before the first
 	failure     *failedAnswer // of a target, sent if no later try succeeds
 
 	origin    streamOrigin
@@ -128,7 +130,7 @@
 			if x.forward(ctx, reason, &result) {
 				return
 			}
-			if reason == place.Elsewhere && result == notRun {
+			if x.comesBack(reason, result) {
 				x.stay = true
 				continue
 			}
--- a/io/front/headers.go
+++ b/io/front/headers.go
@@ -64,6 +64,9 @@
 	// hopRevision is the revision of the configuration that the sender goes by. A receiver
 	// with an older one refuses the request.
 	hopRevision = "Kc-Hop-Revision"
+	// hopPredicted is the time, predicted by the receiver, until the answer begins, in
+	// milliseconds. Answers and refusals carry it.
+	hopPredicted = "Kc-Hop-Predicted"
 )
 
 var hopByHop = map[string]bool{
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -23,21 +23,33 @@
 	interRegionLatency = 60 * time.Millisecond
 )
 
-// forwardCandidates returns entry VMs of other regions where the request may run,
-// this VM's partner in each region, the best region first. Regions in backoff are
-// left out if the request may run in this region, which has targets.
-func (x *exchange) forwardCandidates(reason place.Reason) (vms []entry.VM) {
-	if x.from != "" || time.Until(x.deadline) < minForwardTime {
+// allowedRegions returns the other regions where the request may run, in the order of its
+// shared part.
+func (x *exchange) allowedRegions(r place.Request) []string {
+	return slices.DeleteFunc(x.server.Placer.Regions(r), func(region string) bool { return !x.atHome(region) })
+}
+
+// forwardRegions returns the regions to which the request may be forwarded now, the best one
+// first. Those in backoff are left out if the request may run in this region, which has
+// targets.
+func (x *exchange) forwardRegions(r place.Request, reason place.Reason) (regions []string) {
+	if x.from != "" || x.deadline.Sub(r.Now) < minForwardTime {
 		return nil
 	}
-	known, now := *x.server.Entries.Load(), time.Now()
-	for _, region := range x.server.Placer.Regions(x.placement(now)) {
-		if !x.atHome(region) {
-			continue
-		}
-		if x.atHome(x.server.Region) && reason != place.NoTargets && x.server.regions.InBackoff(regionRoute{region, x.route.Name}, now) {
+	for _, region := range x.orderRegions(x.allowedRegions(r), r, reason) {
+		if x.atHome(x.server.Region) && reason != place.NoTargets && x.server.regions.InBackoff(regionRoute{region, x.route.Name}, r.Now) {
 			continue
 		}
+		regions = append(regions, region)
+	}
+	return regions
+}
+
+// forwardCandidates returns entry VMs of other regions where the request may run, this VM's
+// partner in each region, the best region first.
+func (x *exchange) forwardCandidates(reason place.Reason) (vms []entry.VM) {
+	known, now := *x.server.Entries.Load(), time.Now()
+	for _, region := range x.forwardRegions(x.placement(now), reason) {
 		excluded := func(v entry.VM) bool {
 			return v.WithoutTargets || v.ID == x.silentVM || slices.Contains(x.outOfUse, v.ID) || x.server.partners.InBackoff(v.ID, now)
 		}
@@ -71,6 +83,7 @@
 		if !found || x.runs > 0 && !x.mayTryAgain(ctx, *result) || !x.takeRetry(x.placement(time.Now())) {
 			return false
 		}
+		x.noteBusier(v, reason)
 		if *result = x.forwardTo(ctx, v); *result == delivered {
 			return true
 		}
@@ -140,6 +153,8 @@
 // tryVM sends the request to an entry VM and delivers the answer.
 func (x *exchange) tryVM(ctx context.Context, h *hedge, v entry.VM, header http.Header) outcome {
 	begun := time.Now()
+	trip := x.startTrip(v)
+	defer trip.end()
 	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header, v.Region))
 	if err != nil {
 		h.leave()
@@ -153,6 +168,7 @@
 	if !ownRefusal {
 		x.server.partners.Succeeded(v.ID)
 	}
+	trip.learn(response.Header, reason)
 	if reason != "" {
 		h.leave()
 		response.Finish(response.Discard() == nil)
--- a/io/front/placing.go
+++ b/io/front/placing.go
@@ -46,6 +46,7 @@
 	}
 	r := x.placement(time.Now())
 	r.MayForward, r.AwayTime = x.mayForward(r), 2*interRegionLatency
+	r.LeaveAfter = x.leaveAfter(r)
 	if x.server.Coordinators == nil || !x.server.Placer.NeedsCoordination(r) {
 		chosen, predicted, reason = x.pickAlone(r)
 	} else {
@@ -85,7 +86,7 @@
 func (x *exchange) coordinate(ctx context.Context, r place.Request) (chosen reservation, predicted time.Duration, reason place.Reason) {
 	s := x.server
 	reason = place.NoTargets
-	coordinatorFailed, denied := false, false
+	coordinatorFailed, denied, busier := false, false, false
 	for _, candidate := range s.Placer.Candidates(r, maxCoordinators) {
 		if r.Home == "" {
 			r.Home = candidate.Target
@@ -103,9 +104,12 @@
 			return nil, answer.predicted, answer.reason
 		default:
 			predicted, reason = shorter(predicted, answer.predicted), answer.reason
-			denied = denied || reason == place.NoTargets
+			denied, busier = denied || reason == place.NoTargets, busier || reason == place.Busier
 		}
 	}
+	if busier {
+		return nil, predicted, place.Busier
+	}
 	if denied && r.SameVersion && !s.Lease.Valid() {
 		return nil, predicted, place.NoTargets // this VM may be the one that is behind
 	}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -21,6 +21,7 @@
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quarantine"
 	"kingcuprill/core/quota"
+	"kingcuprill/core/regionload"
 	"kingcuprill/core/retry"
 	"kingcuprill/core/watch"
 	"kingcuprill/io/coordinator"
@@ -51,7 +52,10 @@
 	// ByRank says that requests are placed by their rank, and that the route's priority
 	// tells apart requests of organisations with the same priority.
 	ByRank bool
-	Placer *place.Placer // chooses targets of this region and regions to forward to
+	// ByRegion says that requests leave this region before it is full if another one is
+	// predicted to answer clearly earlier.
+	ByRegion bool
+	Placer   *place.Placer // chooses targets of this region and regions to forward to
 	// Coordinators reserves places at targets that other VMs coordinate; nil if
 	// this is the only VM.
 	Coordinators *coordinator.Client
@@ -78,6 +82,7 @@
 	budgets  sync.Map                     // budgetKey to *retry.Budget
 	regions  backoff.Tracker[regionRoute] // backoff after a region refused a request
 	partners backoff.Tracker[string]      // backoff after an entry VM of another region has not answered
+	away     regionload.Table             // what the other regions predict for the requests forwarded there
 	running  inflight.Register
 	crashes  crashChecks
 	// unreadable are the targets whose number of refusals can't be read.
@@ -282,6 +287,7 @@
 	}
 	if x.from != "" && r.notRun {
 		header.Set(hopNotRun, r.reason)
+		x.setPredicted(header)
 	}
 	x.writer.WriteHeader(r.status)
 	s.Metrics.Refused.Inc(1)
--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -50,6 +50,8 @@
 	DirectoryTTL time.Duration // how long callers may cache a directory answer
 	// ByRank says that requests to engines are placed by their priority.
 	ByRank bool
+	// ByRegion says that requests leave a busy region before it is full.
+	ByRegion bool
 }
 
 // defaultNewestWithin is NewestWithin where the settings don't say.
@@ -83,7 +85,8 @@
 	} `json:"control"`
 	Regions   map[string]string `json:"regions"`
 	Placement struct {
-		ByRank bool `json:"by_rank"`
+		ByRank   bool `json:"by_rank"`
+		ByRegion bool `json:"by_region"`
 	} `json:"placement"`
 	Limits struct {
 		MemoryMB      float64 `json:"memory_mb"`
@@ -130,7 +133,7 @@
 		Heartbeat: units.Milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, MemoryBytes: int64(f.Limits.MemoryMB * mebibyte),
 		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), NewestWithin: units.Milliseconds(f.Limits.NewestMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
 		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: units.Milliseconds(f.Limits.DirectoryTTLS * 1000),
-		ByRank: f.Placement.ByRank,
+		ByRank: f.Placement.ByRank, ByRegion: f.Placement.ByRegion,
 	}
 	reject := func(format string, args ...any) {
 		errs = append(errs, fault.New(fault.Invalid, format, args...))
--- a/io/vmconfig/vmconfig_test.go
+++ b/io/vmconfig/vmconfig_test.go
@@ -47,3 +47,12 @@
 		}
 	}
 }
+
+// Settings without the switch keep requests in their region until it is full.
+func TestByRegion(t *testing.T) {
+	for text, want := range map[string]bool{valid: false, strings.Replace(valid, `"limits"`, `"placement":{"by_region":true},"limits"`, 1): true} {
+		if c, err := Parse([]byte(text)); err != nil || c.ByRegion != want {
+			t.Errorf("%v, error %v, want %v", c.ByRegion, err, want)
+		}
+	}
+}
