--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -53,6 +53,8 @@
 	// LinkRate is the rate of the VM's network link in bytes per second in each direction; 0
 	// takes it as unlimited.
 	LinkRate float64
+	// ByRegion says that requests leave a busy region before it is full.
+	ByRegion bool
 }
 
 // defaultNewestWithin is NewestWithin where the settings don't say.
@@ -86,7 +88,8 @@
 	} `json:"control"`
 	Regions   map[string]string `json:"regions"`
 	Placement struct {
-		ByRank bool `json:"by_rank"`
+		ByRank   bool `json:"by_rank"`
+		ByRegion bool `json:"by_region"`
 	} `json:"placement"`
 	Limits struct {
 		MemoryMB      float64 `json:"memory_mb"`
@@ -135,7 +138,7 @@
 		Heartbeat: units.Milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, MemoryBytes: int64(f.Limits.MemoryMB * mebibyte),
 		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), NewestWithin: units.Milliseconds(f.Limits.NewestMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
 		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: units.Milliseconds(f.Limits.DirectoryTTLS * 1000),
-		ByRank: f.Placement.ByRank, LinkRate: f.Limits.LinkMbps * bytesPerMegabit,
+		ByRank: f.Placement.ByRank, ByRegion: f.Placement.ByRegion, LinkRate: f.Limits.LinkMbps * bytesPerMegabit,
 	}
 	reject := func(format string, args ...any) {
 		errs = append(errs, fault.New(fault.Invalid, format, args...))
