--- /dev/null
+++ b/core/linkbudget/linkbudget.go
@@ -0,0 +1,336 @@
+// Package linkbudget decides how much new work a VM takes so that its network link isn't
+// overloaded.
+//
+// The load: requests arrive whose bodies and answers don't fit through the link. Its queue
+// then delays dials, reservations and confirmations until they time out, and nothing is
+// served. A request takes most of its bytes after it has been admitted: its body goes out to
+// a target, and its answer comes in and goes out. So each request is charged when it is
+// admitted with what such requests have cost, and the charge is corrected when it ends.
+//
+// First, no requests are forwarded to or taken from other VMs. Then callers' requests are
+// refused at random, each rank in proportion to the excess and less urgent ones first.
+// Running requests, coordination and control are only measured and never refused.
+package linkbudget
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Window is the time between two updates.
+const Window = 100 * time.Millisecond
+
+// Directions of the link.
+const (
+	In = iota
+	Out
+	Directions
+)
+
+// percent is the number of hundredths in a whole.
+const percent = 100
+
+// Ranks is the number of ranks of requests; 0 is the most urgent.
+const Ranks = 10
+
+const (
+	// targetShare is the part of the link's rate up to which work is taken. The rest is for
+	// bursts within a window and errors of the estimates.
+	targetShare = 0.85
+	// leastShare is the part of the link's rate that new work always gets. The bodies of refused
+	// requests arrive all the same: if these alone fill the link, refusing more of them would
+	// leave nothing served and free nothing.
+	leastShare = 0.3
+	// burstTime is for how long work may arrive faster than the link's rate after a calm time.
+	burstTime = 400 * time.Millisecond
+	// settleTime is the time in which a queue or an overdrawn allowance is worked off.
+	settleTime = 500 * time.Millisecond
+	// demandTime, useTime and otherTime are the times over which demand, use of the link and
+	// bytes that aren't charged to requests are averaged.
+	demandTime = 500 * time.Millisecond
+	useTime    = time.Second
+	otherTime  = 2 * time.Second
+	// maxQueueTime bounds the estimated queue.
+	maxQueueTime = time.Second
+	// forwardUntil and forwardAgain are the parts of the link's rate at which forwarding ends
+	// and begins again.
+	forwardUntil = 0.75
+	forwardAgain = 0.65
+	// shedFrom is the demand, as a multiple of the room, at which shedding begins if half of the
+	// allowance is used up. It ends when the demand fits. The allowance bounds what is taken in
+	// between.
+	shedFrom = 1.15
+	// calmWindows is for how many windows there must be room before shedding has ended or
+	// requests are forwarded again.
+	calmWindows = 5
+	// evenShare is the part of the average share of admitted work that every rank gets, so
+	// that no rank is served less than a quarter as often as all requests.
+	evenShare = 0.35
+	// shortestReturn and longestReturn bound when refused callers should return.
+	shortestReturn = 250 * time.Millisecond
+	longestReturn  = 2 * time.Second
+)
+
+// Budget decides on new work of one VM. A nil Budget takes all of it. Update must not be
+// called concurrently with itself; all other methods are safe for concurrent use and take no
+// lock.
+type Budget struct {
+	rate    float64 // bytes per second in each direction
+	burst   float64 // largest allowance, bytes
+	left    atomic.Int64
+	charged atomic.Int64 // net of corrections, since the start
+	offered [Ranks]atomic.Int64
+	answers answers
+	current atomic.Pointer[decision]
+
+	Shed         atomic.Int64 // callers' requests refused since the start
+	NotForwarded atomic.Int64 // requests not forwarded or not taken from another VM
+
+	// The rest is used by Update only.
+	updated     time.Time
+	total       [Directions]int64
+	chargedThen int64
+	use         [Directions]float64 // bytes per second
+	other       [Directions]float64 // bytes per second that aren't charged to requests
+	queue       [Directions]float64 // bytes
+	demand      [Ranks]float64      // bytes per second
+	shedThen    int64
+	calm        int // windows without shedding
+	roomy       int // windows with room for forwarding
+}
+
+// decision is what applies until the next update.
+type decision struct {
+	share      [Ranks]float64 // of the requests of each rank that are admitted
+	shedding   bool
+	forwarding bool
+	excess     float64 // demand divided by what may be taken
+	percent    [Directions]int64
+}
+
+// New returns a budget for a link with a rate in bytes per second in each direction.
+func New(rate float64) *Budget {
+	b := &Budget{rate: rate, burst: targetShare * rate * burstTime.Seconds()}
+	b.left.Store(int64(b.burst))
+	b.answers.reset()
+	first := &decision{forwarding: true}
+	for rank := range first.share {
+		first.share[rank] = 1
+	}
+	b.current.Store(first)
+	return b
+}
+
+// Admit reports whether a caller's request may be taken, and charges it: charge is passed to
+// Settle at its end. chance is a random number from 0 to 1.
+func (b *Budget) Admit(rank int, body int64, chance float64) (charge int64, admitted bool) {
+	if b == nil {
+		return 0, true
+	}
+	rank = min(max(0, rank), Ranks-1)
+	cost := b.cost(body)
+	b.offered[rank].Add(cost)
+	if chance >= b.current.Load().share[rank] || !b.take(cost) {
+		b.Shed.Add(1)
+		return 0, false
+	}
+	return cost, true
+}
+
+// MayForward reports whether requests may be forwarded to other regions.
+func (b *Budget) MayForward() bool {
+	if b == nil || b.current.Load().forwarding {
+		return true
+	}
+	b.NotForwarded.Add(1)
+	return false
+}
+
+// AdmitForwarded is Admit for a request that another VM has forwarded.
+func (b *Budget) AdmitForwarded(body int64) (charge int64, admitted bool) {
+	if b == nil {
+		return 0, true
+	}
+	cost := b.cost(body)
+	if !b.current.Load().forwarding || !b.take(cost) {
+		b.NotForwarded.Add(1)
+		return 0, false
+	}
+	return cost, true
+}
+
+// Settle replaces the charge of an admitted request with what it has really cost.
+func (b *Budget) Settle(charge int64, w Work) {
+	if b == nil {
+		return
+	}
+	correction := w.bytes() - charge
+	b.left.Add(-correction)
+	b.charged.Add(correction)
+	if w.Complete {
+		b.answers.observe(w.Body, inParts(w.Answer, w.Parts))
+	}
+}
+
+// cost returns what a request with a body is expected to take in each direction: the body
+// comes in and goes out, and so does the answer.
+func (b *Budget) cost(body int64) int64 {
+	return inParts(max(0, body), 0) + headBytes + b.answers[sizeClass(body)].Load()
+}
+
+// take charges a cost if anything of the allowance is left. One request may overdraw it, as
+// large ones would never be taken otherwise.
+func (b *Budget) take(cost int64) bool {
+	if b.left.Add(-cost)+cost <= 0 {
+		b.left.Add(cost)
+		return false
+	}
+	b.charged.Add(cost)
+	return true
+}
+
+// ReturnAfter returns when refused callers should return, without jitter: the later, the more
+// work is offered beyond what fits.
+func (b *Budget) ReturnAfter() time.Duration {
+	after := time.Duration(b.current.Load().excess * float64(shortestReturn))
+	return min(max(shortestReturn, after), longestReturn)
+}
+
+// Shedding reports whether callers' requests are being refused.
+func (b *Budget) Shedding() bool {
+	return b.current.Load().shedding
+}
+
+// Forwarding reports whether requests may be forwarded, without counting the question.
+func (b *Budget) Forwarding() bool {
+	return b == nil || b.current.Load().forwarding
+}
+
+// Percent returns the use of the link in a direction.
+func (b *Budget) Percent(direction int) int64 {
+	return b.current.Load().percent[direction]
+}
+
+// Excess returns the demand divided by what may be taken.
+func (b *Budget) Excess() float64 {
+	return b.current.Load().excess
+}
+
+// Update must be called once in each Window with the bytes that the link has carried in each
+// direction since the start.
+func (b *Budget) Update(total [Directions]int64, now time.Time) {
+	elapsed := now.Sub(b.updated).Seconds()
+	first := b.updated.IsZero()
+	b.updated = now
+	if first || elapsed <= 0 {
+		b.total, b.chargedThen = total, b.charged.Load()
+		return
+	}
+	b.measure(total, elapsed)
+	room := b.room()
+	b.refill(room * elapsed)
+	b.decide(room)
+}
+
+// measure updates the averages after a time in seconds.
+func (b *Budget) measure(total [Directions]int64, elapsed float64) {
+	charged := b.charged.Load()
+	chargedRate := float64(charged-b.chargedThen) / elapsed
+	b.chargedThen = charged
+	for d := range Directions {
+		bytes := float64(total[d] - b.total[d])
+		average(&b.use[d], bytes/elapsed, elapsed, useTime)
+		average(&b.other[d], bytes/elapsed-chargedRate, elapsed, otherTime)
+		b.queue[d] = min(max(0, b.queue[d]+bytes-b.rate*elapsed), b.rate*maxQueueTime.Seconds())
+	}
+	b.total = total
+	for rank := range b.demand {
+		average(&b.demand[rank], float64(b.offered[rank].Swap(0))/elapsed, elapsed, demandTime)
+	}
+}
+
+func average(value *float64, next, elapsed float64, over time.Duration) {
+	*value += (next - *value) * min(1, elapsed/over.Seconds())
+}
+
+// room returns the bytes per second that new work may take.
+func (b *Budget) room() (room float64) {
+	room = targetShare * b.rate
+	for d := range Directions {
+		taken := max(0, b.other[d]) + b.queue[d]/settleTime.Seconds()
+		room = min(room, targetShare*b.rate-taken)
+	}
+	return max(leastShare*b.rate, room)
+}
+
+func (b *Budget) refill(bytes float64) {
+	if over := float64(b.left.Add(int64(bytes))) - b.burst; over > 0 {
+		b.left.Add(-int64(over))
+	}
+}
+
+// decide sets what applies in the next window.
+func (b *Budget) decide(room float64) {
+	before := b.current.Load()
+	left := float64(b.left.Load())
+	// An allowance that is neither full nor used up can take the noise of single windows.
+	room = max(room/2, room+(left-b.burst/2)/settleTime.Seconds())
+	demand := 0.0
+	for _, d := range b.demand {
+		demand += d
+	}
+	next := &decision{excess: demand / room}
+	b.calm++
+	shed := b.Shed.Load()
+	if shed > b.shedThen || demand > room && before.shedding || demand > shedFrom*room && left < b.burst/2 {
+		b.calm = 0
+	}
+	b.shedThen = shed
+	next.shedding = b.calm == 0 || before.shedding && b.calm < calmWindows
+	if !next.shedding {
+		room = max(room, demand)
+	}
+	next.share = shares(b.demand, demand, room)
+	highest := 0.0
+	for d := range Directions {
+		next.percent[d] = int64(b.use[d] / b.rate * percent)
+		highest = max(highest, b.use[d]/b.rate)
+	}
+	limit := forwardAgain
+	if before.forwarding {
+		limit = forwardUntil
+	}
+	b.roomy++
+	if next.shedding || highest >= limit || left <= 0 {
+		b.roomy = 0
+	}
+	next.forwarding = b.roomy > 0 && (before.forwarding || b.roomy >= calmWindows)
+	b.current.Store(next)
+}
+
+// shares returns the part of the requests of each rank that is admitted. Each rank gets a part
+// of the average; the rest goes to the most urgent ranks first.
+func shares(byRank [Ranks]float64, demand, room float64) (share [Ranks]float64) {
+	fits := 1.0
+	if demand > room {
+		fits = room / demand
+	}
+	even := evenShare * fits
+	if fits == 1 {
+		even = 1
+	}
+	rest := room - even*demand
+	for rank, offered := range byRank {
+		share[rank] = even
+		if offered > 0 {
+			given := min(max(0, rest), (1-even)*offered)
+			share[rank] += given / offered
+			rest -= given
+			continue
+		}
+		if rest > 0 {
+			share[rank] = 1
+		}
+	}
+	return share
+}
--- a/io/listener/conn.go
+++ b/io/listener/conn.go
@@ -54,6 +54,11 @@
 	return nil
 }
 
+// NetConn returns the connection as it was accepted.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
