quota, draw: remember that the pool has no tokens, and share draws

Each request over an organisation's limit was read and made a call to a control VM before it was refused.

Change: the pool's last answer without tokens is kept for each organisation for at most 500 ms; Wait refuses by it without a call. Concurrent requests of one organisation share a draw.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -130,6 +130,7 @@
 	demand      float64 // tokens a second
 	updated     time.Time
 	drawPending bool // a draw in the background is under way
+	shortage    shortage
 }
 
 // Limiter holds the accounts of one entry VM. It is safe for concurrent use.
@@ -189,7 +190,7 @@
 		a.drawn = 0
 		return false, order
 	}
-	if a.drawn < prefetch/2 && !a.drawPending {
+	if a.drawn < prefetch/2 && !a.drawPending && !now.Before(a.shortage.ends) {
 		a.drawPending = true
 		return true, Order{Want: prefetch - a.drawn}
 	}
@@ -206,6 +207,9 @@
 	defer l.mu.Unlock()
 	a := l.account(organisation, limit, now)
 	a.drawn += order.aside + tokens
+	if tokens > 0 {
+		a.shortage = a.shortage.relieved(now)
+	}
 	if order.Need == 0 {
 		a.drawPending = false
 	}
--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -168,6 +168,7 @@
 	Log      *slog.Logger
 
 	backoff backoff.Tracker[string] // control VMs that have not answered
+	joints  joints
 }
 
 // NewClient returns a client. Tokens that are drawn in advance go to limiter.
@@ -178,11 +179,11 @@
 	}
 }
 
-// Draw draws the tokens of an order from the first control VM that answers. The
+// drawAlone draws the tokens of an order from the first control VM that answers. The
 // tokens of an order without a need, which is for later requests, go to the limiter
 // as well. wait is how long the caller should wait if there were too few tokens.
 // reached tells whether a control VM has answered.
-func (c *Client) Draw(ctx context.Context, organisation string, limit quota.Limit, order quota.Order) (tokens float64, wait time.Duration, reached bool) {
+func (c *Client) drawAlone(ctx context.Context, organisation string, limit quota.Limit, order quota.Order) (tokens float64, wait time.Duration, reached bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := &vm.DrawRequest{
