front, entryvm: refuse new work that the network link has no room for

Change: with limits.link_mbps, all connections of an entry VM are counted, and a request is refused with 503 and link_full, or 429 if its organisation is known to have no tokens, before its body is read and before any other VM is asked. A full link forwards nothing; its refusals of forwarded requests count as those of one VM. Without the setting, requests are served as before.

--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -34,6 +34,7 @@
 	"kingcuprill/io/draw"
 	"kingcuprill/io/follow"
 	"kingcuprill/io/front"
+	"kingcuprill/io/link"
 	"kingcuprill/io/listener"
 	"kingcuprill/io/metrics"
 	"kingcuprill/io/peer"
@@ -100,6 +101,8 @@
 	front       *front.Server
 	coordinator *coordinator.Server
 	servers     []*listener.Server
+	counters    *link.Counters // nil if the link is unlimited
+	linkMonitor *link.Monitor  // the same
 }
 
 // New returns an entry VM.
@@ -140,6 +143,7 @@
 	v.front.Streams = streamversion.NewClient(peers, v.client.Controls, v.client.Polled, v.vmCount.Load, v.lease.Valid, o.Log)
 	v.front.Coordinators.OnLimits = func(limits []place.TargetLimit) { v.placer.LearnLimits(limits, time.Now()) }
 	v.coordinator = coordinator.NewServer(v.placer, func() map[string]bool { return v.state.Read().Evacuated }, v.lease.Valid, o.Log)
+	v.limitLink(peers)
 	return v
 }
 
@@ -305,6 +309,7 @@
 	v.client.Run(&v.tomb, v.Config.Seeds)
 	v.tomb.Go(v.prune)
 	v.tomb.Go(func() error { return v.front.Links.Run(&v.tomb) })
+	v.runLinkMonitor()
 	v.Log.Info("entry VM serves", "vm", v.Config.ID, "region", v.Config.Region, "callers", v.Config.CallerAddress)
 	select {
 	case <-ctx.Done():
--- a/io/entryvm/serve.go
+++ b/io/entryvm/serve.go
@@ -9,6 +9,7 @@
 
 	"kingcuprill/core/drain"
 	"kingcuprill/io/front"
+	"kingcuprill/io/link"
 	"kingcuprill/io/listener"
 	quarantinecalls "kingcuprill/io/quarantine"
 )
@@ -21,25 +22,26 @@
 )
 
 func (v *VM) listen(readiness, directory http.Handler) error {
-	if err := v.serve(v.Config.PeerAddress, v.peerHandler()); err != nil {
+	if err := v.serve(v.Config.PeerAddress, link.Control, v.peerHandler()); err != nil {
 		return err
 	}
-	if err := v.serve(v.Config.ReadinessAddress, readiness); err != nil {
+	if err := v.serve(v.Config.ReadinessAddress, link.Control, readiness); err != nil {
 		return err
 	}
 	if v.Config.MetricsAddress != "" {
 		v.addGauges()
+		v.addLinkGauges()
 		operators := &quarantinecalls.Server{Crashes: v.quarantine, Log: v.Log}
-		if err := v.serve(v.Config.MetricsAddress, operators.Handler(v.Metrics.Text())); err != nil {
+		if err := v.serve(v.Config.MetricsAddress, link.Control, operators.Handler(v.Metrics.Text())); err != nil {
 			return err
 		}
 	}
 	if v.Config.DirectoryAddress != "" {
-		if err := v.serve(v.Config.DirectoryAddress, directory); err != nil {
+		if err := v.serve(v.Config.DirectoryAddress, link.Control, directory); err != nil {
 			return err
 		}
 	}
-	if err := v.serve(v.Config.CallerAddress, v.callerHandler()); err != nil {
+	if err := v.serve(v.Config.CallerAddress, link.Callers, v.callerHandler()); err != nil {
 		return err
 	}
 	return nil
@@ -68,6 +70,7 @@
 		// A request that was handed over keeps the caller's path, so the path
 		// can't tell it from a call.
 		if front.IsForwarded(r) {
+			link.SetPurpose(r, link.Forwarded)
 			v.front.ServeForwarded(w, r)
 			return
 		}
@@ -75,11 +78,12 @@
 	})
 }
 
-func (v *VM) serve(address string, handler http.Handler) error {
+func (v *VM) serve(address string, purpose link.Purpose, handler http.Handler) error {
 	server, err := listener.Listen(address, &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(v.Log.Handler(), slog.LevelDebug), DisableGeneralOptionsHandler: true,
-	}, nil)
+		ConnContext: link.ConnContext,
+	}, v.counters.WrapListener(purpose))
 	if err != nil {
 		return err
 	}
--- a/io/front/deliver.go
+++ b/io/front/deliver.go
@@ -78,6 +78,8 @@
 		return
 	}
 	x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
+	x.use.countAnswer(int(body.Size()))
+	x.use.noteComplete()
 	x.log("request is answered", "status", response.StatusCode, "bytes", body.Size())
 }
 
@@ -187,6 +189,7 @@
 	if err := controller.Flush(); err != nil {
 		return errCallerLeft
 	}
+	x.use.countAnswer(len(event.Raw))
 	x.keepRecord(time.Now())
 	if event.HasID {
 		x.last, x.hasLast = event.ID, true
@@ -206,6 +209,7 @@
 		x.begun = true
 	}
 	x.server.Metrics.Observe("answer."+x.route.Name, time.Since(x.arrived))
+	x.use.noteComplete()
 	x.log("request is answered", "status", response.StatusCode, "last_event", x.last)
 	return delivered
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -39,7 +39,8 @@
 	keyed        bool // the caller has sent a key of the organisation
 	service      string
 	demand       place.Demand
-	cost         float64 // tokens charged
+	cost         float64  // tokens charged
+	use          *linkUse // of this VM's network link, nil if it isn't bounded
 	deadline     time.Time
 	body         *bytebudget.Whole // closed at the end of the request
 
@@ -259,7 +260,7 @@
 func (x *exchange) request(header http.Header, region string) upstream.Request {
 	return upstream.Request{
 		Method: x.caller.Method, URI: x.caller.RequestURI, Host: x.caller.Host, Header: header, Body: x.body,
-		MaySend:    func() error { return x.checkHome(region) },
+		MaySend:    func() error { return x.checkSend(region) },
 		EchoHeader: x.server.Headers.RequestID, EchoValue: x.id,
 	}
 }
--- a/io/front/homes.go
+++ b/io/front/homes.go
@@ -20,6 +20,15 @@
 	return nil
 }
 
+// checkSend is checkHome right before the request is sent, which takes bytes of the link.
+func (x *exchange) checkSend(region string) error {
+	if err := x.checkHome(region); err != nil {
+		return err
+	}
+	x.use.countSent()
+	return nil
+}
+
 // atHome reports whether the request may run in a region and its body may be sent there: by
 // the plan at its arrival, and by the newest one that this VM has.
 func (x *exchange) atHome(region string) bool {
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -52,7 +52,7 @@
 // mayForward reports whether the home region of the request's shared part is another
 // one that can take the request now.
 func (x *exchange) mayForward(r place.Request) bool {
-	if x.from != "" || x.stay || x.tries > 0 || time.Until(x.deadline) < minForwardTime {
+	if x.from != "" || x.stay || x.tries > 0 || !x.server.Link.Forwarding() || time.Until(x.deadline) < minForwardTime {
 		return false
 	}
 	region, other := x.server.Placer.HomeRegion(r, x.atHome)
@@ -65,6 +65,9 @@
 //
 // What a VM says of itself says nothing about its region: another VM there is asked then.
 func (x *exchange) forward(ctx context.Context, reason place.Reason, result *outcome) bool {
+	if x.from != "" || !x.server.Link.MayForward() {
+		return false
+	}
 	asked := map[string]int{} // VMs, by region; maxNeighbours for one that has answered for its region
 	for {
 		v, found := x.nextVM(reason, asked)
@@ -128,7 +131,7 @@
 }
 
 // reasonsOfOneVM are reasons of refusals by an entry VM that say nothing about its region.
-var reasonsOfOneVM = []string{linksReason, stoppingReason, notConfirmed, noConfiguration, bodiesReason}
+var reasonsOfOneVM = []string{linksReason, stoppingReason, notConfirmed, noConfiguration, bodiesReason, linkReason}
 
 // leaveOut sends no more of this request, and for a while nothing, to an entry VM that can't
 // serve it.
--- a/io/front/otherregion_test.go
+++ b/io/front/otherregion_test.go
@@ -24,7 +24,8 @@
 func TestRefusalsOfOneVMAreNotThoseOfItsRegion(t *testing.T) {
 	for reason, code := range map[string]int{
 		stoppingReason: http.StatusOK, linksReason: http.StatusOK, notConfirmed: http.StatusOK, noConfiguration: http.StatusOK, bodiesReason: http.StatusOK,
-		"slow": http.StatusServiceUnavailable, quarantinedReason: http.StatusServiceUnavailable,
+		linkReason: http.StatusOK,
+		"slow":     http.StatusServiceUnavailable, quarantinedReason: http.StatusServiceUnavailable,
 	} {
 		t.Run(reason, func(t *testing.T) {
 			t.Parallel()
--- a/io/front/refused_test.go
+++ b/io/front/refused_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"kingcuprill/core/drain"
+	"kingcuprill/core/linkbudget"
 	"kingcuprill/core/plan"
 )
 
@@ -50,6 +51,7 @@
 		"stops": {key: "k", limit: 16 << 20, change: func(w *fixture) {
 			w.server.Stop(drain.Stop{Begun: time.Now().Add(-time.Minute), Grace: time.Second})
 		}, codes: "503"},
+		"link is full": {key: "k", limit: 16 << 20, change: func(w *fixture) { w.server.Link = linkbudget.New(1) }, codes: "503"},
 		"stops meanwhile": {key: "k", limit: 16 << 20, change: func(w *fixture) {
 			time.AfterFunc(50*time.Millisecond, func() { w.server.Stop(drain.Stop{Begun: time.Now(), Grace: 100 * time.Millisecond}) })
 		}, codes: "503 408 504 200"},
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -17,6 +17,7 @@
 	"kingcuprill/core/entry"
 	"kingcuprill/core/inflight"
 	"kingcuprill/core/lease"
+	"kingcuprill/core/linkbudget"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
 	"kingcuprill/core/quarantine"
@@ -69,6 +70,7 @@
 	Drawer     *draw.Client        // draws tokens of rate limits from the control VMs
 	Targets    *upstream.Client    // sends requests to targets
 	Links      *targetlink.Monitor // of this VM to the targets
+	Link       *linkbudget.Budget  // of this VM's network link; nil is no bound
 	Peers      *upstream.Client    // forwards requests to other entry VMs
 	Entries    *atomic.Pointer[[]entry.VM]
 	Metrics    *metrics.Metrics
@@ -100,6 +102,8 @@
 	retryAfterDivisor = 3
 	// notConfirmed is the reason of refusals without a confirmed configuration.
 	notConfirmed = "configuration_not_confirmed"
+	// overLimit is the reason of refusals by the organisation's limit.
+	overLimit = "over_limit"
 	// noConfiguration is the reason of refusals before the first configuration.
 	noConfiguration = "no_configuration"
 )
@@ -137,6 +141,11 @@
 		x.refuse(refused)
 		return
 	}
+	defer x.settleLink()
+	if refused := x.admitWork(); refused != nil {
+		x.refuse(refused)
+		return
+	}
 	ctx, cancel := context.WithDeadline(running, x.deadline)
 	defer cancel()
 	if refused := x.read(ctx); refused != nil {
@@ -201,6 +210,29 @@
 	return x.stopRefusal()
 }
 
+// admitWork refuses the request before its body is read if it is known to be over its limit, or
+// if the link has no room for it.
+func (x *exchange) admitWork() *refusal {
+	x.demand = x.server.Headers.demand(x.header)
+	x.cost = x.tokens()
+	if refused := x.knownLimit(); refused != nil {
+		return refused
+	}
+	x.cost = 0 // it is charged once the body is there
+	return x.admitToLink()
+}
+
+// tokens returns what the request costs its organisation, 0 if this VM doesn't charge it.
+func (x *exchange) tokens() float64 {
+	if !x.keyed || x.from != "" {
+		return 0
+	}
+	if cost := float64(x.demand.Prompt + x.demand.Output); cost > 0 {
+		return cost
+	}
+	return x.organisation.PlainTokens
+}
+
 // read reads the body and charges the organisation for the request.
 func (x *exchange) read(ctx context.Context) *refusal {
 	if refused := x.readBody(ctx); refused != nil {
@@ -209,14 +241,13 @@
 	if refused := x.stopRefusal(); refused != nil {
 		return refused
 	}
-	x.demand = x.server.Headers.demand(x.header)
 	x.service = x.route.Choose(x.id)
 	if !x.keyed || x.from != "" {
 		return nil
 	}
-	x.cost = float64(x.demand.Prompt + x.demand.Output)
-	if x.cost == 0 {
-		x.cost = x.organisation.PlainTokens
+	x.cost = x.tokens()
+	if refused := x.knownLimit(); refused != nil {
+		return refused
 	}
 	return x.charge()
 }
@@ -238,7 +269,7 @@
 	}
 	x.cost = 0
 	s.Metrics.RateLimited.Inc(1)
-	return &refusal{status: http.StatusTooManyRequests, reason: "over_limit", retryAfter: wait, notRun: true}
+	return &refusal{status: http.StatusTooManyRequests, reason: overLimit, retryAfter: wait, notRun: true}
 }
 
 // retryAfter returns when the caller should retry: after the backlog has been
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -28,6 +28,8 @@
 	Bytes       *Traffic
 	// Network opens the connections to an address; nil stands for TCP.
 	Network func(ctx context.Context, address string) (net.Conn, error)
+	// Wrap returns a new connection with what counts its bytes on the link. It may be nil.
+	Wrap    func(net.Conn) net.Conn
 	http    *http.Client
 	clients sync.Map // address to vm.VM
 	entries sync.Map // address to entry.Entry
@@ -85,6 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.Wrap != nil {
+		conn = p.Wrap(conn)
+	}
 	return countedConn{Conn: conn, traffic: p.Bytes}, nil
 }
 
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -91,6 +91,8 @@
 	DialAddress func(address string) string
 	// Network opens the connections to an address; nil stands for TCP.
 	Network func(ctx context.Context, address string) (net.Conn, error)
+	// Wrap returns a new connection with what counts its bytes. It may be nil.
+	Wrap func(net.Conn) net.Conn
 	// Idle is how long an idle connection is kept if the peer sends no Keep-Alive
 	// timeout; 0 stands for defaultIdle less idleMargin.
 	Idle time.Duration
@@ -248,6 +250,9 @@
 	if c.Dialed != nil {
 		c.Dialed()
 	}
+	if c.Wrap != nil {
+		raw = c.Wrap(raw)
+	}
 	return newConn(raw), nil
 }
 
--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -50,6 +50,9 @@
 	DirectoryTTL time.Duration // how long callers may cache a directory answer
 	// ByRank says that requests to engines are placed by their priority.
 	ByRank bool
+	// LinkRate is the rate of the VM's network link in bytes per second in each direction; 0
+	// takes it as unlimited.
+	LinkRate float64
 }
 
 // defaultNewestWithin is NewestWithin where the settings don't say.
@@ -93,6 +96,7 @@
 		RetryRatio    float64 `json:"retry_ratio"`
 		RetrySlack    float64 `json:"retry_slack"`
 		DirectoryTTLS float64 `json:"directory_ttl_s"`
+		LinkMbps      float64 `json:"link_mbps"`
 	} `json:"limits"`
 }
 
@@ -122,6 +126,7 @@
 
 func (f fileJSON) convert() (c Config, errs []error) {
 	const mebibyte = 1 << 20
+	const bytesPerMegabit = 1_000_000 / 8
 	c = Config{
 		ID: f.VM.ID, Region: f.VM.Region, DataCentre: f.VM.DataCentre, PeerAddress: f.VM.PeerAddress,
 		CallerAddress: f.Listen.Callers, ReadinessAddress: f.Listen.Readiness, ControlAddress: f.Listen.Control,
@@ -130,7 +135,7 @@
 		Heartbeat: units.Milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, MemoryBytes: int64(f.Limits.MemoryMB * mebibyte),
 		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), NewestWithin: units.Milliseconds(f.Limits.NewestMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
 		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: units.Milliseconds(f.Limits.DirectoryTTLS * 1000),
-		ByRank: f.Placement.ByRank,
+		ByRank: f.Placement.ByRank, LinkRate: f.Limits.LinkMbps * bytesPerMegabit,
 	}
 	reject := func(format string, args ...any) {
 		errs = append(errs, fault.New(fault.Invalid, format, args...))
@@ -148,6 +153,9 @@
 			reject("%s: %v must be above 0", name, value)
 		}
 	}
+	if c.LinkRate < 0 {
+		reject("limits.link_mbps: %v must not be below 0", f.Limits.LinkMbps)
+	}
 	if c.NewestWithin < 0 {
 		reject("limits.newest_ms: %v must not be below 0", f.Limits.NewestMS)
 	}
--- a/io/vmconfig/vmconfig_test.go
+++ b/io/vmconfig/vmconfig_test.go
@@ -28,6 +28,7 @@
 		`limits.memory_mb: 0`:            {`284`, `0`},
 		`control.failures: -2`:           {`"failures":1`, `"failures":-2`},
 		`limits.newest_ms: -1`:           {`"grace_s"`, `"newest_ms":-1,"grace_s"`},
+		`limits.link_mbps: -1`:           {`"grace_s"`, `"link_mbps":-1,"grace_s"`},
 		`vm.dial_through.0.through: "9"`: {`10.0.0.9:1`, `9`},
 		`not valid JSON`:                 {`{"vm"`, `{vm`},
 	}
@@ -47,3 +48,13 @@
 		}
 	}
 }
+
+// Guards against settings of an earlier release that turn the bound on the link on, and against
+// megabits that are taken for megabytes.
+func TestLinkRate(t *testing.T) {
+	for text, want := range map[string]float64{valid: 0, strings.Replace(valid, `"grace_s"`, `"link_mbps":7.5,"grace_s"`, 1): 937_500} {
+		if c, err := Parse([]byte(text)); err != nil || c.LinkRate != want {
+			t.Errorf("%v bytes per second, error %v, want %v", c.LinkRate, err, want)
+		}
+	}
+}
