--- a/core/backlog/backlog_test.go
+++ b/core/backlog/backlog_test.go
@@ -122,8 +122,8 @@
 		}
 		return average
 	}
-	now := read(&b, noisy, start, 20*time.Second)
-	now = read(&b, constant(average), now, 3*time.Second)
+	end := read(&b, noisy, start, 20*time.Second)
+	read(&b, constant(average), end, 3*time.Second)
 	if got := b.Speed.TokenTime(average); got > average*13/10 {
 		t.Errorf("%v a token 3s after the last noise, want about %v", got, average)
 	}
--- a/io/vmconfig/vmconfig_test.go
+++ b/io/vmconfig/vmconfig_test.go
@@ -57,3 +57,13 @@
 		}
 	}
 }
+
+// Guards against settings of an earlier release that turn the bound on the link on, and against
+// megabits that are taken for megabytes.
+func TestLinkRate(t *testing.T) {
+	for text, want := range map[string]float64{valid: 0, strings.Replace(valid, `"grace_s"`, `"link_mbps":7.5,"grace_s"`, 1): 937_500} {
+		if c, err := Parse([]byte(text)); err != nil || c.LinkRate != want {
+			t.Errorf("%v bytes per second, error %v, want %v", c.LinkRate, err, want)
+		}
+	}
+}
