targetlink: targets that have crashed are not taken for lost links

When a quarter of the targets crashed, callers of that region got no answers for some 8 s, though three quarters of the targets were up.

Cause, from logs of the entry VMs: three refused connections to different targets in a row, with no new connection in between, made each VM take its own links for lost ("no target of the region can be reached ... connection refused"). The next connections that were needed were to crashed targets, as requests to the others go over open ones. The VMs then sent their requests to each other, which were refused there for the same reason, until their links were full, so that coordinators and control VMs didn't answer in time either. Ruled out as triggers, by trials: reports of crashes, coordination alone, forwarding to other regions.

Change: before the links count as lost, up to eight other targets are tried. A VM whose links are really lost finds that out 250 ms later at most.

TestLostLinksEndNoAnswer had a reachable target beside three that refuse connections; it closes that one's listener now, so that the links are lost for certain.

--- a/io/front/silence_test.go
+++ b/io/front/silence_test.go
@@ -90,8 +90,10 @@
 		t.Run(route.Kind.String(), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T, v *virtual) {
 				const pause = 1500 * time.Millisecond
-				w := v.fixture(t, route, v.target(t, pausing(route.Kind, pause, false)))
+				silent := v.target(t, pausing(route.Kind, pause, false))
+				w := v.fixture(t, route, silent)
 				time.AfterFunc(pause/3, func() {
+					silent.listener.Close() // open connections live on
 					for i, s := range v.unreachable(t, 3) {
 						_ = w.server.Targets.Connect(t.Context(), fmt.Sprint("t", i), s.address)
 					}
--- a/io/targetlink/monitor.go
+++ b/io/targetlink/monitor.go
@@ -26,6 +26,9 @@
 	probeTimeout = 250 * time.Millisecond
 	// probeCount is the number of targets that are tried at once.
 	probeCount = 3
+	// confirmCount is the number of other targets that are tried before the links count as
+	// lost. Where half of the targets have failed, all of these have in 1 of 256 cases.
+	confirmCount = 8
 	// recently is how long a new connection shows that the links are whole.
 	recently = 300 * time.Millisecond
 	// SilentAfter is how long no target may send anything, though requests wait, before
@@ -50,6 +53,8 @@
 	tracker *reach.Tracker
 	heard   atomic.Int64 // when a target last sent something, Unix nanoseconds
 
+	confirming atomic.Bool
+
 	mu      sync.Mutex
 	probing chan struct{} // closed when the probe that runs has ended; nil if none runs
 	waiting map[*func()]bool
@@ -116,6 +121,9 @@
 	case change == reach.Lost && m.slowItself(err):
 		m.Log.Warn("no target of the region can be reached, and no other VM either; this VM's requests don't go over others", "last", target, "error", err)
 		return
+	case change == reach.Lost && m.reachesAny():
+		m.Log.Info("several targets can't be reached, but others can; the links are whole", "last", target, "error", err)
+		return
 	case change == reach.Lost && !m.tracker.Confirm():
 		return
 	}
@@ -131,6 +139,25 @@
 	}
 }
 
+// reachesAny tries some more targets, and reports whether one can be reached, or another call
+// is finding that out.
+//
+// When many targets have failed at once, the first connections that are needed are to these,
+// while requests to the others go over connections that are open already.
+func (m *Monitor) reachesAny() bool {
+	if m.confirming.Swap(true) {
+		return true
+	}
+	defer m.confirming.Store(false)
+	begun := time.Now()
+	var group sync.WaitGroup
+	for _, target := range m.choose("", confirmCount) {
+		group.Go(func() { m.connect(target) })
+	}
+	group.Wait()
+	return m.tracker.Reached("", time.Since(begun), time.Now())
+}
+
 // slowItself reports whether another VM can't be reached in time either, after targets
 // haven't answered. Then this VM or its network is slow, and a way over another VM is
 // slower still.
