draw: go through another region while the own one knows no leader

Cause: while two regions were cut off from each other, the control VMs of the region without the leader answered each draw "no leader" at once, and each draw asked them first. The control VM of the third region then had 220 ms, and two round trips between regions take more. All draws failed.

A control VM that is asked in place of the nearest may take the rest of the 350 ms. Errors that come at once are backed off as well. Without a failure the same calls are sent as before.

TestFrozenControlVMIsPassedOver looked into the tracker that is replaced; it now asks the new one whether the frozen VM would be asked, for an urgent draw.

--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -10,10 +10,11 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
-	"kingcuprill/core/backoff"
 	"kingcuprill/core/fault"
+	"kingcuprill/core/preference"
 	"kingcuprill/core/quota"
 	"kingcuprill/core/raft"
 	"kingcuprill/io/peer"
@@ -26,13 +27,10 @@
 	// timeout bounds a request's wait for tokens. The control VM of the region may
 	// have to ask the leader in another region.
 	timeout = 350 * time.Millisecond
-	// attemptTimeout bounds the answer of one control VM: a round trip to the
-	// leader's region and the delay at a busy VM.
+	// attemptTimeout bounds the answer of the nearest control VM: a round trip to the
+	// leader's region and the delay at a busy VM. One that is asked in place of the
+	// nearest may take the rest of timeout, as it may need two round trips between regions.
 	attemptTimeout = 220 * time.Millisecond
-	// minBackoff and maxBackoff bound how long a control VM that has not answered
-	// isn't asked. It may be frozen while its connections stay open.
-	minBackoff = 500 * time.Millisecond
-	maxBackoff = 2 * time.Second
 	// leaderLease is how long after a confirmation by a majority the leader hands
 	// out tokens. Another leader can't have been elected long before it ends.
 	leaderLease = 2 * time.Second
@@ -167,15 +165,17 @@
 	Controls func() []string // control VMs that answer, the nearest first
 	Log      *slog.Logger
 
-	backoff backoff.Tracker[string] // control VMs that have not answered
+	Failed    atomic.Int64 // calls that gave no tokens, for whatever reason
+	Rerouted  atomic.Int64 // draws that another control VM than the nearest has answered
+	Unreached atomic.Int64 // draws that no control VM has answered
+
+	preference preference.Tracker[string]
+	last       atomic.Pointer[string] // the control VM that answered the last draw
 }
 
 // NewClient returns a client. Tokens that are drawn in advance go to limiter.
 func NewClient(peers *peer.Peers, limiter *quota.Limiter, controls func() []string, log *slog.Logger) *Client {
-	return &Client{
-		Peers: peers, Limiter: limiter, Controls: controls, Log: log,
-		backoff: backoff.Tracker[string]{Shortest: minBackoff, Longest: maxBackoff},
-	}
+	return &Client{Peers: peers, Limiter: limiter, Controls: controls, Log: log}
 }
 
 // Draw draws the tokens of an order from the first control VM that answers. The
@@ -189,36 +189,62 @@
 		Organisation: organisation, RatePerSecond: limit.RatePerSecond, Burst: limit.Burst, Need: order.Need, Want: order.Want,
 	}
 	wait = unreachableWait
-	for _, address := range c.Controls() {
-		if c.backoff.InBackoff(address, time.Now()) {
-			continue
+	controls := c.Controls()
+	candidates := c.preference.Order(controls, order.Need > 0, time.Now())
+	for i, address := range candidates {
+		bound := timeout
+		if address == controls[0] {
+			bound = attemptTimeout
 		}
-		answer, err := c.askControl(ctx, address, request)
+		answer, err := c.askControl(ctx, address, bound, i == len(candidates)-1, request)
 		if err == nil {
 			tokens, wait, reached = answer.GetGranted(), time.Duration(answer.GetWaitNanoseconds()), true
+			c.noteAnswer(address, controls[0])
 			break
 		}
+		c.Failed.Add(1)
 		c.Log.Warn("drawing tokens from a control VM failed; the next one is tried if time is left", "organisation", organisation, "control", address, "need", order.Need, "error", err)
 		if ctx.Err() != nil {
 			break
 		}
 	}
+	if !reached {
+		c.Unreached.Add(1)
+	}
 	if order.Need == 0 {
 		c.Limiter.AddDrawn(organisation, limit, order, 0, tokens, reached, time.Now())
 	}
 	return tokens, wait, reached
 }
 
-// askControl draws from one control VM, and sets its backoff.
-func (c *Client) askControl(ctx context.Context, address string, request *vm.DrawRequest) (*vm.DrawResponse, error) {
-	bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
+// noteAnswer counts a draw that a control VM has answered, and logs where the tokens come
+// from when that changes.
+func (c *Client) noteAnswer(address, nearest string) {
+	if address != nearest {
+		c.Rerouted.Add(1)
+	}
+	before := c.last.Swap(&address)
+	if before != nil && *before != address {
+		c.Log.Info("tokens are drawn from another control VM than before", "control", address, "before", *before, "nearest", nearest)
+	}
+}
+
+// askControl draws from one control VM, and records whether that gave tokens. If there was
+// less than attemptTimeout left for the last one, a late answer doesn't count against it.
+func (c *Client) askControl(ctx context.Context, address string, bound time.Duration, last bool, request *vm.DrawRequest) (*vm.DrawResponse, error) {
+	bounded, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
+	begun := time.Now()
 	answer, err := c.Peers.At(address).Draw(bounded, request)
 	switch {
 	case err == nil:
-		c.backoff.Succeeded(address)
-	case bounded.Err() != nil && !errors.Is(ctx.Err(), context.Canceled):
-		c.backoff.Refused(address, time.Now())
+		c.preference.Answered(address)
+	case errors.Is(ctx.Err(), context.Canceled):
+		// The caller has left.
+	case bounded.Err() == nil:
+		c.preference.Failed(address, false, time.Now())
+	case !last || time.Since(begun) >= attemptTimeout:
+		c.preference.Failed(address, true, time.Now())
 	}
 	return answer, err
 }
--- a/io/draw/draw_test.go
+++ b/io/draw/draw_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -55,7 +56,7 @@
 			t.Fatalf("draw %d: %v tokens, reached %v", i, tokens, reached)
 		}
 	}
-	if !client.backoff.InBackoff(controls[0], time.Now()) {
+	if slices.Contains(client.preference.Order(controls, true, time.Now()), controls[0]) {
 		t.Error("the frozen control VM is asked again at once")
 	}
 }
