peer: a failed call closes the idle connections to that VM only

Cause: each failed poll, message of the control log, proposal, withdrawal or forwarded request closed the idle connections to all VMs. While one VM didn't answer, calls to all others had to open new ones, with another round trip. A leader that can't reach a replica has eight senders that fail for it, so that its messages to the others and confirmations took that longer as well.

What is sent is the same.

--- a/io/cataloguesync/cataloguesync.go
+++ b/io/cataloguesync/cataloguesync.go
@@ -164,7 +164,7 @@
 	defer cancel()
 	answer, err := f.Peers.At(source.PeerAddress).Pull(callCtx, &vm.PullRequest{AfterRevision: f.VMState.Catalogue.Read().Revision})
 	if err != nil {
-		f.Peers.DropIdle()
+		f.Peers.DropIdle(source.PeerAddress)
 		f.Log.Warn("the catalogue could not be pulled from a VM; the next check tries again", "from", source.ID, "error", err)
 		return
 	}
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -175,8 +175,8 @@
 		}
 		lost = true
 		c.setReachable(address, false, false)
-		// Other connections of the pool may be as silent as this one.
-		c.Peers.DropIdle()
+		// Other connections to this control VM may be as silent as this one.
+		c.Peers.DropIdle(address)
 		if c.drop(address, reached) {
 			return nil
 		}
--- a/io/forward/client.go
+++ b/io/forward/client.go
@@ -119,7 +119,7 @@
 	}
 	if err != nil {
 		cancel()
-		c.Peers.DropIdle()
+		c.Peers.DropIdle(m.PeerAddress)
 		var operation *net.OpError
 		dialFailed := errors.As(err, &operation) && operation.Op == "dial"
 		return nil, &exchange.Failure{NotRun: dialFailed, Err: err}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -149,7 +149,7 @@
 	if g.send(ctx, m, g.message(false)) == nil {
 		return
 	}
-	g.Peers.DropIdle()
+	g.Peers.DropIdle(m.PeerAddress)
 	if g.send(ctx, m, g.message(false)) == nil || g.probeIndirectly(ctx, m) || ctx.Err() != nil {
 		return
 	}
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -29,6 +29,7 @@
 	// Network opens the connections to an address; nil stands for TCP.
 	Network func(ctx context.Context, address string) (net.Conn, error)
 	http    *http.Client
+	pools   *pools
 	clients sync.Map // address to vm.VM
 	entries sync.Map // address to entry.Entry
 }
@@ -48,14 +49,8 @@
 		Timeouts:    s.Timeouts,
 		Bytes:       &Traffic{},
 	}
-	transport := &http.Transport{
-		DialContext:         p.dial,
-		MaxIdleConnsPerHost: maxIdlePerPeer,
-		IdleConnTimeout:     idleTimeout,
-
-		MaxResponseHeaderBytes: maxHead,
-	}
-	p.http = &http.Client{Transport: signingTransport{credentials: p.Credentials, next: transport}}
+	p.pools = &pools{dial: p.dial}
+	p.http = &http.Client{Transport: signingTransport{credentials: p.Credentials, next: p.pools}}
 	return p
 }
 
@@ -141,10 +136,16 @@
 	return context.WithTimeout(ctx, p.Timeouts.Peer+time.Duration(size)*time.Second/slowestTransfer)
 }
 
-// DropIdle closes idle connections, so that the next call opens a new one. A
-// connection whose state was lost by a device between the VMs still looks open.
-func (p *Peers) DropIdle() {
-	p.http.CloseIdleConnections()
+// DropIdle closes the idle connections to one VM after a call to it has failed, so that
+// the next call opens a new one. A connection whose state was lost by a device between the
+// VMs still looks open. Connections to other VMs are kept, as a new one takes a round trip.
+func (p *Peers) DropIdle(address string) {
+	p.pools.of(address).dropIdle(time.Now())
+}
+
+// Dropped returns how often DropIdle has closed the idle connections to a VM.
+func (p *Peers) Dropped() int64 {
+	return p.pools.dropped.Load()
 }
 
 // HTTP returns the HTTP client that signs requests.
--- a/io/propose/propose.go
+++ b/io/propose/propose.go
@@ -111,7 +111,7 @@
 func (p *Proposer) proposeTo(ctx context.Context, m membership.Member, command *state.Command) (result control.Result, err error) {
 	answer, err := p.Peers.At(m.PeerAddress).Propose(ctx, &vm.ProposeRequest{Command: command})
 	if err != nil {
-		p.Peers.DropIdle()
+		p.Peers.DropIdle(m.PeerAddress)
 		return result, fault.New(fault.Internal, "vm %s: %v", m.ID, err)
 	}
 	if answer.GetLeader() != "" {
--- a/io/replica/transport.go
+++ b/io/replica/transport.go
@@ -80,7 +80,7 @@
 	callCtx, cancel := s.Peers.BoundedBySize(ctx, proto.Size(request))
 	defer cancel()
 	if _, err := s.Peers.At(address).Step(callCtx, request); err != nil {
-		s.Peers.DropIdle()
+		s.Peers.DropIdle(address)
 		s.Log.Debug("messages of the control log could not be sent and are dropped; raft sends them again", "to", to, "error", err)
 	}
 }
--- a/io/withdraw/withdraw.go
+++ b/io/withdraw/withdraw.go
@@ -100,7 +100,7 @@
 	defer cancel()
 	_, err := w.Peers.At(m.PeerAddress).Withdraw(callCtx, &vm.WithdrawRequest{Keys: keys})
 	if err != nil {
-		w.Peers.DropIdle()
+		w.Peers.DropIdle(m.PeerAddress)
 	}
 	return err
 }
