follow: news through another region while the own one confirms nothing

Cause: control VMs that are cut off from the leader lag. Those of other regions announced a newer revision only, the entry VM waited 250 ms for its own, and asked again; that poll waited for a confirmation first. Forwarded requests that go by the newer plan were refused meanwhile.

The answer then renews no lease; the next poll does. Announcements of others are fetched after 100 ms instead of 250.

Without a partition no catalogue comes from another region.

--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -37,6 +37,10 @@
 	// catalogueWait is how long the nearest control VM may take to send a catalogue
 	// that another one has announced, before the other one is asked for it.
 	catalogueWait = 250 * time.Millisecond
+	// overdueCatalogueWait is catalogueWait while no control VM of this region confirms.
+	// The one that sends catalogues in its place does so within a round trip between
+	// regions, if it is ahead of the one that has announced this catalogue.
+	overdueCatalogueWait = 100 * time.Millisecond
 	// minBackoff and maxBackoff are the pauses after the first failed poll and
 	// after many.
 	minBackoff = 100 * time.Millisecond
@@ -73,9 +77,11 @@
 	seeds     []string
 	polls     map[string]context.CancelFunc // by control VM's peer address
 	revision  uint64
-	confirmed time.Time     // when the last poll was sent that a control VM which isn't far has confirmed
-	unusable  error         // why the catalogue of this revision isn't in force as a whole
-	newer     chan struct{} // closed when a newer catalogue arrives
+	confirmed time.Time       // when the last poll was sent that a control VM which isn't far has confirmed
+	unusable  error           // why the catalogue of this revision isn't in force as a whole
+	newer     chan struct{}   // closed when a newer catalogue arrives
+	confirms  map[string]bool // control VMs whose last answer was confirmed
+	source    string          // control VM that sends catalogues in place of those of this region, or empty
 	fleet     *instance.Fleet
 	entries   map[string]map[string]entry.VM // by control VM and id
 	reports   map[string]report              // by control VM
@@ -98,6 +104,7 @@
 	c.reports = map[string]report{}
 	c.near = map[string]bool{}
 	c.named = map[string][]string{}
+	c.confirms = map[string]bool{}
 	c.seeds = seeds
 	c.startPolls(seeds)
 	t.Go(c.refresh)
@@ -202,6 +209,7 @@
 	delete(c.entries, address)
 	delete(c.reports, address)
 	delete(c.named, address)
+	delete(c.confirms, address)
 	c.fleet.Forget(address)
 	c.Log.Warn("control VM has been silent for too long and is not in the settings; it is not polled any more", "control", address, "silent", time.Since(reached))
 	return true
@@ -216,7 +224,9 @@
 func (c *Client) pollOnce(ctx context.Context, address string, seen *cursor) error {
 	c.mu.Lock()
 	revision := c.revision
-	revisionOnly := !seen.needsCatalogue && len(c.reachable) > 0 && c.reachable[0] != address
+	c.chooseSource()
+	newsFirst := c.source == address
+	revisionOnly := !seen.needsCatalogue && !newsFirst && len(c.reachable) > 0 && c.reachable[0] != address
 	wait := c.setScope(address, seen)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
@@ -226,6 +236,7 @@
 		Entry: codec.FromEntryVM(c.Self()), Revision: revision, Epoch: seen.epoch,
 		TargetsVersion: seen.targets, EntriesVersion: seen.entries, WaitNanoseconds: int64(wait),
 		Announce: revisionOnly, OnlyRegion: true, NoEntries: seen.noEntries, CrashesVersion: seen.crashes,
+		NewsFirst: newsFirst,
 	})
 	if err != nil {
 		return err
@@ -236,6 +247,11 @@
 	}
 	has := c.awaitRevision(ctx, answer.GetRevision())
 	seen.needsCatalogue = !has
+	c.mu.Lock()
+	if early := newsFirst && len(answer.GetCatalogue()) > 0; !early || answer.GetConfirmed() {
+		c.confirms[address] = has && answer.GetConfirmed()
+	}
+	c.mu.Unlock()
 	if has && answer.GetConfirmed() && c.isInForce() {
 		c.Lease.Confirm(sent)
 		c.mu.Lock()
@@ -259,7 +275,13 @@
 // announced, and reports whether it has. Only the nearest control VM sends it, so
 // that a catalogue is transferred once and not by each of them.
 func (c *Client) awaitRevision(ctx context.Context, revision uint64) (has bool) {
-	timer := time.NewTimer(catalogueWait)
+	c.mu.Lock()
+	wait := catalogueWait
+	if c.source != "" {
+		wait = overdueCatalogueWait
+	}
+	c.mu.Unlock()
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -42,6 +42,7 @@
 	web     *httptest.Server
 	address string
 	network *memnet.Network // nil for TCP
+	way     time.Duration   // that a message takes in one direction
 
 	mu    sync.Mutex
 	asked *vm.FollowRequest // the last poll
@@ -53,7 +54,9 @@
 	c.mu.Lock()
 	c.asked = request
 	c.mu.Unlock()
+	time.Sleep(c.way)
 	answer := c.server.Answer(ctx, request)
+	time.Sleep(c.way)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent = append(c.sent, answer)
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -139,6 +139,9 @@
 	confirmation := s.joinRound()
 	deadline := time.NewTimer(time.Duration(request.GetWaitNanoseconds()))
 	defer deadline.Stop()
+	if request.GetNewsFirst() && request.GetEpoch() == s.Epoch && !s.confirmedBeforeNews(request, confirmation) {
+		return s.newAnswer(request, false)
+	}
 	confirmed := s.awaitConfirmation(ctx, confirmation)
 	for !s.hasNewer(request) {
 		targets, unknown := s.targetChanges(request)
@@ -163,6 +166,27 @@
 	return s.newAnswer(request, confirmed)
 }
 
+// confirmedBeforeNews waits until a round ends, for no longer than confirmTimeout, or this
+// VM has a newer catalogue than the entry VM, and reports whether the latter has not come
+// first. The next poll renews the lease of the entry VM then.
+func (s *Server) confirmedBeforeNews(request *vm.FollowRequest, confirmation *round) bool {
+	timer := time.NewTimer(confirmTimeout)
+	defer timer.Stop()
+	for {
+		changed := s.VMState.Catalogue.Changed()
+		if s.VMState.Catalogue.Read().Revision > request.GetRevision() {
+			return false
+		}
+		select {
+		case <-confirmation.done:
+			return true
+		case <-timer.C:
+			return true
+		case <-changed:
+		}
+	}
+}
+
 // awaitConfirmation waits for a round and reports whether a majority confirmed a
 // revision that this VM has applied in time.
 func (s *Server) awaitConfirmation(ctx context.Context, confirmation *round) bool {
--- /dev/null
+++ b/io/follow/source.go
@@ -0,0 +1,57 @@
+package follow
+
+import (
+	"slices"
+	"time"
+)
+
+// silentAfter is the age of the last confirmation of this region from which on there is
+// none, though its control VMs may not have answered the poll yet: that confirmation was
+// asked for a poll before.
+const silentAfter = pollWait + confirmedLately
+
+// chooseSource decides which control VM of another region sends catalogues as soon as it
+// has them. None does while one of this region confirms: the catalogue is sent over links
+// between regions only where those of this region may be cut off from the leader, and lack
+// the newest one. The caller holds mu.
+func (c *Client) chooseSource() {
+	before := c.source
+	c.source = c.nextSource()
+	if c.source != before {
+		c.Log.Info("control VM of another region that sends catalogues has changed; none does while one of this region confirms",
+			"control", c.source, "before", before, "confirmed_here", time.Since(c.confirmed), "lease_left", c.Lease.Left())
+	}
+}
+
+// nextSource keeps the source while it confirms. Before the first confirmation, and while no
+// confirmation comes from anywhere, there is none: news before the confirmation would only
+// delay the renewal of the lease.
+func (c *Client) nextSource() string {
+	if !c.nearAnswers() || c.nearConfirms() || !c.Lease.Within(confirmedLately) {
+		return ""
+	}
+	mayBe := func(address string) bool {
+		return !c.near[address] && c.confirms[address] && slices.Contains(c.reachable, address)
+	}
+	if mayBe(c.source) {
+		return c.source
+	}
+	if i := slices.IndexFunc(c.reachable, mayBe); i >= 0 {
+		return c.reachable[i]
+	}
+	return ""
+}
+
+// nearConfirms reports whether a control VM of this region has confirmed its last poll. The
+// caller holds mu.
+func (c *Client) nearConfirms() bool {
+	if time.Since(c.confirmed) > silentAfter {
+		return false
+	}
+	for address, answers := range c.near {
+		if answers && c.confirms[address] {
+			return true
+		}
+	}
+	return false
+}
