--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -78,6 +78,7 @@
 	lastCommand       uint64                // last proposed command
 	proposed          map[uint64]uint64     // index to term of proposals at their leader
 	membershipChanges int
+	answered          int // reads
 }
 
 const (
@@ -253,6 +254,7 @@
 }
 
 func (s *simulation) answerReads(r *replica, reads []raft.ReadState) {
+	s.answered += len(reads)
 	for _, read := range reads {
 		if needed := r.reads[read.Context]; read.Index < needed {
 			s.fail("%s answers a read at index %d, %d was acknowledged before it was asked", r.id, read.Index, needed)
