controlvm: confirmations of the third region during a partial partition

Control VMs with real replicas in virtual time, 55 ms between regions, the leader's region cut off from another one for 9 s.

The lease of the follower in the tests of io/follow read the clock of the machine, which tests in virtual time don't pause, so that TestConfirmationsComeThroughAnotherRegion showed nothing.

--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -25,7 +25,6 @@
 	"kingcuprill/core/quarantine"
 	"kingcuprill/core/versioned"
 	"kingcuprill/core/vmstate"
-	"kingcuprill/io/boottime"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/rig/eventually"
 	"kingcuprill/io/rig/link"
@@ -140,8 +139,10 @@
 func startLoggedFollower(t *testing.T, log *slog.Logger, controls ...*control) *follower {
 	t.Helper()
 	f := &follower{crashes: map[string]quarantine.Crash{}}
+	begun := time.Now()
+	clock := func() time.Duration { return time.Since(begun) } // that tests pause, other than boottime
 	f.Client = &Client{
-		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: log,
+		Peers: peer.NewUnsigned("e"), Lease: lease.New(clock, 5*time.Second), Log: log,
 		Self: func() entry.VM { return entry.VM{ID: "e", Region: "near", Ready: true} },
 		OnCatalogue: func(c *catalogue.Catalogue) error {
 			f.mu.Lock()
