--- a/io/controlvm/controlvm.go
+++ b/io/controlvm/controlvm.go
@@ -290,6 +290,7 @@
 	v.Metrics.Gauge("held", func() int64 { return int64(v.replica.Status().Held) })
 	v.Metrics.Gauge("log_bytes", func() int64 { return v.replica.Status().LogBytes })
 	v.Metrics.Gauge("stream_versions", v.streams.Streams)
+	v.Metrics.Gauge("idle_dropped", v.peers.Dropped)
 	v.Metrics.Gauge("confirmed_ms_ago", func() int64 { return v.Follow.SinceConfirmed().Milliseconds() })
 }
 
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -97,6 +97,7 @@
 	quarantine  *quarantine.List
 	crashes     *crashreport.Sender
 	client      *follow.Client
+	drawer      *draw.Client
 	front       *front.Server
 	coordinator *coordinator.Server
 	servers     []*listener.Server
@@ -120,9 +121,9 @@
 	}
 	v.crashes = &crashreport.Sender{Peers: peers, Addresses: v.client.Polled, Log: o.Log}
 	v.quarantine.Changed = v.crashes.Send
-	drawer := draw.NewClient(peers, v.quota, v.client.Controls, o.Log)
+	v.drawer = draw.NewClient(peers, v.quota, v.client.Controls, o.Log)
 	v.front = &front.Server{
-		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
+		Drawer: v.drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, NewestWithin: c.NewestWithin, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		ByRank: c.ByRank, Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
@@ -330,6 +331,11 @@
 	v.Metrics.Gauge("lease_left_ms", func() int64 { return v.lease.Left().Milliseconds() })
 	v.Metrics.Gauge("revision", func() int64 { return int64(v.state.Read().Revision) })
 	v.Metrics.Gauge("entry_vms", v.vmCount.Load)
+	v.Metrics.Gauge("draws.failed", v.drawer.Failed.Load)
+	v.Metrics.Gauge("draws.rerouted", v.drawer.Rerouted.Load)
+	v.Metrics.Gauge("draws.unreached", v.drawer.Unreached.Load)
+	v.Metrics.Gauge("news_from_elsewhere", v.client.FromElsewhere)
+	v.Metrics.Gauge("idle_dropped", v.client.Peers.Dropped)
 	v.Metrics.Gauge("coordinated_targets", v.placer.Coordinated)
 	v.Metrics.Gauge("limited_targets", v.placer.Limited)
 	v.Metrics.Gauge("reserved_places", v.coordinator.Reserved)
--- a/io/follow/source.go
+++ b/io/follow/source.go
@@ -55,3 +55,14 @@
 	}
 	return false
 }
+
+// FromElsewhere returns 1 while a control VM of another region sends catalogues in place of
+// those of this region, and otherwise 0.
+func (c *Client) FromElsewhere() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.source == "" {
+		return 0
+	}
+	return 1
+}
--- a/io/rig/memnet/memnet.go
+++ b/io/rig/memnet/memnet.go
@@ -18,6 +18,7 @@
 	listeners map[string]*listener
 	conns     []net.Conn
 	last      int // number of the last address
+	dials     map[string]int
 }
 
 // Listen returns a listener at an address, or at one of its own if that is empty.
@@ -48,6 +49,10 @@
 // Dial connects to a listener. Connections to other addresses are refused.
 func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
 	n.mu.Lock()
+	if n.dials == nil {
+		n.dials = map[string]int{}
+	}
+	n.dials[address]++
 	l, found := n.listeners[address]
 	n.mu.Unlock()
 	if !found {
@@ -65,6 +70,13 @@
 	}
 }
 
+// Dials returns how often an address was dialed.
+func (n *Network) Dials(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[address]
+}
+
 func refused(address string) error {
 	return fmt.Errorf("dial %s: %w", address, syscall.ECONNREFUSED)
 }
