follow: poll each second while another region confirms

Cause: while no control VM of a region confirmed, all control VMs were polled with a wait of 250 ms, though those of the third region confirmed each poll.

Change: while there is a source in another region, polls are held for a second, as near ones are. News still end them at once. The source stays while the newest confirmation is younger than 2.4 s; confirmations go before news once it is older than 1.4 s. Without a source, polls are as short as before.

--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -225,8 +225,9 @@
 	c.mu.Lock()
 	revision := c.revision
 	c.chooseSource()
-	newsFirst := c.source == address
-	revisionOnly := !seen.needsCatalogue && !newsFirst && len(c.reachable) > 0 && c.reachable[0] != address
+	isSource := c.source == address
+	newsFirst := isSource && c.Lease.Within(confirmedLately) // or else changes could keep confirmations away
+	revisionOnly := !seen.needsCatalogue && !isSource && len(c.reachable) > 0 && c.reachable[0] != address
 	wait := c.setScope(address, seen)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
--- a/io/follow/partition_test.go
+++ b/io/follow/partition_test.go
@@ -29,6 +29,7 @@
 	near *control
 	far  [2]*control
 	cut  atomic.Bool
+	lost atomic.Bool // the first far control VM has no way to the leader either
 }
 
 func startPartitioned(t *testing.T) *partitioned {
@@ -47,7 +48,11 @@
 	for i := range p.far {
 		far := startControlOn(t, network, fmt.Sprint("far-", i), "third")
 		far.way = regionWay
-		far.server.Confirm = func(context.Context) (uint64, error) {
+		far.server.Confirm = func(ctx context.Context) (uint64, error) {
+			if i == 0 && p.lost.Load() {
+				<-ctx.Done()
+				return 0, errors.New("the leader doesn't answer")
+			}
 			revision := far.vmState.Catalogue.Read().Revision
 			time.Sleep(farConfirms)
 			return revision, nil
@@ -99,7 +104,8 @@
 }
 
 // The lease must be renewed through the other region from the first moment of the partition,
-// also while the configuration changes all the time, and after its end.
+// also while the configuration changes all the time, when one of the two control VMs there
+// is lost, and after its end.
 func TestConfirmationsComeThroughAnotherRegion(t *testing.T) {
 	const newestWithin = 4 * time.Second
 	for _, every := range []time.Duration{time.Hour, 3 * time.Second, 100 * time.Millisecond} {
@@ -110,6 +116,7 @@
 				begun, changed, revision := time.Now(), time.Now(), uint64(1)
 				for time.Since(begun) < 14*time.Second {
 					p.cut.Store(time.Since(begun) < 9*time.Second)
+					p.lost.Store(time.Since(begun) > 5*time.Second)
 					if time.Since(changed) >= every {
 						changed, revision = time.Now(), revision+1
 						p.change(revision)
@@ -141,3 +148,30 @@
 		}
 	})
 }
+
+// While a confirmation was overdue, all control VMs were polled four times a second, also
+// where one of another region confirmed. The links of entry VMs are narrow.
+func TestPollsDoNotMultiplyWhileAnotherRegionConfirms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPartitioned(t)
+		answered := func() (count int) {
+			for _, c := range []*control{p.near, p.far[0], p.far[1]} {
+				c.mu.Lock()
+				count += len(c.sent)
+				c.mu.Unlock()
+			}
+			return count
+		}
+		polls := func() int {
+			begun := answered()
+			time.Sleep(10 * time.Second)
+			return answered() - begun
+		}
+		before := polls()
+		p.cut.Store(true)
+		time.Sleep(farPollWait + confirmedLately)
+		if during := polls(); during > before*5/4 {
+			t.Errorf("%d polls in 10 s of the partition, %d before it", during, before)
+		}
+	})
+}
--- a/io/follow/scope.go
+++ b/io/follow/scope.go
@@ -38,7 +38,8 @@
 // While a control VM of this region answers, those of other regions aren't asked for
 // the entry VMs, which all know: at hundreds of entry VMs these rows are a large part
 // of the traffic between regions. A held poll confirms nothing before its end, so polls are
-// short while a confirmation is overdue. The caller holds mu.
+// short while a confirmation is overdue and none comes from another region either. The
+// caller holds mu.
 func (c *Client) setScope(address string, seen *cursor) (wait time.Duration) {
 	far := !c.near[address] && c.nearAnswers()
 	if far != seen.noEntries {
@@ -47,6 +48,8 @@
 		delete(c.entries, address)
 	}
 	switch {
+	case c.source != "":
+		return pollWait
 	case time.Since(c.confirmed) > confirmedLately:
 		return overdueWait
 	case far:
--- a/io/follow/source.go
+++ b/io/follow/source.go
@@ -24,10 +24,9 @@
 }
 
 // nextSource keeps the source while it confirms. Before the first confirmation, and while no
-// confirmation comes from anywhere, there is none: news before the confirmation would only
-// delay the renewal of the lease.
+// confirmation comes from anywhere, there is none.
 func (c *Client) nextSource() string {
-	if !c.nearAnswers() || c.nearConfirms() || !c.Lease.Within(confirmedLately) {
+	if !c.nearAnswers() || c.nearConfirms() || !c.Lease.Within(silentAfter) {
 		return ""
 	}
 	mayBe := func(address string) bool {
