--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -25,7 +25,6 @@
 	"kingcuprill/core/quarantine"
 	"kingcuprill/core/versioned"
 	"kingcuprill/core/vmstate"
-	"kingcuprill/io/boottime"
 	"kingcuprill/io/peer"
 	"kingcuprill/io/rig/eventually"
 	"kingcuprill/io/rig/link"
@@ -42,6 +41,7 @@
 	web     *httptest.Server
 	address string
 	network *memnet.Network // nil for TCP
+	way     time.Duration   // that a message takes in one direction
 
 	mu    sync.Mutex
 	asked *vm.FollowRequest // the last poll
@@ -53,7 +53,9 @@
 	c.mu.Lock()
 	c.asked = request
 	c.mu.Unlock()
+	time.Sleep(c.way)
 	answer := c.server.Answer(ctx, request)
+	time.Sleep(c.way)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent = append(c.sent, answer)
@@ -137,8 +139,10 @@
 func startLoggedFollower(t *testing.T, log *slog.Logger, controls ...*control) *follower {
 	t.Helper()
 	f := &follower{crashes: map[string]quarantine.Crash{}}
+	begun := time.Now()
+	clock := func() time.Duration { return time.Since(begun) } // that tests pause, other than boottime
 	f.Client = &Client{
-		Peers: peer.NewUnsigned("e"), Lease: lease.New(boottime.Now, 5*time.Second), Log: log,
+		Peers: peer.NewUnsigned("e"), Lease: lease.New(clock, 5*time.Second), Log: log,
 		Self: func() entry.VM { return entry.VM{ID: "e", Region: "near", Ready: true} },
 		OnCatalogue: func(c *catalogue.Catalogue) error {
 			f.mu.Lock()
--- a/io/peer/peers.go
+++ b/io/peer/peers.go
@@ -31,6 +31,7 @@
 	// Wrap returns a new connection with what counts its bytes on the link. It may be nil.
 	Wrap    func(net.Conn) net.Conn
 	http    *http.Client
+	pools   *pools
 	clients sync.Map // address to vm.VM
 	entries sync.Map // address to entry.Entry
 }
@@ -50,15 +51,8 @@
 		Timeouts:    s.Timeouts,
 		Bytes:       &Traffic{},
 	}
-	transport := &http.Transport{
-		DialContext:         p.dial,
-		MaxIdleConnsPerHost: maxIdlePerPeer,
-		IdleConnTimeout:     idleTimeout,
-
-		MaxResponseHeaderBytes: maxHead,
-		DisableCompression:     true, // catalogues are compressed already, all else is small
-	}
-	p.http = &http.Client{Transport: signingTransport{credentials: p.Credentials, next: transport}}
+	p.pools = &pools{dial: p.dial}
+	p.http = &http.Client{Transport: signingTransport{credentials: p.Credentials, next: p.pools}}
 	return p
 }
 
@@ -147,10 +141,16 @@
 	return context.WithTimeout(ctx, p.Timeouts.Peer+time.Duration(size)*time.Second/slowestTransfer)
 }
 
-// DropIdle closes idle connections, so that the next call opens a new one. A
-// connection whose state was lost by a device between the VMs still looks open.
-func (p *Peers) DropIdle() {
-	p.http.CloseIdleConnections()
+// DropIdle closes the idle connections to one VM after a call to it has failed, so that
+// the next call opens a new one. A connection whose state was lost by a device between the
+// VMs still looks open. Connections to other VMs are kept, as a new one takes a round trip.
+func (p *Peers) DropIdle(address string) {
+	p.pools.of(address).dropIdle(time.Now())
+}
+
+// Dropped returns how often DropIdle has closed the idle connections to a VM.
+func (p *Peers) Dropped() int64 {
+	return p.pools.dropped.Load()
 }
 
 // HTTP returns the HTTP client that signs requests.
