directory: VMs with faster links are named more often

Where entry VMs have links of 7.5 and of 25 Mbit/s, callers choose among them at random, so that the slow ones are full while the others have room.

An answer of the directory names a VM as many times as its link is faster than the slowest one, four times at most, as long as there are at most 64 addresses. VMs that are alike are named once, as before. Not measured yet.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -23,6 +23,7 @@
 	Ready bool
 	// WithoutTargets says that the VM reaches no target of its region itself.
 	WithoutTargets bool
+	LinkRate       float64 // of its network link, bytes per second; 0 if it isn't known
 }
 
 // Seen is an entry VM and the time of its last report.
@@ -83,11 +84,7 @@
 
 // serving returns the addresses of those of some VMs that serve callers of a region.
 func (d Directory) serving(vms []VM, region string) (addresses []string) {
-	for _, v := range serving(vms, region) {
-		addresses = append(addresses, v.CallerAddress)
-	}
-	slices.Sort(addresses)
-	return addresses
+	return addressesOf(serving(vms, region))
 }
 
 // others returns the addresses of those of some VMs that belong to the region with the
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -169,7 +169,7 @@
 	c := v.Config
 	self := entry.VM{
 		ID: c.ID, Region: c.Region, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Ready: v.Ready(),
-		WithoutTargets: v.front.Links.Lost(),
+		WithoutTargets: v.front.Links.Lost(), LinkRate: c.LinkRate,
 	}
 	if v.accepts() {
 		self.CallerAddress = c.CallerAddress
