quarantine: crashes with a common cause

Cause: when a quarter of a service's engines failed at once, all parts of the requests there became suspect, and sound requests with them ran one at a time in a region or were refused for seconds.

Change: six or more targets of a service that crash within a second, as a VM hears of it, are a wave. A wave makes a part suspect only if no VM knows a good answer with it and an answer had begun or two targets crashed with it, or if it was at more of the targets than its share of the requests explains. Times only group crashes; nothing changes in what VMs send each other. From 64 crashes on, they are evaluated once in 20 ms. A counter and a log line describe each wave.

--- a/core/quarantine/index.go
+++ b/core/quarantine/index.go
@@ -23,6 +23,7 @@
 type serviceIndex struct {
 	suspects map[string]bool // parts that may have caused a crash; true if an answer with it had begun
 	causes   []cause
+	waves    map[string]*wave // by target that crashed in one
 }
 
 // cause is a set of parts of which one has crashed targets repeatedly.
@@ -60,7 +61,7 @@
 	}
 	built := index{}
 	for service, rows := range byService {
-		if s := newServiceIndex(rows); len(s.suspects)+len(s.causes) > 0 {
+		if s := newServiceIndex(rows); len(s.suspects)+len(s.causes)+len(s.waves) > 0 {
 			built[service] = s
 		}
 	}
@@ -74,8 +75,12 @@
 }
 
 func newServiceIndex(rows []*record) *serviceIndex {
+	waves := findWaves(rows)
 	candidates := findCandidates(rows)
-	s := &serviceIndex{suspects: map[string]bool{}, causes: findCauses(candidates)}
+	if len(waves) > 0 {
+		candidates = newEvidence(waves, rows, candidates).dismiss(candidates)
+	}
+	s := &serviceIndex{suspects: map[string]bool{}, causes: findCauses(candidates), waves: waves}
 	explained := map[string]bool{}
 	for _, c := range candidates {
 		if slices.ContainsFunc(s.causes, func(found cause) bool { return containsAll(c.parts, found.parts) }) {
@@ -87,7 +92,7 @@
 			continue
 		}
 		for _, part := range c.parts {
-			s.suspects[part] = s.suspects[part] || c.Begun
+			s.suspects[part] = s.suspects[part] || c.Begun && waves[c.Boot].likely(part)
 		}
 	}
 	return s
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -11,6 +11,9 @@
 // run one at a time in a region, as trials. A part that is left from two crashes, one
 // of them in a trial, is refused, for a time that grows with each further crash;
 // after it, there are trials again. Everything is in memory.
+//
+// Where many targets of a service crash at almost the same time, a cause outside of the
+// requests is more likely. Such a wave makes only those parts suspect that it speaks against.
 package quarantine
 
 import (
@@ -30,6 +33,10 @@
 	// refusedKept is how long the crashes of parts that were refused are kept, so that
 	// the next refusal is longer.
 	refusedKept = 24 * time.Hour
+	// manyCrashes is the number of crashes from which on they are evaluated only once in
+	// evaluatePause, as each evaluation takes up to some milliseconds.
+	manyCrashes   = 64
+	evaluatePause = 20 * time.Millisecond
 	// maxCrashes bounds the crashes kept. The oldest ones of which no part is refused
 	// are dropped first.
 	maxCrashes = 512
@@ -51,6 +58,9 @@
 	// Changed is called, if it is set, with crashes that this VM has reported or
 	// cleared parts of. It must not block and must be set before the first use.
 	Changed func(rows []Crash)
+	// Settled is called, if it is set, once for each wave, when most of it is known. It
+	// must be set before the first use.
+	Settled func(Wave)
 
 	index   atomic.Pointer[index]
 	learned atomic.Uint64 // number of the last crash that this VM has heard of
@@ -60,6 +70,10 @@
 	known   knownParts
 	trials  map[string]bool // parts of the trials that run on this VM
 	watches map[*watch]bool
+	settled map[string]bool // targets of the waves that Settled has been or will be called for
+
+	evaluated time.Time // last time
+	due       bool      // an evaluation is to come
 }
 
 // watch is a request that waits at a target.
@@ -84,7 +98,12 @@
 
 // Empty reports whether no request is suspect or refused.
 func (l *List) Empty() bool {
-	return len(*l.index.Load()) == 0
+	for _, s := range *l.index.Load() {
+		if len(s.suspects)+len(s.causes) > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // Judge returns whether a request may run now. It takes no lock.
@@ -222,9 +241,30 @@
 	return slices.ContainsFunc(s.causes, func(c cause) bool { return containsAll(left, c.parts) })
 }
 
+// rebuild evaluates the crashes, now or soon.
 func (l *List) rebuild() {
+	if l.due {
+		return
+	}
+	wait := evaluatePause - time.Since(l.evaluated)
+	if len(l.records) < manyCrashes || wait <= 0 {
+		l.evaluate()
+		return
+	}
+	l.due = true
+	time.AfterFunc(wait, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.due = false
+		l.evaluate()
+	})
+}
+
+func (l *List) evaluate() {
+	l.evaluated = time.Now()
 	built := newIndex(l.records)
 	l.index.Store(&built)
+	l.announceWaves(built)
 	now := time.Now()
 	for w := range l.watches {
 		s, found := built[w.request.Service]
@@ -349,7 +389,7 @@
 		if l.refused(r) {
 			kept = refusedKept
 		}
-		if now.Sub(r.at) > kept {
+		if now.Sub(l.heardAt(r)) > kept {
 			l.drop(id)
 		}
 	}
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -120,6 +120,7 @@
 	}
 	v.crashes = &crashreport.Sender{Peers: peers, Addresses: v.client.Polled, Log: o.Log}
 	v.quarantine.Changed = v.crashes.Send
+	v.quarantine.Settled = v.recordWave
 	drawer := draw.NewClient(peers, v.quota, v.client.Controls, o.Log)
 	v.front = &front.Server{
 		Drawer: drawer, Coordinators: coordinator.NewClient(peers, o.Log),
@@ -276,6 +277,16 @@
 	}
 }
 
+// maxKeptLogged bounds the suspect parts in the log line of a wave.
+const maxKeptLogged = 8
+
+// recordWave counts and logs crashes with a common cause.
+func (v *VM) recordWave(w quarantine.Wave) {
+	v.Metrics.Count("quarantine.waves")
+	v.Log.Warn("many targets of a service have crashed at almost the same time; only the parts that this speaks against are suspect", "service", w.Service,
+		"targets", w.Targets, "requests", w.Requests, "begun", w.Begun, "dismissed", w.Dismissed, "suspect", len(w.Kept), "parts", w.Kept[:min(len(w.Kept), maxKeptLogged)])
+}
+
 // discoveryTime is how long after its start a VM may not know all entry VMs
 // yet. Until then its directory answers name no VMs of other regions, as it can't
 // know that a region has none.
