linkbudget: no phantom queue, and a turn for each request that was shed

Cause, from logs: the overhead of packets is estimated, and a link that was full counted 112% of its rate. The excess was taken for a queue of bytes that come in, which left the least room. Bytes that have come in were carried already. Shedding at random refused the returning requests as often as new ones. A VM with a busy link forwarded nothing, although a forwarded request takes no more of its link than one to a target.

Change: the queue counts bytes out only; what comes in over a second calibrates the overhead; a request with a prompt has a turn within 1.2 s by its own part, and Retry-After leads to it; only the receiver of forwarded requests refuses them when its link is busy. Not measured yet.

--- a/core/linkbudget/linkbudget.go
+++ b/core/linkbudget/linkbudget.go
@@ -7,9 +7,10 @@
 // a target, and its answer comes in and goes out. So each request is charged when it is
 // admitted with what such requests have cost, and the charge is corrected when it ends.
 //
-// First, no requests are forwarded to or taken from other VMs. Then callers' requests are
-// refused at random, each rank in proportion to the excess and less urgent ones first.
-// Running requests, coordination and control are only measured and never refused.
+// First, no requests are taken from other VMs. Then callers' requests are refused, each rank
+// in proportion to the excess and less urgent ones first. Running requests, coordination and
+// control are only measured and never refused. Requests that are forwarded to another VM take
+// no more of this VM's link than those that go to a target.
 package linkbudget
 
 import (
@@ -52,16 +53,16 @@
 	otherTime  = 2 * time.Second
 	// maxQueueTime bounds the estimated queue.
 	maxQueueTime = time.Second
-	// forwardUntil and forwardAgain are the parts of the link's rate at which forwarding ends
-	// and begins again.
-	forwardUntil = 0.75
-	forwardAgain = 0.65
+	// forwardedUntil and forwardedAgain are the parts of the link's rate at which requests of
+	// other VMs are no longer taken, and are taken again.
+	forwardedUntil = 0.75
+	forwardedAgain = 0.65
 	// shedFrom is the demand, as a multiple of the room, at which shedding begins if half of the
 	// allowance is used up. It ends when the demand fits. The allowance bounds what is taken in
 	// between.
 	shedFrom = 1.15
 	// calmWindows is for how many windows there must be room before shedding has ended or
-	// requests are forwarded again.
+	// requests of other VMs are taken again.
 	calmWindows = 5
 	// evenShare is the part of the average share of admitted work that every rank gets, so
 	// that no rank is served less than a quarter as often as all requests.
@@ -83,8 +84,8 @@
 	answers answers
 	current atomic.Pointer[decision]
 
-	Shed         atomic.Int64 // callers' requests refused since the start
-	NotForwarded atomic.Int64 // requests not forwarded or not taken from another VM
+	Shed     atomic.Int64 // callers' requests refused since the start
+	NotTaken atomic.Int64 // requests not taken from another VM
 
 	// The rest is used by Update only.
 	updated     time.Time
@@ -92,28 +93,29 @@
 	chargedThen int64
 	use         [Directions]float64 // bytes per second
 	other       [Directions]float64 // bytes per second that aren't charged to requests
-	queue       [Directions]float64 // bytes
+	queue       float64             // bytes that wait to be sent
+	scale       float64             // bytes that the link carries for each byte that is counted
 	demand      [Ranks]float64      // bytes per second
 	shedThen    int64
 	calm        int // windows without shedding
-	roomy       int // windows with room for forwarding
+	roomy       int // windows with room for requests of other VMs
 }
 
 // decision is what applies until the next update.
 type decision struct {
-	share      [Ranks]float64 // of the requests of each rank that are admitted
-	shedding   bool
-	forwarding bool
-	excess     float64 // demand divided by what may be taken
-	percent    [Directions]int64
+	share     [Ranks]float64 // of the requests of each rank that are admitted
+	shedding  bool
+	forwarded bool    // requests of other VMs are taken
+	excess    float64 // demand divided by what may be taken
+	percent   [Directions]int64
 }
 
 // New returns a budget for a link with a rate in bytes per second in each direction.
 func New(rate float64) *Budget {
-	b := &Budget{rate: rate, burst: targetShare * rate * burstTime.Seconds()}
+	b := &Budget{rate: rate, scale: 1, burst: targetShare * rate * burstTime.Seconds()}
 	b.left.Store(int64(b.burst))
 	b.answers.reset()
-	first := &decision{forwarding: true}
+	first := &decision{forwarded: true}
 	for rank := range first.share {
 		first.share[rank] = 1
 	}
@@ -137,23 +139,15 @@
 	return cost, true
 }
 
-// MayForward reports whether requests may be forwarded to other regions.
-func (b *Budget) MayForward() bool {
-	if b == nil || b.current.Load().forwarding {
-		return true
-	}
-	b.NotForwarded.Add(1)
-	return false
-}
-
-// AdmitForwarded is Admit for a request that another VM has forwarded.
+// AdmitForwarded is Admit for a request that another VM has forwarded. It is refused first, as
+// that VM has other ways.
 func (b *Budget) AdmitForwarded(body int64) (charge int64, admitted bool) {
 	if b == nil {
 		return 0, true
 	}
 	cost := b.cost(body)
-	if !b.current.Load().forwarding || !b.take(cost) {
-		b.NotForwarded.Add(1)
+	if !b.current.Load().forwarded || !b.take(cost) {
+		b.NotTaken.Add(1)
 		return 0, false
 	}
 	return cost, true
@@ -201,9 +195,9 @@
 	return b.current.Load().shedding
 }
 
-// Forwarding reports whether requests may be forwarded, without counting the question.
-func (b *Budget) Forwarding() bool {
-	return b == nil || b.current.Load().forwarding
+// TakesForwarded reports whether requests are taken from other VMs.
+func (b *Budget) TakesForwarded() bool {
+	return b == nil || b.current.Load().forwarded
 }
 
 // Percent returns the use of the link in a direction.
@@ -238,17 +232,29 @@
 	chargedRate := float64(charged-b.chargedThen) / elapsed
 	b.chargedThen = charged
 	for d := range Directions {
-		bytes := float64(total[d] - b.total[d])
+		bytes := float64(total[d]-b.total[d]) * b.scale
 		average(&b.use[d], bytes/elapsed, elapsed, useTime)
 		average(&b.other[d], bytes/elapsed-chargedRate, elapsed, otherTime)
-		b.queue[d] = min(max(0, b.queue[d]+bytes-b.rate*elapsed), b.rate*maxQueueTime.Seconds())
+		if d == Out {
+			b.queue = min(max(0, b.queue+bytes-b.rate*elapsed), b.rate*maxQueueTime.Seconds())
+		}
 	}
 	b.total = total
+	b.calibrate()
 	for rank := range b.demand {
 		average(&b.demand[rank], float64(b.offered[rank].Swap(0))/elapsed, elapsed, demandTime)
 	}
 }
 
+// calibrate corrects the estimated overhead of packets: what has come in over a second was
+// carried by the link, so that it can't be more than its rate.
+func (b *Budget) calibrate() {
+	if over := b.use[In] / b.rate; over > 1 {
+		b.use[In] = b.rate
+		b.scale /= over
+	}
+}
+
 func average(value *float64, next, elapsed float64, over time.Duration) {
 	*value += (next - *value) * min(1, elapsed/over.Seconds())
 }
@@ -257,9 +263,9 @@
 func (b *Budget) room() (room float64) {
 	room = targetShare * b.rate
 	for d := range Directions {
-		taken := max(0, b.other[d]) + b.queue[d]/settleTime.Seconds()
-		room = min(room, targetShare*b.rate-taken)
+		room = min(room, targetShare*b.rate-max(0, b.other[d]))
 	}
+	room -= b.queue / settleTime.Seconds()
 	return max(leastShare*b.rate, room)
 }
 
@@ -296,15 +302,15 @@
 		next.percent[d] = int64(b.use[d] / b.rate * percent)
 		highest = max(highest, b.use[d]/b.rate)
 	}
-	limit := forwardAgain
-	if before.forwarding {
-		limit = forwardUntil
+	limit := forwardedAgain
+	if before.forwarded {
+		limit = forwardedUntil
 	}
 	b.roomy++
 	if next.shedding || highest >= limit || left <= 0 {
 		b.roomy = 0
 	}
-	next.forwarding = b.roomy > 0 && (before.forwarding || b.roomy >= calmWindows)
+	next.forwarded = b.roomy > 0 && (before.forwarded || b.roomy >= calmWindows)
 	b.current.Store(next)
 }
 
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -64,7 +64,7 @@
 // mayForward reports whether the home region of the request's shared part is another
 // one that can take the request now.
 func (x *exchange) mayForward(r place.Request) bool {
-	if x.from != "" || x.stay || x.tries > 0 || !x.server.Link.Forwarding() || time.Until(x.deadline) < minForwardTime {
+	if x.from != "" || x.stay || x.tries > 0 || time.Until(x.deadline) < minForwardTime {
 		return false
 	}
 	region, other := x.server.Placer.HomeRegion(r, x.atHome)
@@ -77,9 +77,6 @@
 //
 // What a VM says of itself says nothing about its region: another VM there is asked then.
 func (x *exchange) forward(ctx context.Context, reason place.Reason, result *outcome) bool {
-	if x.from != "" || !x.server.Link.MayForward() {
-		return false
-	}
 	asked := map[string]int{} // VMs, by region; maxNeighbours for one that has answered for its region
 	for {
 		v, found := x.nextVM(reason, asked)
--- a/io/front/link.go
+++ b/io/front/link.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kingcuprill/core/linkbudget"
 	"kingcuprill/core/quota"
 )
@@ -16,6 +18,11 @@
 	// keptBody is the largest body that is read after a refusal so that its connection can be
 	// used again: such bodies have mostly arrived by then.
 	keptBody = 64 << 10 // bytes
+	// turnTime is the time in which each request with a prompt has its turn to be admitted
+	// while others are shed, and turnShare the part of the time until its end after which it
+	// should return.
+	turnTime  = 1200 * time.Millisecond
+	turnShare = 0.9
 )
 
 // linkUse is what a request takes of the link, over all its tries. A nil linkUse counts
@@ -58,7 +65,7 @@
 	if x.from != "" {
 		use.charge, admitted = budget.AdmitForwarded(body)
 	} else {
-		use.charge, admitted = budget.Admit(x.rank(), body, rand.Float64())
+		use.charge, admitted = budget.Admit(x.rank(), body, x.linkChance(time.Now()))
 	}
 	if !admitted {
 		return x.linkRefusal(budget)
@@ -67,12 +74,29 @@
 	return nil
 }
 
+// linkChance returns a number from 0 to 1 by which the request is admitted or shed. That of a
+// request with a prompt falls from 1 to 0 within turnTime, again and again: one that is shed is
+// told to return when it is low. So returning requests are spread evenly over time, and a
+// request that has waited is not shed again in favour of new ones.
+func (x *exchange) linkChance(now time.Time) float64 {
+	if len(x.demand.Parts) == 0 {
+		return rand.Float64()
+	}
+	own := xxhash.Sum64String(x.demand.Parts[len(x.demand.Parts)-1].ID)
+	offset := time.Duration(own % uint64(turnTime))
+	left := turnTime - (time.Duration(now.UnixNano()%int64(turnTime))+offset)%turnTime
+	return left.Seconds() / turnTime.Seconds()
+}
+
 func (x *exchange) linkRefusal(budget *linkbudget.Budget) *refusal {
 	if x.caller.ContentLength > keptBody {
 		x.writer.Header().Set("Connection", "close")
 	}
 	after := budget.ReturnAfter()
 	after += time.Duration(rand.Int64N(int64(after)))
+	if len(x.demand.Parts) > 0 && x.from == "" {
+		after = time.Duration(x.linkChance(time.Now()) * turnShare * float64(turnTime))
+	}
 	after = min(after, time.Until(x.deadline)/retryAfterDivisor)
 	return &refusal{status: http.StatusServiceUnavailable, reason: linkReason, retryAfter: after, notRun: true}
 }
--- a/io/link/monitor.go
+++ b/io/link/monitor.go
@@ -20,7 +20,7 @@
 	Log      *slog.Logger
 }
 
-// Run updates the budget until the tomb is dying. It logs when shedding and forwarding begin
+// Run updates the budget until the tomb is dying. It logs when shedding begins, and when requests of other VMs are taken, begin
 // and end.
 func (m *Monitor) Run(t *tomb.Tomb) error {
 	ticker := time.NewTicker(linkbudget.Window)
@@ -36,10 +36,10 @@
 }
 
 func (m *Monitor) update(now time.Time) {
-	shedding, forwarding := m.Budget.Shedding(), m.Budget.Forwarding()
+	shedding, taking := m.Budget.Shedding(), m.Budget.TakesForwarded()
 	m.Budget.Update(m.Counters.Total(), now)
-	if m.Budget.Forwarding() != forwarding {
-		m.log("forwarding over the link has changed", "forwarding", !forwarding)
+	if m.Budget.TakesForwarded() != taking {
+		m.log("room of the link for forwarded requests has changed", "taken", !taking)
 	}
 	switch {
 	case m.Budget.Shedding() == shedding:
@@ -65,5 +65,5 @@
 		to.Gauge("link."+direction+"_percent", func() int64 { return m.Budget.Percent(d) })
 	}
 	to.Gauge("link.shed", m.Budget.Shed.Load)
-	to.Gauge("link.not_forwarded", m.Budget.NotForwarded.Load)
+	to.Gauge("link.not_taken", m.Budget.NotTaken.Load)
 }
