linkbudget: each organisation gets its share of the link

While two organisations sent 6.5 times their usual load, half of the others' requests were refused because the link was full.

Cause: shares were by rank only, so that the requests of a flood counted like all others, and came before less urgent ones.

Change: the room for new work is divided among the organisations, a max-min share weighted by their rate limits; within an organisation, by rank as before.

--- a/core/linkbudget/linkbudget.go
+++ b/core/linkbudget/linkbudget.go
@@ -7,13 +7,15 @@
 // a target, and its answer comes in and goes out. So each request is charged when it is
 // admitted with what such requests have cost, and the charge is corrected when it ends.
 //
-// First, no requests are taken from other VMs. Then callers' requests are refused, each rank
-// in proportion to the excess and less urgent ones first. Running requests, coordination and
+// First, no requests are taken from other VMs. Then callers' requests are refused. Each
+// organisation gets its share of the room, so that one that sends several times its usual load
+// costs itself only; of an organisation's requests, the less urgent ones are refused first. Running requests, coordination and
 // control are only measured and never refused. Requests that are forwarded to another VM take
 // no more of this VM's link than those that go to a target.
 package linkbudget
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -64,9 +66,6 @@
 	// calmWindows is for how many windows there must be room before shedding has ended or
 	// requests of other VMs are taken again.
 	calmWindows = 5
-	// evenShare is the part of the average share of admitted work that every rank gets, so
-	// that no rank is served less than a quarter as often as all requests.
-	evenShare = 0.35
 	// shortestReturn and longestReturn bound when refused callers should return.
 	shortestReturn = 250 * time.Millisecond
 	longestReturn  = 2 * time.Second
@@ -76,13 +75,13 @@
 // called concurrently with itself; all other methods are safe for concurrent use and take no
 // lock.
 type Budget struct {
-	rate    float64 // bytes per second in each direction
-	burst   float64 // largest allowance, bytes
-	left    atomic.Int64
-	charged atomic.Int64 // net of corrections, since the start
-	offered [Ranks]atomic.Int64
-	answers answers
-	current atomic.Pointer[decision]
+	rate          float64 // bytes per second in each direction
+	burst         float64 // largest allowance, bytes
+	left          atomic.Int64
+	charged       atomic.Int64 // net of corrections, since the start
+	answers       answers
+	organisations sync.Map // name to *organisation
+	current       atomic.Pointer[decision]
 
 	Shed     atomic.Int64 // callers' requests refused since the start
 	NotTaken atomic.Int64 // requests not taken from another VM
@@ -95,7 +94,7 @@
 	other       [Directions]float64 // bytes per second that aren't charged to requests
 	queue       float64             // bytes that wait to be sent
 	scale       float64             // bytes that the link carries for each byte that is counted
-	demand      [Ranks]float64      // bytes per second
+	demand      float64             // bytes per second
 	shedThen    int64
 	calm        int // windows without shedding
 	roomy       int // windows with room for requests of other VMs
@@ -103,7 +102,6 @@
 
 // decision is what applies until the next update.
 type decision struct {
-	share     [Ranks]float64 // of the requests of each rank that are admitted
 	shedding  bool
 	forwarded bool    // requests of other VMs are taken
 	excess    float64 // demand divided by what may be taken
@@ -115,24 +113,30 @@
 	b := &Budget{rate: rate, scale: 1, burst: targetShare * rate * burstTime.Seconds()}
 	b.left.Store(int64(b.burst))
 	b.answers.reset()
-	first := &decision{forwarded: true}
-	for rank := range first.share {
-		first.share[rank] = 1
-	}
-	b.current.Store(first)
+	b.current.Store(&decision{forwarded: true})
 	return b
 }
 
-// Admit reports whether a caller's request may be taken, and charges it: charge is passed to
-// Settle at its end. chance is a random number from 0 to 1.
-func (b *Budget) Admit(rank int, body int64, chance float64) (charge int64, admitted bool) {
+// Request is a caller's request that may be taken.
+type Request struct {
+	Organisation string
+	Weight       float64 // of the organisation, 0 for that of an average one
+	Rank         int
+	Body         int64   // bytes
+	Chance       float64 // from 0 to 1; of requests that are alike, those with the lowest are taken
+}
+
+// Admit reports whether a request may be taken, and charges it: charge is passed to Settle at
+// its end.
+func (b *Budget) Admit(r Request) (charge int64, admitted bool) {
 	if b == nil {
 		return 0, true
 	}
-	rank = min(max(0, rank), Ranks-1)
-	cost := b.cost(body)
-	b.offered[rank].Add(cost)
-	if chance >= b.current.Load().share[rank] || !b.take(cost) {
+	rank := min(max(0, r.Rank), Ranks-1)
+	cost := b.cost(r.Body)
+	o := b.organisation(r.Organisation)
+	o.offer(rank, cost, r.Weight)
+	if r.Chance >= o.shares.Load()[rank] || !b.take(cost) {
 		b.Shed.Add(1)
 		return 0, false
 	}
@@ -241,8 +245,9 @@
 	}
 	b.total = total
 	b.calibrate()
-	for rank := range b.demand {
-		average(&b.demand[rank], float64(b.offered[rank].Swap(0))/elapsed, elapsed, demandTime)
+	b.demand = 0
+	for _, o := range b.active() {
+		b.demand += o.measure(elapsed)
 	}
 }
 
@@ -281,10 +286,7 @@
 	left := float64(b.left.Load())
 	// An allowance that is neither full nor used up can take the noise of single windows.
 	room = max(room/2, room+(left-b.burst/2)/settleTime.Seconds())
-	demand := 0.0
-	for _, d := range b.demand {
-		demand += d
-	}
+	demand := b.demand
 	next := &decision{excess: demand / room}
 	b.calm++
 	shed := b.Shed.Load()
@@ -296,7 +298,7 @@
 	if !next.shedding {
 		room = max(room, demand)
 	}
-	next.share = shares(b.demand, demand, room)
+	b.distribute(room)
 	highest := 0.0
 	for d := range Directions {
 		next.percent[d] = int64(b.use[d] / b.rate * percent)
@@ -313,30 +315,3 @@
 	next.forwarded = b.roomy > 0 && (before.forwarded || b.roomy >= calmWindows)
 	b.current.Store(next)
 }
-
-// shares returns the part of the requests of each rank that is admitted. Each rank gets a part
-// of the average; the rest goes to the most urgent ranks first.
-func shares(byRank [Ranks]float64, demand, room float64) (share [Ranks]float64) {
-	fits := 1.0
-	if demand > room {
-		fits = room / demand
-	}
-	even := evenShare * fits
-	if fits == 1 {
-		even = 1
-	}
-	rest := room - even*demand
-	for rank, offered := range byRank {
-		share[rank] = even
-		if offered > 0 {
-			given := min(max(0, rest), (1-even)*offered)
-			share[rank] += given / offered
-			rest -= given
-			continue
-		}
-		if rest > 0 {
-			share[rank] = 1
-		}
-	}
-	return share
-}
--- a/core/linkbudget/linkbudget_test.go
+++ b/core/linkbudget/linkbudget_test.go
@@ -59,7 +59,7 @@
 func (r *replay) arrive(rank int) float64 {
 	r.byRank[rank].offered++
 	r.requests++
-	charge, admitted := r.budget.Admit(rank, testBody, r.random.Float64())
+	charge, admitted := r.budget.Admit(Request{Rank: rank, Body: testBody, Chance: r.random.Float64()})
 	if !admitted {
 		r.refused += headOnly
 		r.send(float64(r.refusal), headOnly)
@@ -190,7 +190,7 @@
 // Guards against settings without a link rate that change anything.
 func TestNoBudget(t *testing.T) {
 	var off *Budget
-	if _, admitted := off.Admit(9, 1<<30, 1); !admitted || !off.TakesForwarded() {
+	if _, admitted := off.Admit(Request{Rank: 9, Body: 1 << 30, Chance: 1}); !admitted || !off.TakesForwarded() {
 		t.Error("a VM without a budget refuses")
 	}
 	off.Settle(0, Work{})
@@ -214,3 +214,41 @@
 		t.Errorf("a counted byte stands for %.2f bytes, want %.2f", b.scale, 1/1.2)
 	}
 }
+
+// An organisation that sent several times its usual load took the room of all others.
+func TestAFloodCostsItsOrganisationOnly(t *testing.T) {
+	b := New(testRate)
+	random := rand.New(rand.NewPCG(5, 1))
+	now := time.Unix(1_800_000_000, 0)
+	var offered, admitted [5]float64
+	const cost = 20_000 // bytes, about that of a request
+	for window := range 200 {
+		for o := range offered {
+			count := 0.15 * testRate * Window.Seconds() / cost
+			if o == 0 {
+				count *= 6.5
+			}
+			for ; random.Float64() < count; count-- {
+				_, taken := b.Admit(Request{Organisation: string(rune('a' + o)), Weight: 1000, Rank: o % 2, Body: testBody, Chance: random.Float64()})
+				if window < 20 {
+					continue
+				}
+				offered[o]++
+				if taken {
+					admitted[o]++
+				}
+			}
+		}
+		now = now.Add(Window)
+		b.Update([Directions]int64{}, now)
+	}
+	t.Logf("taken %v of %v", admitted, offered)
+	for o := 1; o < len(offered); o++ {
+		if admitted[o] < 0.9*offered[o] {
+			t.Errorf("organisation %d: %v of %v requests are taken beside a flood", o, admitted[o], offered[o])
+		}
+	}
+	if admitted[0] < 0.9*admitted[1] {
+		t.Errorf("the flooding organisation gets %v, less than the others, %v", admitted[0], admitted[1])
+	}
+}
--- a/io/front/link.go
+++ b/io/front/link.go
@@ -65,7 +65,9 @@
 	if x.from != "" {
 		use.charge, admitted = budget.AdmitForwarded(body)
 	} else {
-		use.charge, admitted = budget.Admit(x.rank(), body, x.linkChance(time.Now()))
+		use.charge, admitted = budget.Admit(linkbudget.Request{
+			Organisation: x.organisation.Name, Weight: x.organisation.RatePerSecond, Rank: x.rank(), Body: body, Chance: x.linkChance(time.Now()),
+		})
 	}
 	if !admitted {
 		return x.linkRefusal(budget)
