place: less urgent requests leave slots and memory for urgent ones

Short urgent requests were refused as full, up to 34 a second at an entry VM, while engines were busy with long, less urgent ones.

Cause: the bounds on slots and KV memory don't look at the rank. Long answers hold both for seconds; the engine's own order doesn't help a request that is refused before it gets there.

Change: a request may use up to 30% less of both, in proportion to the share of more urgent work at the target in the last second. Without urgent work nothing changes. The test fails before (urgent requests refused beside 29 long ones).

--- a/core/backlog/backlog.go
+++ b/core/backlog/backlog.go
@@ -24,6 +24,8 @@
 	// maxUrgentShare bounds the share of the engine's time that is assumed to go to more
 	// urgent work, so that a prediction stays finite.
 	maxUrgentShare = 0.9
+	// negligible is a rate that stands for no work, in tokens per second.
+	negligible = 1
 	// overtakingMargin is the part of the share of more urgent work by which a prediction
 	// is lengthened, since that work comes in bursts.
 	overtakingMargin = 0.4
@@ -87,6 +89,23 @@
 	return time.Duration(float64(ahead) * float64(tokenTime) / (1 - share) * (1 + overtakingMargin*share))
 }
 
+// UrgentShare returns the share of the work that has come lately which was more urgent than a
+// rank, from 0 to 1.
+func (b *Backlog) UrgentShare(rank int, now time.Time) float64 {
+	urgent, all := 0.0, 0.0
+	for k := range b.arriving {
+		rate := b.arriving[k].perSecond(now)
+		all += rate
+		if k < rank {
+			urgent += rate
+		}
+	}
+	if all < negligible {
+		return 0
+	}
+	return urgent / all
+}
+
 // rate is an exponentially weighted average of tokens per second.
 type rate struct {
 	value float64
--- a/core/place/byrank_test.go
+++ b/core/place/byrank_test.go
@@ -122,3 +122,39 @@
 		}
 	}
 }
+
+// Less urgent requests with long answers had filled the memory of the engines, so that urgent
+// ones were refused. Without urgent ones they may use all of it.
+func TestMemoryIsKeptForUrgentRequests(t *testing.T) {
+	for name, urgent := range map[string]bool{"with urgent requests": true, "without": false} {
+		p := placers(1, 1, nil)[0]
+		p.ByRank = true
+		refused, long := 0, 0
+		for i := range 400 {
+			now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+			r := Request{Service: "llm", Memory: 400_000, Rank: 5, Now: now, Deadline: now.Add(time.Minute), Demand: Demand{Prompt: 12_000, Output: 400}}
+			if a, _, _ := p.Pick(r); a != nil {
+				long++
+				a.Answered(now) // and goes on
+			}
+			if !urgent {
+				continue
+			}
+			r.Rank, r.Demand = 0, Demand{Prompt: 2400, Output: 20}
+			a, _, _ := p.Pick(r)
+			if a == nil {
+				refused++
+				continue
+			}
+			a.Answered(now)
+			a.Done(Success, now)
+		}
+		if refused > 0 {
+			t.Errorf("%s: %d of 400 are refused beside %d long ones", name, refused, long)
+		}
+		const room = 29 // nine tenths of the memory
+		if !urgent && long < room {
+			t.Errorf("%s: %d long ones run, %d have room", name, long, room)
+		}
+	}
+}
--- a/core/place/capacity.go
+++ b/core/place/capacity.go
@@ -16,6 +16,9 @@
 	coldSenders = 3
 	// memoryShare is the share of an engine's KV memory that requests may fill.
 	memoryShare = 0.9
+	// keptForUrgent is the part of an engine's slots and KV memory that less urgent requests
+	// leave free where all other work is more urgent.
+	keptForUrgent = 0.3
 	// defaultSlots is used for a target that doesn't report its slots.
 	defaultSlots = 8
 )
@@ -36,15 +39,27 @@
 	case r.Coordinated:
 		vms, slack = 1, plainSlack
 	}
-	if t.inFlight-t.lost(r.Now) >= max(1, int(slack*float64(t.slots()))/vms) {
+	usable := p.usableShare(t, r)
+	if t.inFlight-t.lost(r.Now) >= max(1, int(usable*slack*float64(t.slots()))/vms) {
 		return false
 	}
-	if r.Memory > 0 && t.inFlight > 0 && (t.memory.tokens+t.memory.need(r.Demand))*vms > int(memoryShare*float64(r.Memory)) {
+	if r.Memory > 0 && t.inFlight > 0 && (t.memory.tokens+t.memory.need(r.Demand))*vms > int(usable*memoryShare*float64(r.Memory)) {
 		return false
 	}
 	return !r.Now.Before(p.coldUntil(t)) || p.hasColdCapacity(t, r)
 }
 
+// usableShare returns the part of a target's slots and KV memory that a request may use.
+//
+// Long answers hold both for seconds. While less urgent ones had taken all of them, urgent
+// requests were refused, though the engine would have served these first.
+func (p *Placer) usableShare(t *Target, r Request) float64 {
+	if !p.ByRank || r.Memory == 0 {
+		return 1
+	}
+	return 1 - keptForUrgent*t.backlog.UrgentShare(p.rank(r), r.Now)
+}
+
 // hasColdCapacity reports whether this VM may send to a cold target now.
 func (p *Placer) hasColdCapacity(t *Target, r Request) bool {
 	if r.ColdRate <= 0 {
