directory: regions with room help one whose links are busy

While two organisations sent 6.5 times their usual load in a region at its peak, its entry VMs' links were full of callers' requests and the other two regions were nearly idle. Shedding and forwarding free nothing: the bytes have come.

Change: a VM reports whether its link is busy (EntryVM.link_busy, 9). While half of a region's VMs are, the directory also names free VMs of another region that is home of as many routes, and requests aren't forwarded to VMs that are busy. Off where the settings name no link rate.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -24,6 +24,7 @@
 	// WithoutTargets says that the VM reaches no target of its region itself.
 	WithoutTargets bool
 	LinkRate       float64 // of its network link, bytes per second; 0 if it isn't known
+	LinkBusy       bool    // the link has no room for requests of other VMs
 }
 
 // Seen is an entry VM and the time of its last report.
@@ -52,7 +53,8 @@
 // Resolve returns the addresses that a caller of a region should use, sorted, at
 // most MaxAddresses. They belong to the ready VMs of that region. If it has none
 // and other regions are allowed, they belong to another region that is a home region
-// of at least as many routes and organisations.
+// of at least as many routes and organisations. Such a region also helps out one whose
+// links are busy.
 //
 // If there are no such VMs either, they belong to VMs that make a planned stop and
 // still accept connections. Other regions come last, as they would refuse requests
@@ -61,7 +63,7 @@
 func (d Directory) Resolve(region string) (addresses []string) {
 	for _, vms := range [][]VM{d.ready(), d.Stops.Accepting()} {
 		if addresses = d.serving(vms, region); len(addresses) > 0 {
-			return addresses
+			return d.withHelp(addresses, vms, region)
 		}
 		if addresses = d.others(vms, d.HomeCount(region)); len(addresses) > 0 {
 			return addresses
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -51,7 +51,7 @@
 	known, now := *x.server.Entries.Load(), time.Now()
 	for _, region := range x.forwardRegions(x.placement(now), reason) {
 		excluded := func(v entry.VM) bool {
-			return v.WithoutTargets || v.ID == x.silentVM || slices.Contains(x.outOfUse, v.ID) || x.server.partners.InBackoff(v.ID, now)
+			return v.WithoutTargets || v.LinkBusy || v.ID == x.silentVM || slices.Contains(x.outOfUse, v.ID) || x.server.partners.InBackoff(v.ID, now)
 		}
 		partner, found := entry.Partner(x.server.Self, known, region, excluded)
 		if found {
