coordinator, directory: returned requests stay known; help for full links only

Cause: a coordinator that had no place wasn't asked again at once, not even as the first choice, and so didn't hear of the requests that it should recognise when they return. Only second and third choices are left out now.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -25,6 +25,7 @@
 	WithoutTargets bool
 	LinkRate       float64 // of its network link, bytes per second; 0 if it isn't known
 	LinkBusy       bool    // the link has no room for requests of other VMs
+	LinkFull       bool    // nor for all requests of callers
 }
 
 // Seen is an entry VM and the time of its last report.
--- a/core/entry/help.go
+++ b/core/entry/help.go
@@ -7,14 +7,15 @@
 )
 
 const (
-	// needsHelp is the share of the VMs of a region with busy links from which on callers are
-	// sent to another region, too, and mayHelp the share below which a region is one to help.
+	// needsHelp is the share of the VMs of a region with full links from which on callers are
+	// sent to another region, too. mayHelp is the share of VMs with busy links below which a
+	// region is one to help.
 	needsHelp = 0.5
 	mayHelp   = 0.25
 )
 
 // withHelp adds VMs of another region to the addresses of a region's VMs while the links of
-// these are busy.
+// these are full.
 //
 // At its peak a region may be sent more than the links of its VMs carry, while those of other
 // regions are nearly idle. Refusing and forwarding don't help then, as the requests have
@@ -25,7 +26,7 @@
 	for _, v := range vms {
 		byRegion[v.Region] = append(byRegion[v.Region], v)
 	}
-	if !d.AllowOtherRegions || busyShare(byRegion[region]) < needsHelp {
+	if !d.AllowOtherRegions || share(byRegion[region], VM.linkFull) < needsHelp {
 		return addresses
 	}
 	helper, found := d.helper(byRegion, region)
@@ -43,7 +44,7 @@
 func (d Directory) helper(byRegion map[string][]VM, region string) (best string, found bool) {
 	homes := d.HomeCount(region)
 	may := func(other string) bool {
-		return other != region && d.HomeCount(other) >= homes && busyShare(byRegion[other]) < mayHelp
+		return other != region && d.HomeCount(other) >= homes && share(byRegion[other], VM.linkBusy) < mayHelp
 	}
 	others := slices.DeleteFunc(slices.Sorted(maps.Keys(byRegion)), func(other string) bool { return !may(other) })
 	if len(others) == 0 {
@@ -52,13 +53,17 @@
 	return slices.MaxFunc(others, func(a, b string) int { return cmp.Compare(len(byRegion[a]), len(byRegion[b])) }), true
 }
 
-// busyShare returns the share of VMs whose links are busy, 0 for none.
-func busyShare(vms []VM) float64 {
-	busy := 0
+func (v VM) linkFull() bool { return v.LinkFull }
+
+func (v VM) linkBusy() bool { return v.LinkBusy }
+
+// share returns the share of VMs that have a property, 0 for no VMs.
+func share(vms []VM, has func(VM) bool) float64 {
+	count := 0
 	for _, v := range vms {
-		if v.LinkBusy {
-			busy++
+		if has(v) {
+			count++
 		}
 	}
-	return float64(busy) / float64(max(1, len(vms)))
+	return float64(count) / float64(max(1, len(vms)))
 }
--- a/core/linkbudget/linkbudget.go
+++ b/core/linkbudget/linkbudget.go
@@ -196,7 +196,7 @@
 
 // Shedding reports whether callers' requests are being refused.
 func (b *Budget) Shedding() bool {
-	return b.current.Load().shedding
+	return b != nil && b.current.Load().shedding
 }
 
 // TakesForwarded reports whether requests are taken from other VMs.
--- a/io/codec/follow.go
+++ b/io/codec/follow.go
@@ -13,7 +13,7 @@
 func FromEntryVM(v entry.VM) *vm.EntryVM {
 	return &vm.EntryVM{
 		Id: v.ID, Region: v.Region, DataCentre: v.DataCentre, CallerAddress: v.CallerAddress,
-		PeerAddress: v.PeerAddress, Ready: v.Ready, WithoutTargets: v.WithoutTargets, LinkRate: v.LinkRate, LinkBusy: v.LinkBusy,
+		PeerAddress: v.PeerAddress, Ready: v.Ready, WithoutTargets: v.WithoutTargets, LinkRate: v.LinkRate, LinkBusy: v.LinkBusy, LinkFull: v.LinkFull,
 	}
 }
 
@@ -21,7 +21,7 @@
 func ToEntryVM(m *vm.EntryVM) entry.VM {
 	return entry.VM{
 		ID: m.GetId(), Region: m.GetRegion(), DataCentre: m.GetDataCentre(), CallerAddress: m.GetCallerAddress(),
-		PeerAddress: m.GetPeerAddress(), Ready: m.GetReady(), WithoutTargets: m.GetWithoutTargets(), LinkRate: m.GetLinkRate(), LinkBusy: m.GetLinkBusy(),
+		PeerAddress: m.GetPeerAddress(), Ready: m.GetReady(), WithoutTargets: m.GetWithoutTargets(), LinkRate: m.GetLinkRate(), LinkBusy: m.GetLinkBusy(), LinkFull: m.GetLinkFull(),
 	}
 }
 
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -99,7 +99,9 @@
 // returns false for backoffTime.
 func (c *Client) Reserve(ctx context.Context, address string, r place.Request) (reservation *Reservation, predicted time.Duration, reason place.Reason, err error) {
 	plain := r.Memory == 0
-	backsOff := plain || c.SaveCalls
+	// The coordinator of the first choice must hear of each request: it recognises those that
+	// return after a refusal.
+	backsOff := plain || c.SaveCalls && r.Home != r.Preferred
 	coordinated := serviceAt{address: address, service: r.Service, rank: r.Rank, long: r.IsLong()}
 	if backsOff && c.full.InBackoff(coordinated, r.Now) {
 		return nil, 0, place.Full, nil
@@ -116,7 +118,7 @@
 		c.OnLimits(limits)
 	}
 	if answer.GetReservation() == 0 {
-		if refused := place.Reason(answer.GetReason()); backsOff && refused.IsForWantOfRoom() && !(plain && refused == place.Slow) {
+		if refused := place.Reason(answer.GetReason()); (plain || c.SaveCalls) && refused.IsForWantOfRoom() && !(plain && refused == place.Slow) {
 			c.full.Refused(coordinated, time.Now())
 		}
 		return nil, predicted, place.Reason(answer.GetReason()), nil
--- a/io/coordinator/savecalls_test.go
+++ b/io/coordinator/savecalls_test.go
@@ -58,6 +58,24 @@
 	})
 }
 
+// Requests that returned after a refusal were taken for new ones, as the coordinator that is
+// asked first had not heard of them.
+func TestTheFirstCoordinatorHearsOfEachRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, address, calls := startCounted(t, 1, "/Reserve")
+		mustReserve(t, client, address)
+		before := calls.Load()
+		for range 10 {
+			first := request()
+			first.Home = first.Preferred
+			_, _, _, _ = client.Reserve(context.Background(), address, first)
+		}
+		if asked := calls.Load() - before; asked != 10 {
+			t.Errorf("%d of 10 requests reach the coordinator of their first choice", asked)
+		}
+	})
+}
+
 // A refused request with a long answer, or a less urgent one, says nothing about others.
 func TestOnlyAlikeRequestsAreHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -170,7 +170,7 @@
 	c := v.Config
 	self := entry.VM{
 		ID: c.ID, Region: c.Region, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Ready: v.Ready(),
-		WithoutTargets: v.front.Links.Lost(), LinkRate: c.LinkRate, LinkBusy: !v.front.Link.TakesForwarded(),
+		WithoutTargets: v.front.Links.Lost(), LinkRate: c.LinkRate, LinkBusy: !v.front.Link.TakesForwarded(), LinkFull: v.front.Link.Shedding(),
 	}
 	if v.accepts() {
 		self.CallerAddress = c.CallerAddress
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -303,7 +303,7 @@
 	old, found := s.entries.Get(reported.ID)
 	changed := !found || old.VM != reported
 	if changed {
-		s.Log.Info("entry VM has reported a new state", "entry", reported.ID, "ready", reported.Ready, "link_busy", reported.LinkBusy, "data_centre", reported.DataCentre)
+		s.Log.Info("entry VM has reported a new state", "entry", reported.ID, "ready", reported.Ready, "link_busy", reported.LinkBusy, "link_full", reported.LinkFull, "data_centre", reported.DataCentre)
 	}
 	s.entries.Put(reported.ID, entry.Seen{VM: reported, At: time.Now()}, changed)
 }
