quarantine: call correlated crashes a crash group

Cause: the code and the documentation called crashes of many targets within a second a "wave", which isn't a term of the field and needed the glossary at each place.

No change of behaviour.

Tests: go test ./core/quarantine passes.

--- a/core/quarantine/wave_test.go
+++ b/core/quarantine/crashgroup_test.go
@@ -252,8 +252,8 @@
 }
 
 // VMs that hear of the same crashes in another order judged them differently. And what was
-// left of a wave as its first crashes expired made all of its parts suspect.
-func TestWavesAreTheSameAtAllVMs(t *testing.T) {
+// left of a group as its first crashes expired made all of its parts suspect.
+func TestCrashGroupsAreTheSameAtAllVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var rows []quarantine.Crash
 		for i := range 40 {
@@ -266,8 +266,8 @@
 			random := rand.New(rand.NewPCG(seed, 1))
 			random.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
 			l := quarantine.NewList()
-			var waves []quarantine.Wave
-			l.Settled = func(w quarantine.Wave) { waves = append(waves, w) }
+			var groups []quarantine.CrashGroup
+			l.OnCrashGroup = func(g quarantine.CrashGroup) { groups = append(groups, g) }
 			for _, row := range rows {
 				l.Merge([]quarantine.Crash{row})
 				time.Sleep(time.Duration(random.IntN(15)) * time.Millisecond)
@@ -281,8 +281,8 @@
 			if len(got) == 0 || !reflect.DeepEqual(got, want) {
 				t.Fatalf("order %d: %v, %v", seed, got, want)
 			}
-			if len(waves) != 1 || waves[0].Targets != 10 || waves[0].Requests != 40 || waves[0].Begun != 5 || waves[0].Dismissed == 0 || len(waves[0].Kept) != len(got) {
-				t.Errorf("order %d: %+v for %d suspects", seed, waves, len(got))
+			if len(groups) != 1 || groups[0].Targets != 10 || groups[0].Requests != 40 || groups[0].Begun != 5 || groups[0].Dismissed == 0 || len(groups[0].Kept) != len(got) {
+				t.Errorf("order %d: %+v for %d suspects", seed, groups, len(got))
 			}
 			for time.Sleep(10*time.Minute - 4*time.Second); len(l.Rows()) > 0; time.Sleep(50 * time.Millisecond) {
 				if l.Expire(time.Now()); len(l.Entries()) > len(want) {
--- a/core/quarantine/index.go
+++ b/core/quarantine/index.go
@@ -23,7 +23,7 @@
 type serviceIndex struct {
 	suspects map[string]bool // parts that may have caused a crash; true if an answer with it had begun
 	causes   []cause
-	waves    map[string]*wave // by target that crashed in one
+	groups   map[string]*crashGroup // by target that crashed in one
 }
 
 // cause is a set of parts of which one has crashed targets repeatedly.
@@ -61,7 +61,7 @@
 	}
 	built := index{}
 	for service, rows := range byService {
-		if s := newServiceIndex(rows); len(s.suspects)+len(s.causes)+len(s.waves) > 0 {
+		if s := newServiceIndex(rows); len(s.suspects)+len(s.causes)+len(s.groups) > 0 {
 			built[service] = s
 		}
 	}
@@ -75,12 +75,12 @@
 }
 
 func newServiceIndex(rows []*record) *serviceIndex {
-	waves := findWaves(rows)
+	groups := findGroups(rows)
 	candidates := findCandidates(rows)
-	if len(waves) > 0 {
-		candidates = newEvidence(waves, rows, candidates).dismiss(candidates)
+	if len(groups) > 0 {
+		candidates = newEvidence(groups, rows, candidates).dismiss(candidates)
 	}
-	s := &serviceIndex{suspects: map[string]bool{}, causes: findCauses(candidates), waves: waves}
+	s := &serviceIndex{suspects: map[string]bool{}, causes: findCauses(candidates), groups: groups}
 	explained := map[string]bool{}
 	for _, c := range candidates {
 		if slices.ContainsFunc(s.causes, func(found cause) bool { return containsAll(c.parts, found.parts) }) {
@@ -92,7 +92,7 @@
 			continue
 		}
 		for _, part := range c.parts {
-			s.suspects[part] = s.suspects[part] || c.Begun && waves[c.Boot].likely(part)
+			s.suspects[part] = s.suspects[part] || c.Begun && groups[c.Boot].likely(part)
 		}
 	}
 	return s
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -13,7 +13,7 @@
 // after it, there are trials again. Everything is in memory.
 //
 // Where many targets of a service crash at almost the same time, a cause outside of the
-// requests is more likely. Such a wave makes only those parts suspect that it speaks against.
+// requests is more likely. Such a crash group makes only those parts suspect that it speaks against.
 package quarantine
 
 import (
@@ -58,19 +58,19 @@
 	// Changed is called, if it is set, with crashes that this VM has reported or
 	// cleared parts of. It must not block and must be set before the first use.
 	Changed func(rows []Crash)
-	// Settled is called, if it is set, once for each wave, when most of it is known. It
+	// OnCrashGroup is called, if it is set, once for each crash group, when most of it is known. It
 	// must be set before the first use.
-	Settled func(Wave)
+	OnCrashGroup func(CrashGroup)
 
 	index   atomic.Pointer[index]
 	learned atomic.Uint64 // number of the last crash that this VM has heard of
 
-	mu      sync.Mutex
-	records map[string]*record // by id of the crash
-	known   knownParts
-	trials  map[string]bool // parts of the trials that run on this VM
-	watches map[*watch]bool
-	settled map[string]bool // targets of the waves that Settled has been or will be called for
+	mu       sync.Mutex
+	records  map[string]*record // by id of the crash
+	known    knownParts
+	trials   map[string]bool // parts of the trials that run on this VM
+	watches  map[*watch]bool
+	reported map[string]bool // targets of the groups that OnCrashGroup has been or will be called for
 
 	evaluated time.Time // last time
 	due       bool      // an evaluation is to come
@@ -264,7 +264,7 @@
 	l.evaluated = time.Now()
 	built := newIndex(l.records)
 	l.index.Store(&built)
-	l.announceWaves(built)
+	l.announceGroups(built)
 	now := time.Now()
 	for w := range l.watches {
 		s, found := built[w.request.Service]
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -128,7 +128,7 @@
 	v.crashes = &crashreport.Sender{Peers: peers, Addresses: v.client.Polled, Log: o.Log}
 	v.quarantine.Changed = v.crashes.Send
 	v.drawer = draw.NewClient(peers, v.quota, v.client.Controls, o.Log)
-	v.quarantine.Settled = v.recordWave
+	v.quarantine.OnCrashGroup = v.recordCrashGroup
 	v.front = &front.Server{
 		Drawer: v.drawer, Coordinators: coordinator.NewClient(peers, o.Log),
 		Self: c.ID, Region: c.Region, Headers: o.Headers, State: v.state, Lease: v.lease, NewestWithin: c.NewestWithin, Placer: v.placer, Quota: v.quota, Quarantine: v.quarantine,
@@ -286,14 +286,14 @@
 	}
 }
 
-// maxKeptLogged bounds the suspect parts in the log line of a wave.
+// maxKeptLogged bounds the suspect parts in the log line of a crash group.
 const maxKeptLogged = 8
 
-// recordWave counts and logs crashes with a common cause.
-func (v *VM) recordWave(w quarantine.Wave) {
-	v.Metrics.Count("quarantine.waves")
-	v.Log.Warn("many targets of a service have crashed at almost the same time; only the parts that this speaks against are suspect", "service", w.Service,
-		"targets", w.Targets, "requests", w.Requests, "begun", w.Begun, "dismissed", w.Dismissed, "suspect", len(w.Kept), "parts", w.Kept[:min(len(w.Kept), maxKeptLogged)])
+// recordCrashGroup counts and logs crashes with a common cause.
+func (v *VM) recordCrashGroup(g quarantine.CrashGroup) {
+	v.Metrics.Count("quarantine.crash_groups")
+	v.Log.Warn("many targets of a service have crashed at almost the same time; only the parts that this speaks against are suspect", "service", g.Service,
+		"targets", g.Targets, "requests", g.Requests, "begun", g.Begun, "dismissed", g.Dismissed, "suspect", len(g.Kept), "parts", g.Kept[:min(len(g.Kept), maxKeptLogged)])
 }
 
 // discoveryTime is how long after its start a VM may not know all entry VMs
