draw: call draws that requests share shared draws

Cause: a joint, its sharers and joinTime were private words for one call that several waiting requests share.

Change: sharedDraw, waiter and shareDelay; the file is shared.go. No change of behaviour.

Tests: go test ./io/draw passes.

--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -169,9 +169,9 @@
 	Rerouted  atomic.Int64 // draws that another control VM than the nearest has answered
 	Unreached atomic.Int64 // draws that no control VM has answered
 
-	preference preference.Tracker[string]
-	last       atomic.Pointer[string] // the control VM that answered the last draw
-	joints     joints
+	preference  preference.Tracker[string]
+	last        atomic.Pointer[string] // the control VM that answered the last draw
+	sharedDraws sharedDraws
 }
 
 // NewClient returns a client. Tokens that are drawn in advance go to limiter.
--- a/io/draw/joint.go
+++ b/io/draw/shared.go
@@ -10,45 +10,46 @@
 	"kingcuprill/core/units"
 )
 
-// joinTime is how long requests wait for the draw of their organisation that is under way
+// shareDelay is how long requests wait for the draw of their organisation that is under way
 // before another one is made for them. Requests wait for timeout at most, and a draw may take
 // a round trip between regions.
-const joinTime = 40 * time.Millisecond
+const shareDelay = 40 * time.Millisecond
 
 // roundingTokens is added to each request's part of a draw where there is more, so that
 // rounding leaves none short of its cost.
 const roundingTokens = 1e-3
 
-// joints shares draws: requests of one organisation that need tokens at the same time make
-// one call together.
-type joints struct {
+// sharedDraws holds the draws under way. Requests of one organisation that need tokens at the
+// same time make one call together.
+type sharedDraws struct {
 	shared  atomic.Int64 // requests that were in a draw with others, without a call of their own
 	avoided atomic.Int64 // requests that were refused by an earlier answer of the pool, without a call
 
 	enabled bool
 	mu      sync.Mutex
-	by      map[jointKey]*joint
+	byKey   map[drawKey]*sharedDraw
 }
 
-// jointKey tells apart draws by their limit, too, since it may change while one is under way.
-type jointKey struct {
+// drawKey tells apart draws by their limit, too, since it may change while one is under way.
+type drawKey struct {
 	organisation string
 	limit        quota.Limit
 }
 
-// joint holds the requests of an organisation that wait for tokens.
-type joint struct {
-	waiting []*sharer
+// sharedDraw holds the requests of an organisation that wait for tokens.
+type sharedDraw struct {
+	waiting []*waiter
 	running int  // calls
-	due     bool // another call is due after joinTime
+	due     bool // another call is due after shareDelay
 }
 
-// sharer is one waiting request.
-type sharer struct {
+// waiter is a request that waits for tokens, and gets exactly one result.
+type waiter struct {
 	order  quota.Order
 	result chan drawn
 }
 
+// drawn is the result of a draw, as Draw returns it.
 type drawn struct {
 	tokens  float64
 	wait    time.Duration
@@ -58,29 +59,29 @@
 // Share makes concurrent draws of an organisation share calls, and makes Wait remember when
 // the pool had too few tokens. It must be called before the first draw.
 func (c *Client) Share() {
-	c.joints.enabled = true
-	c.joints.by = map[jointKey]*joint{}
+	c.sharedDraws.enabled = true
+	c.sharedDraws.byKey = map[drawKey]*sharedDraw{}
 }
 
 // Shared returns how many requests have had no call of their own, as they shared one.
 func (c *Client) Shared() int64 {
-	return c.joints.shared.Load()
+	return c.sharedDraws.shared.Load()
 }
 
 // Avoided returns how many requests Wait has refused.
 func (c *Client) Avoided() int64 {
-	return c.joints.avoided.Load()
+	return c.sharedDraws.avoided.Load()
 }
 
 // Wait returns how long a request of a cost must wait for tokens that neither this VM nor, by
 // its last answer, the pool has; 0 if a draw may bring them.
 func (c *Client) Wait(organisation string, limit quota.Limit, cost float64, now time.Time) time.Duration {
-	if !c.joints.enabled {
+	if !c.sharedDraws.enabled {
 		return 0
 	}
 	wait := c.Limiter.Wait(organisation, limit, cost, now)
 	if wait > 0 {
-		c.joints.avoided.Add(1)
+		c.sharedDraws.avoided.Add(1)
 	}
 	return wait
 }
@@ -90,118 +91,118 @@
 // limiter. wait is how long the caller should wait if there were too few tokens. reached tells
 // whether a control VM has answered.
 func (c *Client) Draw(ctx context.Context, organisation string, limit quota.Limit, order quota.Order) (tokens float64, wait time.Duration, reached bool) {
-	if !c.joints.enabled || order.Need <= 0 {
+	if !c.sharedDraws.enabled || order.Need <= 0 {
 		return c.drawAlone(ctx, organisation, limit, order)
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	key := jointKey{organisation, limit}
-	s := &sharer{order: order, result: make(chan drawn, 1)}
-	c.join(key, s)
+	key := drawKey{organisation, limit}
+	w := &waiter{order: order, result: make(chan drawn, 1)}
+	c.join(key, w)
 	select {
-	case d := <-s.result:
+	case d := <-w.result:
 		return d.tokens, d.wait, d.reached
 	case <-bounded.Done():
-		go c.keepLate(key, s)
+		go c.keepLate(key, w)
 		return 0, unreachableWait, false
 	}
 }
 
-// keepLate keeps the tokens of a request that has not waited for them.
-func (c *Client) keepLate(key jointKey, s *sharer) {
-	d := <-s.result
-	c.Limiter.AddDrawn(key.organisation, key.limit, quota.Order{Need: s.order.Need}, 0, d.tokens, d.reached, time.Now())
+// keepLate leaves the tokens of a request that has timed out to later requests.
+func (c *Client) keepLate(key drawKey, w *waiter) {
+	d := <-w.result
+	c.Limiter.AddDrawn(key.organisation, key.limit, quota.Order{Need: w.order.Need}, 0, d.tokens, d.reached, time.Now())
 }
 
 // join adds a request to those that wait, and starts a call if none is under way.
-func (c *Client) join(key jointKey, s *sharer) {
-	c.joints.mu.Lock()
-	defer c.joints.mu.Unlock()
-	j, found := c.joints.by[key]
+func (c *Client) join(key drawKey, w *waiter) {
+	c.sharedDraws.mu.Lock()
+	defer c.sharedDraws.mu.Unlock()
+	d, found := c.sharedDraws.byKey[key]
 	if !found {
-		j = &joint{}
-		c.joints.by[key] = j
+		d = &sharedDraw{}
+		c.sharedDraws.byKey[key] = d
 	}
-	j.waiting = append(j.waiting, s)
+	d.waiting = append(d.waiting, w)
 	switch {
-	case j.running == 0:
-		c.start(key, j)
-	case !j.due:
-		j.due = true
-		time.AfterFunc(joinTime, func() { c.startDue(key, j) })
+	case d.running == 0:
+		c.start(key, d)
+	case !d.due:
+		d.due = true
+		time.AfterFunc(shareDelay, func() { c.startDelayed(key, d) })
 	}
 }
 
 // start makes a call for all that wait. The caller holds mu.
-func (c *Client) start(key jointKey, j *joint) {
-	batch := j.waiting
-	j.waiting = nil
-	j.running++
-	c.joints.shared.Add(int64(len(batch) - 1))
-	go c.call(key, j, batch)
-}
-
-// startDue makes a call for the requests that still wait after joinTime.
-func (c *Client) startDue(key jointKey, j *joint) {
-	c.joints.mu.Lock()
-	defer c.joints.mu.Unlock()
-	j.due = false
-	if len(j.waiting) > 0 {
-		c.start(key, j)
+func (c *Client) start(key drawKey, d *sharedDraw) {
+	batch := d.waiting
+	d.waiting = nil
+	d.running++
+	c.sharedDraws.shared.Add(int64(len(batch) - 1))
+	go c.call(key, d, batch)
+}
+
+// startDelayed makes a call for the requests that still wait after shareDelay.
+func (c *Client) startDelayed(key drawKey, d *sharedDraw) {
+	c.sharedDraws.mu.Lock()
+	defer c.sharedDraws.mu.Unlock()
+	d.due = false
+	if len(d.waiting) > 0 {
+		c.start(key, d)
 	}
 }
 
 // call draws for a batch, and passes the tokens on in the order of arrival.
-func (c *Client) call(key jointKey, j *joint, batch []*sharer) {
-	order := sum(batch)
+func (c *Client) call(key drawKey, d *sharedDraw, batch []*waiter) {
+	order := combine(batch)
 	tokens, wait, reached := c.drawAlone(context.Background(), key.organisation, key.limit, order)
 	if reached && tokens == 0 && wait > 0 {
 		c.Limiter.NoteShortage(key.organisation, key.limit, order.Need, wait, time.Now())
-		batch = append(batch, c.takeRefused(j, order.Need)...)
+		batch = append(batch, c.takeRefused(d, order.Need)...)
 	}
-	c.end(key, j)
+	c.end(key, d)
 	distribute(batch, drawn{tokens: tokens, wait: wait, reached: reached}, key.limit)
 }
 
 // end starts the next call, or forgets the organisation if nobody waits.
-func (c *Client) end(key jointKey, j *joint) {
-	c.joints.mu.Lock()
-	defer c.joints.mu.Unlock()
-	j.running--
+func (c *Client) end(key drawKey, d *sharedDraw) {
+	c.sharedDraws.mu.Lock()
+	defer c.sharedDraws.mu.Unlock()
+	d.running--
 	switch {
-	case j.running > 0:
-	case len(j.waiting) > 0:
-		c.start(key, j)
+	case d.running > 0:
+	case len(d.waiting) > 0:
+		c.start(key, d)
 	default:
-		delete(c.joints.by, key)
+		delete(c.sharedDraws.byKey, key)
 	}
 }
 
 // takeRefused removes those that wait for as many tokens as the pool has just refused, or more.
-func (c *Client) takeRefused(j *joint, need float64) (refused []*sharer) {
-	c.joints.mu.Lock()
-	defer c.joints.mu.Unlock()
-	var left []*sharer
-	for _, s := range j.waiting {
-		if s.order.Need >= need {
-			refused = append(refused, s)
+func (c *Client) takeRefused(d *sharedDraw, need float64) (refused []*waiter) {
+	c.sharedDraws.mu.Lock()
+	defer c.sharedDraws.mu.Unlock()
+	var left []*waiter
+	for _, w := range d.waiting {
+		if w.order.Need >= need {
+			refused = append(refused, w)
 			continue
 		}
-		left = append(left, s)
+		left = append(left, w)
 	}
-	j.waiting = left
-	c.joints.shared.Add(int64(len(refused)))
+	d.waiting = left
+	c.sharedDraws.shared.Add(int64(len(refused)))
 	return refused
 }
 
-// sum returns the order for a batch: enough for its first request at least, and for all if
+// combine returns the order for a batch: enough for its first request at least, and for all if
 // possible.
-func sum(batch []*sharer) (order quota.Order) {
+func combine(batch []*waiter) (order quota.Order) {
 	order.Need = batch[0].order.Need
 	prefetch := 0.0
-	for _, s := range batch {
-		order.Want += s.order.Need
-		prefetch = max(prefetch, s.order.Want-s.order.Need)
+	for _, w := range batch {
+		order.Want += w.order.Need
+		prefetch = max(prefetch, w.order.Want-w.order.Need)
 	}
 	order.Want += prefetch
 	return order
@@ -209,20 +210,20 @@
 
 // distribute passes the tokens of a draw on. What nobody needs goes to the first request, which
 // leaves it to later ones.
-func distribute(batch []*sharer, total drawn, limit quota.Limit) {
+func distribute(batch []*waiter, total drawn, limit quota.Limit) {
 	rest := total.tokens
 	results := make([]drawn, len(batch))
-	for i, s := range batch {
+	for i, w := range batch {
 		results[i] = drawn{wait: total.wait, reached: total.reached}
-		if rest >= s.order.Need {
-			results[i].tokens = min(rest, s.order.Need+roundingTokens)
+		if rest >= w.order.Need {
+			results[i].tokens = min(rest, w.order.Need+roundingTokens)
 			rest -= results[i].tokens
 		} else if total.tokens > 0 {
-			results[i].wait = units.Seconds((s.order.Need - rest) / limit.RatePerSecond)
+			results[i].wait = units.Seconds((w.order.Need - rest) / limit.RatePerSecond)
 		}
 	}
 	results[0].tokens += rest
-	for i, s := range batch {
-		s.result <- results[i]
+	for i, w := range batch {
+		w.result <- results[i]
 	}
 }
--- a/io/draw/joint_test.go
+++ b/io/draw/shared_test.go
@@ -82,8 +82,8 @@
 	if c.Draw(t.Context(), "o", limit, quota.Order{Need: cost, Want: cost}); c.Wait("o", limit, cost, time.Now()) <= 0 {
 		t.Error("the pool's answer is not remembered")
 	}
-	if p.calls.Load() > before+1 || len(c.joints.by) > 0 {
-		t.Errorf("%d further calls, %d organisations kept", p.calls.Load()-before, len(c.joints.by))
+	if p.calls.Load() > before+1 || len(c.sharedDraws.byKey) > 0 {
+		t.Errorf("%d further calls, %d organisations kept", p.calls.Load()-before, len(c.sharedDraws.byKey))
 	}
 }
 
