regionload, front, place: name forwarded requests as such

Cause: a Trip, a Crossing and away were private words for a request forwarded to another region, for what it costs there, and for the predictions of the other regions.

Change: regionload.ForwardedRequest, place.RemoteCost, front's regionLoad and forwardedTry; the file is named byregion.go after its setting. The comment of RoundTrip says that one latency is assumed for all pairs of regions. No change of behaviour.

Tests: go test ./core/regionload ./core/place ./io/front.

--- a/core/place/leaving_region_test.go
+++ b/core/place/leaving_region_test.go
@@ -44,16 +44,16 @@
 
 // What a request costs in another region grows with the VMs that send there, and falls with
 // its targets.
-func TestCrossing(t *testing.T) {
+func TestRemoteCost(t *testing.T) {
 	p := placersOf("here", 1)
 	p.SetVMs([]string{"a", "b", "c", "d"}, nil)
 	p.SetRemote([]Remote{{Service: "llm", DataCentre: "x", Region: "there", Targets: 8}})
 	r := Request{Service: "llm", Now: start, Demand: Demand{Prompt: 3000, Parts: []Part{{"p", 1000}, {"own", 2000}}}}
-	want := Crossing{Own: 2000 * defaultTokenTime, Shared: 1000 * defaultTokenTime, Load: 1000 * defaultTokenTime}
-	if got := p.Crossing(r, "there"); got != want {
+	want := RemoteCost{Own: 2000 * defaultTokenTime, Shared: 1000 * defaultTokenTime, Load: 1000 * defaultTokenTime}
+	if got := p.RemoteCost(r, "there"); got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
-	if got := p.Crossing(Request{Service: "plain", Now: start}, "unknown"); got.Own != defaultWork*defaultTokenTime || got.Shared != 0 {
+	if got := p.RemoteCost(Request{Service: "plain", Now: start}, "unknown"); got.Own != defaultWork*defaultTokenTime || got.Shared != 0 {
 		t.Errorf("a request without a prompt: %+v", got)
 	}
 }
--- a/core/place/remote.go
+++ b/core/place/remote.go
@@ -59,8 +59,8 @@
 	return targets
 }
 
-// Crossing says what a request costs in another region.
-type Crossing struct {
+// RemoteCost says what a request costs in another region.
+type RemoteCost struct {
 	// Own is the time to read the prompt without its shared parts, Shared to read those.
 	Own, Shared time.Duration
 	// Load is by how much a target there is busier on average when each VM of this region
@@ -68,9 +68,9 @@
 	Load time.Duration
 }
 
-// Crossing returns what a request costs in another region, as far as this VM knows the
+// RemoteCost returns what a request costs in another region, as far as this VM knows the
 // speed of the service's targets.
-func (p *Placer) Crossing(r Request, region string) (c Crossing) {
+func (p *Placer) RemoteCost(r Request, region string) (c RemoteCost) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	tokenTime := p.tokenTime(r.Service)
--- a/core/regionload/regionload.go
+++ b/core/regionload/regionload.go
@@ -20,14 +20,15 @@
 )
 
 const (
-	// RoundTrip is the network latency of a request to another region and of its answer.
+	// RoundTrip is the network latency of a request to another region and of its answer,
+	// assumed to be the same for all pairs of regions.
 	RoundTrip = 110 * time.Millisecond
 	// freshFor is the age up to which a prediction counts fully.
 	freshFor = 2 * time.Second
 	// ageing is the time in which the weight of an older prediction falls to 1/e.
 	ageing = 2 * time.Second
-	// followTime is the time in which the weight of earlier predictions falls to 1/e.
-	followTime = 300 * time.Millisecond
+	// averagingTime is the time in which the weight of earlier predictions falls to 1/e.
+	averagingTime = 300 * time.Millisecond
 	// minWeight is the least weight of a new prediction in the average.
 	minWeight = 0.2
 	// trialShare is the share of the requests of a busy region that try one whose
@@ -57,12 +58,12 @@
 
 // estimate is what is known of one kind.
 type estimate struct {
-	wait    time.Duration // predicted until the answer begins, without reading the prompt
-	at      time.Time     // when it was learned, zero if it is unknown
-	sent    time.Duration // work sent since the start, as time of the region's targets
-	covered time.Duration // of it, what the prediction includes
-	credit  float64       // trials that are allowed now
-	trips   []*Trip       // without an answer, and sent after the newest that has one
+	wait        time.Duration       // predicted until the answer begins, without reading the prompt
+	at          time.Time           // when it was learned, zero if it is unknown
+	sent        time.Duration       // work sent since the start, as time of the region's targets
+	covered     time.Duration       // of it, what the prediction includes
+	trialCredit float64             // requests that may try the region now, at most 1
+	unanswered  []*ForwardedRequest // without an answer, and sent after the newest that has one
 }
 
 // Need is what a request needs in another region.
@@ -95,7 +96,7 @@
 	}
 	p.Begin = max(wait+e.added(now), e.overdue(now)) + need.Reading
 	p.Fresh = e.fresh(now)
-	p.Trial = !p.Fresh && len(e.trips) == 0 && e.credit >= 1
+	p.Trial = !p.Fresh && len(e.unanswered) == 0 && e.trialCredit >= 1
 	return p
 }
 
@@ -107,8 +108,8 @@
 // yet.
 func (e *estimate) added(now time.Time) time.Duration {
 	since := e.at
-	if len(e.trips) > 0 && since.Before(e.trips[0].sentAt) {
-		since = e.trips[0].sentAt
+	if len(e.unanswered) > 0 && since.Before(e.unanswered[0].sentAt) {
+		since = e.unanswered[0].sentAt
 	}
 	return max(0, e.sent-e.covered-max(0, now.Sub(since)))
 }
@@ -117,11 +118,11 @@
 // without a later one being answered. Answers carry their predictions, so that long ones
 // are learned late.
 func (e *estimate) overdue(now time.Time) time.Duration {
-	if len(e.trips) == 0 {
+	if len(e.unanswered) == 0 {
 		return 0
 	}
-	trip := e.trips[0]
-	return max(0, now.Sub(trip.sentAt)-RoundTrip-trip.reading)
+	oldest := e.unanswered[0]
+	return max(0, now.Sub(oldest.sentAt)-RoundTrip-oldest.reading)
 }
 
 // Skip records that a request hasn't tried a region since no trial was allowed.
@@ -129,12 +130,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.kinds[k]; e != nil && !e.fresh(now) {
-		e.credit = min(1, e.credit+trialShare)
+		e.trialCredit = min(1, e.trialCredit+trialShare)
 	}
 }
 
-// Trip is one request that was sent to another region.
-type Trip struct {
+// ForwardedRequest is a request that was sent to another region.
+type ForwardedRequest struct {
 	table   *Table
 	kind    Kind
 	sentAt  time.Time
@@ -144,21 +145,21 @@
 
 // Send records that a request is sent to a region. reading is the time that a target there
 // reads it, load by how much it and those that the neighbours of this VM send meanwhile
-// delay others. End must be called on the trip.
-func (t *Table) Send(k Kind, reading, load time.Duration, now time.Time) *Trip {
+// delay others. End must be called on the result.
+func (t *Table) Send(k Kind, reading, load time.Duration, now time.Time) *ForwardedRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.estimate(k)
 	if !e.fresh(now) {
-		e.credit = max(0, e.credit-1)
+		e.trialCredit = max(0, e.trialCredit-1)
 	}
-	if len(e.trips) == 0 && !e.fresh(now) {
+	if len(e.unanswered) == 0 && !e.fresh(now) {
 		e.covered = e.sent
 	}
 	e.sent += load
-	trip := &Trip{table: t, kind: k, sentAt: now, sent: e.sent, reading: reading}
-	e.trips = append(e.trips, trip)
-	return trip
+	f := &ForwardedRequest{table: t, kind: k, sentAt: now, sent: e.sent, reading: reading}
+	e.unanswered = append(e.unanswered, f)
+	return f
 }
 
 func (t *Table) estimate(k Kind) *estimate {
@@ -167,47 +168,47 @@
 	}
 	e := t.kinds[k]
 	if e == nil {
-		e = &estimate{credit: 1}
+		e = &estimate{trialCredit: 1}
 		t.kinds[k] = e
 	}
 	return e
 }
 
 // Learn records the prediction that came back with an answer or a refusal.
-func (t *Trip) Learn(predicted time.Duration, now time.Time) {
-	t.table.mu.Lock()
-	defer t.table.mu.Unlock()
-	e := t.table.estimate(t.kind)
-	wait := max(0, predicted-t.reading)
+func (f *ForwardedRequest) Learn(predicted time.Duration, now time.Time) {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	e := f.table.estimate(f.kind)
+	wait := max(0, predicted-f.reading)
 	weight := 1.0
 	if !e.at.IsZero() {
-		weight = max(minWeight, 1-math.Exp(-now.Sub(e.at).Seconds()/followTime.Seconds()))
+		weight = max(minWeight, 1-math.Exp(-now.Sub(e.at).Seconds()/averagingTime.Seconds()))
 	}
 	e.wait += time.Duration(weight * float64(wait-e.wait))
 	e.at = now
-	e.covered = min(e.sent, max(e.covered, t.sent))
-	for len(e.trips) > 0 && !e.trips[0].sentAt.After(t.sentAt) {
-		e.trips = e.trips[1:]
+	e.covered = min(e.sent, max(e.covered, f.sent))
+	for len(e.unanswered) > 0 && !e.unanswered[0].sentAt.After(f.sentAt) {
+		e.unanswered = e.unanswered[1:]
 	}
 }
 
 // Refused records that the region has no room for the request: a prediction at or above the
 // objective, if the refusal carried none.
-func (t *Trip) Refused(predicted, objective time.Duration, now time.Time) {
-	t.Learn(max(predicted, objective+t.reading), now)
+func (f *ForwardedRequest) Refused(predicted, objective time.Duration, now time.Time) {
+	f.Learn(max(predicted, objective+f.reading), now)
 }
 
-// End ends the trip, whether anything was learned or not.
-func (t *Trip) End() {
-	t.table.mu.Lock()
-	defer t.table.mu.Unlock()
-	e := t.table.kinds[t.kind]
+// End must be called when the request has ended, whether anything was learned or not.
+func (f *ForwardedRequest) End() {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	e := f.table.kinds[f.kind]
 	if e == nil {
 		return
 	}
-	for i, waiting := range e.trips {
-		if waiting == t {
-			e.trips = append(e.trips[:i:i], e.trips[i+1:]...)
+	for i, waiting := range e.unanswered {
+		if waiting == f {
+			e.unanswered = append(e.unanswered[:i:i], e.unanswered[i+1:]...)
 			return
 		}
 	}
--- a/core/regionload/regionload_test.go
+++ b/core/regionload/regionload_test.go
@@ -13,9 +13,9 @@
 
 // answer sends a request that is answered with a prediction after some time.
 func answer(t *Table, predicted, after time.Duration, now time.Time) {
-	trip := t.Send(there, need.Reading, 0, now)
-	trip.Learn(predicted, now.Add(after))
-	trip.End()
+	forwarded := t.Send(there, need.Reading, 0, now)
+	forwarded.Learn(predicted, now.Add(after))
+	forwarded.End()
 }
 
 func expect(t *testing.T, table *Table, now time.Time, least, most time.Duration, fresh, trial bool) {
@@ -58,9 +58,9 @@
 // A region that was full minutes ago was never tried again, or by all at once.
 func TestOldPredictionLosesWeight(t *testing.T) {
 	table := &Table{}
-	trip := table.Send(there, need.Reading, 0, began)
-	trip.Refused(0, objective, began)
-	trip.End()
+	forwarded := table.Send(there, need.Reading, 0, began)
+	forwarded.Refused(0, objective, began)
+	forwarded.End()
 	expect(t, table, began.Add(time.Second), objective, 2*objective, true, false)
 	later := began.Add(20 * time.Second)
 	expect(t, table, later, 0, objective/2, false, false)
@@ -81,9 +81,9 @@
 func TestRegionThatDoesNotAnswerLooksSlow(t *testing.T) {
 	table := &Table{}
 	answer(table, 100*time.Millisecond, 0, began)
-	trip := table.Send(there, need.Reading, 0, began.Add(time.Millisecond))
+	forwarded := table.Send(there, need.Reading, 0, began.Add(time.Millisecond))
 	expect(t, table, began.Add(1500*time.Millisecond), time.Second, 2*time.Second, true, false)
-	trip.End()
+	forwarded.End()
 	expect(t, table, began.Add(1500*time.Millisecond), 100*time.Millisecond, 100*time.Millisecond, true, false)
 }
 
@@ -99,12 +99,12 @@
 func TestSentWorkCountsUntilItIsPredicted(t *testing.T) {
 	table := &Table{}
 	answer(table, 100*time.Millisecond, 0, began)
-	var trips []*Trip
+	var requests []*ForwardedRequest
 	for range 20 {
-		trips = append(trips, table.Send(there, need.Reading, 30*time.Millisecond, began))
+		requests = append(requests, table.Send(there, need.Reading, 30*time.Millisecond, began))
 	}
 	expect(t, table, began, 700*time.Millisecond, 700*time.Millisecond, true, false)
-	trips[19].Learn(400*time.Millisecond, began.Add(300*time.Millisecond))
+	requests[19].Learn(400*time.Millisecond, began.Add(300*time.Millisecond))
 	expect(t, table, began.Add(300*time.Millisecond), 100*time.Millisecond, 400*time.Millisecond, true, false)
 }
 
@@ -112,9 +112,9 @@
 func TestKindsAreBounded(t *testing.T) {
 	table := &Table{}
 	for i := range 3 * maxKinds {
-		trip := table.Send(Kind{Region: "r", Service: "s", Rank: i}, 0, 0, began)
-		defer trip.End()
-		defer trip.Learn(time.Second, began)
+		forwarded := table.Send(Kind{Region: "r", Service: "s", Rank: i}, 0, 0, began)
+		defer forwarded.End()
+		defer forwarded.Learn(time.Second, began)
 	}
 	if len(table.kinds) > maxKinds {
 		t.Errorf("%d kinds", len(table.kinds))
--- a/core/regionload/replay_test.go
+++ b/core/regionload/replay_test.go
@@ -161,21 +161,21 @@
 		return
 	}
 	q.tried[to] = true
-	trip := q.table().Send(kind(to), q.read, q.read*vms/targets, now)
+	forwarded := q.table().Send(kind(to), q.read, q.read*vms/targets, now)
 	q.at(now.Add(oneWay), func(now time.Time) {
 		predicted := q.regions[to].predict(q.read, now)
 		if now.Sub(q.arrived)+predicted > bound-oneWay {
 			q.at(now.Add(oneWay), func(now time.Time) {
-				trip.Refused(predicted, objective, now)
-				trip.End()
+				forwarded.Refused(predicted, objective, now)
+				forwarded.End()
 				q.begin(q.home, 0, now)
 			})
 			return
 		}
 		took := q.begin(to, oneWay, now)
 		q.at(now.Add(took+oneWay), func(now time.Time) {
-			trip.Learn(predicted, now)
-			trip.End()
+			forwarded.Learn(predicted, now)
+			forwarded.End()
 		})
 	})
 }
--- a/io/front/crossing.go
+++ b/io/front/byregion.go
@@ -27,22 +27,22 @@
 	}
 	all, remote := x.allowedRegions(r), time.Duration(0)
 	for _, region := range regions {
-		remote = shorter(remote, x.predictAway(region, r, all).Begin)
+		remote = shorter(remote, x.predictRegion(region, r, all).Begin)
 	}
 	return regionload.LeaveAfter(remote, r.Objective, rand.Float64())
 }
 
-// predictAway returns what is known of another region for a request.
+// predictRegion returns what is known of another region for a request.
 //
 // The shared parts of the prompt count as read in the first of the regions only, since all
 // VMs send them there first.
-func (x *exchange) predictAway(region string, r place.Request, regions []string) regionload.Prediction {
-	crossing := x.server.Placer.Crossing(r, region)
-	need := regionload.Need{Reading: crossing.Own, Objective: r.Objective}
+func (x *exchange) predictRegion(region string, r place.Request, regions []string) regionload.Prediction {
+	cost := x.server.Placer.RemoteCost(r, region)
+	need := regionload.Need{Reading: cost.Own, Objective: r.Objective}
 	if len(regions) > 0 && region != regions[0] {
-		need.Reading += crossing.Shared
+		need.Reading += cost.Shared
 	}
-	return x.server.away.Predict(kindOf(r, region), need, r.Now)
+	return x.server.regionLoad.Predict(kindOf(r, region), need, r.Now)
 }
 
 func kindOf(r place.Request, region string) regionload.Kind {
@@ -59,7 +59,7 @@
 	}
 	times := map[string]time.Duration{}
 	for _, region := range regions {
-		p := x.predictAway(region, r, regions)
+		p := x.predictRegion(region, r, regions)
 		if reason != place.Busier {
 			times[region] = regionload.Weigh(p, r.Objective, x.draw(region))
 			ordered = append(ordered, region)
@@ -67,7 +67,7 @@
 		}
 		early, usable := regionload.WeighEarly(p, r.Objective, x.draw(region))
 		if !usable {
-			x.server.away.Skip(kindOf(r, region), r.Now)
+			x.server.regionLoad.Skip(kindOf(r, region), r.Now)
 			continue
 		}
 		if x.predicted == 0 || p.Begin+regionload.RoundTrip < x.predicted {
@@ -95,7 +95,7 @@
 	}
 	x.left = true
 	r := x.placement(time.Now())
-	remote := x.predictAway(v.Region, r, []string{v.Region}).Begin
+	remote := x.predictRegion(v.Region, r, []string{v.Region}).Begin
 	x.server.Metrics.Count("regions.left")
 	x.server.Log.Info("request leaves its busy region", "request", x.id, "service", x.service, "rank", r.Rank, "region", v.Region, "vm", v.ID, "local", x.predicted.Round(time.Millisecond), "remote", remote.Round(time.Millisecond))
 }
@@ -134,39 +134,39 @@
 	header.Set(hopPredicted, text)
 }
 
-// trip is one try in another region. A nil trip learns nothing.
-type trip struct {
-	*regionload.Trip
+// forwardedTry is one try in another region. A nil one learns nothing.
+type forwardedTry struct {
+	*regionload.ForwardedRequest
 	objective time.Duration
 }
 
-func (x *exchange) startTrip(v entry.VM) *trip {
+func (x *exchange) startForwardedTry(v entry.VM) *forwardedTry {
 	s := x.server
 	if !s.ByRegion || v.Region == s.Region {
 		return nil
 	}
 	r := x.placement(time.Now())
-	crossing := s.Placer.Crossing(r, v.Region)
-	return &trip{Trip: s.away.Send(kindOf(r, v.Region), crossing.Own, crossing.Load, r.Now), objective: r.Objective}
+	cost := s.Placer.RemoteCost(r, v.Region)
+	return &forwardedTry{ForwardedRequest: s.regionLoad.Send(kindOf(r, v.Region), cost.Own, cost.Load, r.Now), objective: r.Objective}
 }
 
 // learn records what an answer, or a refusal for a reason, says of its region.
-func (t *trip) learn(header http.Header, reason string) {
-	if t == nil {
+func (f *forwardedTry) learn(header http.Header, reason string) {
+	if f == nil {
 		return
 	}
 	predicted, found := regionload.Parse(header.Get(hopPredicted))
 	switch {
 	case slices.Contains(reasonsOfOneVM, reason) || reason == quarantinedReason || reason == suspectReason:
 	case reason != "":
-		t.Refused(predicted, t.objective, time.Now())
+		f.Refused(predicted, f.objective, time.Now())
 	case found:
-		t.Learn(predicted, time.Now())
+		f.Learn(predicted, time.Now())
 	}
 }
 
-func (t *trip) end() {
-	if t != nil {
-		t.End()
+func (f *forwardedTry) end() {
+	if f != nil {
+		f.End()
 	}
 }
--- a/io/front/crossing_test.go
+++ b/io/front/byregion_test.go
@@ -28,9 +28,9 @@
 	w.server.Entries.Store(&[]entry.VM{{ID: "there", Region: "abroad", PeerAddress: abroad.address, Ready: true}})
 	now := time.Now()
 	w.fill(t)
-	trip := w.server.away.Send(abroadKind, 0, 0, now)
-	trip.Learn(20*time.Millisecond, now)
-	trip.End()
+	forwarded := w.server.regionLoad.Send(abroadKind, 0, 0, now)
+	forwarded.Learn(20*time.Millisecond, now)
+	forwarded.End()
 	return w
 }
 
@@ -79,7 +79,7 @@
 		"the other region is as busy": {
 			change: func(w *fixture) {
 				now := time.Now()
-				w.server.away.Send(abroadKind, 0, 0, now).Learn(2*time.Second, now.Add(time.Second))
+				w.server.regionLoad.Send(abroadKind, 0, 0, now).Learn(2*time.Second, now.Add(time.Second))
 			}, abroad: startTarget(t, refusal), here: 1, predicted: time.Second,
 		},
 	} {
@@ -103,7 +103,7 @@
 			if left, returned := w.counted("regions.left"), w.counted("regions.returned"); left != test.left || returned != test.returned {
 				t.Errorf("%d left, %d returned", left, returned)
 			}
-			predicted := w.server.away.Predict(abroadKind, regionload.Need{Objective: time.Second}, time.Now()).Begin
+			predicted := w.server.regionLoad.Predict(abroadKind, regionload.Need{Objective: time.Second}, time.Now()).Begin
 			if predicted < test.predicted {
 				t.Errorf("the other region is predicted to answer after %v", predicted)
 			}
@@ -212,9 +212,9 @@
 	x := &exchange{server: w.server, service: "s", id: "7"}
 	now := time.Now()
 	for region, predicted := range map[string]time.Duration{"a": 600 * time.Millisecond, "b": 50 * time.Millisecond} {
-		trip := w.server.away.Send(regionload.Kind{Region: region, Service: "s"}, 0, 0, now)
-		trip.Learn(predicted, now)
-		trip.End()
+		forwarded := w.server.regionLoad.Send(regionload.Kind{Region: region, Service: "s"}, 0, 0, now)
+		forwarded.Learn(predicted, now)
+		forwarded.End()
 	}
 	request := func(shared int) place.Request {
 		parts := []place.Part{{ID: "p", Tokens: shared}, {ID: "own", Tokens: 10}}
--- a/io/front/hop.go
+++ b/io/front/hop.go
@@ -153,8 +153,8 @@
 // tryVM sends the request to an entry VM and delivers the answer.
 func (x *exchange) tryVM(ctx context.Context, h *hedge, v entry.VM, header http.Header) outcome {
 	begun := time.Now()
-	trip := x.startTrip(v)
-	defer trip.end()
+	forwarded := x.startForwardedTry(v)
+	defer forwarded.end()
 	response, err := x.server.Peers.Do(ctx, v.ID, v.PeerAddress, x.request(header, v.Region))
 	if err != nil {
 		h.leave()
@@ -168,7 +168,7 @@
 	if !ownRefusal {
 		x.server.partners.Succeeded(v.ID)
 	}
-	trip.learn(response.Header, reason)
+	forwarded.learn(response.Header, reason)
 	if reason != "" {
 		h.leave()
 		response.Finish(response.Discard() == nil)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -80,13 +80,13 @@
 	Metrics    *metrics.Metrics
 	Log        *slog.Logger
 
-	stop     drain.Clock
-	budgets  sync.Map                     // budgetKey to *retry.Budget
-	regions  backoff.Tracker[regionRoute] // backoff after a region refused a request
-	partners backoff.Tracker[string]      // backoff after an entry VM of another region has not answered
-	away     regionload.Table             // what the other regions predict for the requests forwarded there
-	running  inflight.Register
-	crashes  crashChecks
+	stop       drain.Clock
+	budgets    sync.Map                     // budgetKey to *retry.Budget
+	regions    backoff.Tracker[regionRoute] // backoff after a region refused a request
+	partners   backoff.Tracker[string]      // backoff after an entry VM of another region has not answered
+	regionLoad regionload.Table             // what the other regions predict for the requests forwarded there
+	running    inflight.Register
+	crashes    crashChecks
 	// unreadable are the targets whose number of refusals can't be read.
 	unreadable onceEach
 }
