linkbudget, front: headroom, samples, and decide in three parts

Cause: room, Chance, turn and roomy needed explaining; Budget.left and the local left were two things; decide filled a screen with two rules beside the distribution.

Change: headroom, allowance, Request.Sample, samplePeriod and calmForwarded. mustShed and mayTakeForwarded hold the two rules, with the same conditions in the same order. No change of behaviour.

--- a/core/linkbudget/linkbudget.go
+++ b/core/linkbudget/linkbudget.go
@@ -8,10 +8,10 @@
 // admitted with what such requests have cost, and the charge is corrected when it ends.
 //
 // First, no requests are taken from other VMs. Then callers' requests are refused. Each
-// organisation gets its share of the room, so that one that sends several times its usual load
-// costs itself only; of an organisation's requests, the less urgent ones are refused first. Running requests, coordination and
-// control are only measured and never refused. Requests that are forwarded to another VM take
-// no more of this VM's link than those that go to a target.
+// organisation gets its share of the headroom, so that one that sends several times its usual load
+// costs itself only; of an organisation's requests, the less urgent ones are refused first. Running
+// requests, coordination and control are only measured and never refused. Requests that are
+// forwarded to another VM take no more of this VM's link than those that go to a target.
 package linkbudget
 
 import (
@@ -59,12 +59,12 @@
 	// other VMs are no longer taken, and are taken again.
 	forwardedUntil = 0.75
 	forwardedAgain = 0.65
-	// shedFrom is the demand, as a multiple of the room, at which shedding begins if half of the
+	// shedFrom is the demand, as a multiple of the headroom, at which shedding begins if half of the
 	// allowance is used up. It ends when the demand fits. The allowance bounds what is taken in
 	// between.
 	shedFrom = 1.15
-	// calmWindows is for how many windows there must be room before shedding has ended or
-	// requests of other VMs are taken again.
+	// calmWindows is for how many windows the demand must fit before shedding ends, or the
+	// link must have headroom before requests of other VMs are taken again.
 	calmWindows = 5
 	// shortestReturn and longestReturn bound when refused callers should return.
 	shortestReturn = 250 * time.Millisecond
@@ -75,9 +75,9 @@
 // called concurrently with itself; all other methods are safe for concurrent use and take no
 // lock.
 type Budget struct {
-	rate          float64 // bytes per second in each direction
-	burst         float64 // largest allowance, bytes
-	left          atomic.Int64
+	rate          float64      // bytes per second in each direction
+	burst         float64      // largest allowance, bytes
+	allowance     atomic.Int64 // bytes that may be charged now; negative if overdrawn
 	charged       atomic.Int64 // net of corrections, since the start
 	answers       answers
 	organisations sync.Map // name to *organisation
@@ -87,17 +87,17 @@
 	NotTaken atomic.Int64 // requests not taken from another VM
 
 	// The rest is used by Update only.
-	updated     time.Time
-	total       [Directions]int64
-	chargedThen int64
-	use         [Directions]float64 // bytes per second
-	other       [Directions]float64 // bytes per second that aren't charged to requests
-	queue       float64             // bytes that wait to be sent
-	scale       float64             // bytes that the link carries for each byte that is counted
-	demand      float64             // bytes per second
-	shedThen    int64
-	calm        int // windows without shedding
-	roomy       int // windows with room for requests of other VMs
+	updated       time.Time
+	total         [Directions]int64
+	chargedThen   int64
+	use           [Directions]float64 // bytes per second
+	other         [Directions]float64 // bytes per second that aren't charged to requests
+	queue         float64             // bytes that wait to be sent
+	scale         float64             // bytes that the link carries for each byte that is counted
+	demand        float64             // bytes per second
+	shedThen      int64
+	calm          int // windows without shedding
+	calmForwarded int // windows in which requests of other VMs could be taken
 }
 
 // decision is what applies until the next update.
@@ -111,7 +111,7 @@
 // New returns a budget for a link with a rate in bytes per second in each direction.
 func New(rate float64) *Budget {
 	b := &Budget{rate: rate, scale: 1, burst: targetShare * rate * burstTime.Seconds()}
-	b.left.Store(int64(b.burst))
+	b.allowance.Store(int64(b.burst))
 	b.answers.reset()
 	b.current.Store(&decision{forwarded: true})
 	return b
@@ -122,8 +122,10 @@
 	Organisation string
 	Weight       float64 // of the organisation, 0 for that of an average one
 	Rank         int
-	Body         int64   // bytes
-	Chance       float64 // from 0 to 1; of requests that are alike, those with the lowest are taken
+	Body         int64 // bytes
+	// Sample is a number from 0 to 1, evenly distributed over requests. The request is shed
+	// unless it is below the admitted share of its organisation and rank.
+	Sample float64
 }
 
 // Admit reports whether a request may be taken, and charges it: charge is passed to Settle at
@@ -136,7 +138,7 @@
 	cost := b.cost(r.Body)
 	o := b.organisation(r.Organisation)
 	o.offer(rank, cost, r.Weight)
-	if r.Chance >= o.shares.Load()[rank] || !b.take(cost) {
+	if r.Sample >= o.shares.Load()[rank] || !b.take(cost) {
 		b.Shed.Add(1)
 		return 0, false
 	}
@@ -163,7 +165,7 @@
 		return
 	}
 	correction := w.bytes() - charge
-	b.left.Add(-correction)
+	b.allowance.Add(-correction)
 	b.charged.Add(correction)
 	if w.Complete {
 		b.answers.observe(w.Body, inParts(w.Answer, w.Parts))
@@ -179,8 +181,8 @@
 // take charges a cost if anything of the allowance is left. One request may overdraw it, as
 // large ones would never be taken otherwise.
 func (b *Budget) take(cost int64) bool {
-	if b.left.Add(-cost)+cost <= 0 {
-		b.left.Add(cost)
+	if b.allowance.Add(-cost)+cost <= 0 {
+		b.allowance.Add(cost)
 		return false
 	}
 	b.charged.Add(cost)
@@ -225,9 +227,9 @@
 		return
 	}
 	b.measure(total, elapsed)
-	room := b.room()
-	b.refill(room * elapsed)
-	b.decide(room)
+	headroom := b.headroom()
+	b.refill(headroom * elapsed)
+	b.decide(headroom)
 }
 
 // measure updates the averages after a time in seconds.
@@ -264,54 +266,63 @@
 	*value += (next - *value) * min(1, elapsed/over.Seconds())
 }
 
-// room returns the bytes per second that new work may take.
-func (b *Budget) room() (room float64) {
-	room = targetShare * b.rate
+// headroom returns the bytes per second that new work may take.
+func (b *Budget) headroom() (headroom float64) {
+	headroom = targetShare * b.rate
 	for d := range Directions {
-		room = min(room, targetShare*b.rate-max(0, b.other[d]))
+		headroom = min(headroom, targetShare*b.rate-max(0, b.other[d]))
 	}
-	room -= b.queue / settleTime.Seconds()
-	return max(leastShare*b.rate, room)
+	headroom -= b.queue / settleTime.Seconds()
+	return max(leastShare*b.rate, headroom)
 }
 
 func (b *Budget) refill(bytes float64) {
-	if over := float64(b.left.Add(int64(bytes))) - b.burst; over > 0 {
-		b.left.Add(-int64(over))
+	if over := float64(b.allowance.Add(int64(bytes))) - b.burst; over > 0 {
+		b.allowance.Add(-int64(over))
 	}
 }
 
 // decide sets what applies in the next window.
-func (b *Budget) decide(room float64) {
+func (b *Budget) decide(headroom float64) {
 	before := b.current.Load()
-	left := float64(b.left.Load())
+	allowance := float64(b.allowance.Load())
 	// An allowance that is neither full nor used up can take the noise of single windows.
-	room = max(room/2, room+(left-b.burst/2)/settleTime.Seconds())
-	demand := b.demand
-	next := &decision{excess: demand / room}
-	b.calm++
-	shed := b.Shed.Load()
-	if shed > b.shedThen || demand > room && before.shedding || demand > shedFrom*room && left < b.burst/2 {
-		b.calm = 0
-	}
-	b.shedThen = shed
-	next.shedding = b.calm == 0 || before.shedding && b.calm < calmWindows
+	headroom = max(headroom/2, headroom+(allowance-b.burst/2)/settleTime.Seconds())
+	next := &decision{excess: b.demand / headroom}
+	next.shedding = b.mustShed(before.shedding, headroom, allowance)
+	next.forwarded = b.mayTakeForwarded(before.forwarded, next.shedding, allowance)
 	if !next.shedding {
-		room = max(room, demand)
+		headroom = max(headroom, b.demand)
 	}
-	b.distribute(room)
-	highest := 0.0
+	b.distribute(headroom)
 	for d := range Directions {
 		next.percent[d] = int64(b.use[d] / b.rate * percent)
-		highest = max(highest, b.use[d]/b.rate)
 	}
+	b.current.Store(next)
+}
+
+// mustShed reports whether callers' requests are refused in the next window. It must be called
+// once in each window.
+func (b *Budget) mustShed(shedding bool, headroom, allowance float64) bool {
+	b.calm++
+	shed := b.Shed.Load()
+	if shed > b.shedThen || b.demand > headroom && shedding || b.demand > shedFrom*headroom && allowance < b.burst/2 {
+		b.calm = 0
+	}
+	b.shedThen = shed
+	return b.calm == 0 || shedding && b.calm < calmWindows
+}
+
+// mayTakeForwarded reports whether requests of other VMs are taken in the next window. It must
+// be called once in each window.
+func (b *Budget) mayTakeForwarded(taken, shedding bool, allowance float64) bool {
 	limit := forwardedAgain
-	if before.forwarded {
+	if taken {
 		limit = forwardedUntil
 	}
-	b.roomy++
-	if next.shedding || highest >= limit || left <= 0 {
-		b.roomy = 0
+	b.calmForwarded++
+	if shedding || max(b.use[In], b.use[Out])/b.rate >= limit || allowance <= 0 {
+		b.calmForwarded = 0
 	}
-	next.forwarded = b.roomy > 0 && (before.forwarded || b.roomy >= calmWindows)
-	b.current.Store(next)
+	return b.calmForwarded > 0 && (taken || b.calmForwarded >= calmWindows)
 }
--- a/core/linkbudget/linkbudget_test.go
+++ b/core/linkbudget/linkbudget_test.go
@@ -59,7 +59,7 @@
 func (r *replay) arrive(rank int) float64 {
 	r.byRank[rank].offered++
 	r.requests++
-	charge, admitted := r.budget.Admit(Request{Rank: rank, Body: testBody, Chance: r.random.Float64()})
+	charge, admitted := r.budget.Admit(Request{Rank: rank, Body: testBody, Sample: r.random.Float64()})
 	if !admitted {
 		r.refused += headOnly
 		r.send(float64(r.refusal), headOnly)
@@ -155,7 +155,7 @@
 	}
 }
 
-// Guards against work that takes the room of coordination and control: these aren't asked,
+// Guards against work that takes the headroom of coordination and control: these aren't asked,
 // and callers' work must make way for them.
 func TestControlGoesFirst(t *testing.T) {
 	r := newReplay(1)
@@ -172,7 +172,7 @@
 	r := newReplay(1)
 	r.run(0.6, 0, 5*time.Second)
 	if !r.budget.TakesForwarded() || r.budget.Shed.Load() > 0 {
-		t.Error("requests of other VMs aren't taken, or callers' are shed, while there is room")
+		t.Error("requests of other VMs aren't taken, or callers' are shed, while there is headroom")
 	}
 	windows, arrived := 0, r.requests
 	for range 100 {
@@ -190,7 +190,7 @@
 // Guards against settings without a link rate that change anything.
 func TestNoBudget(t *testing.T) {
 	var off *Budget
-	if _, admitted := off.Admit(Request{Rank: 9, Body: 1 << 30, Chance: 1}); !admitted || !off.TakesForwarded() {
+	if _, admitted := off.Admit(Request{Rank: 9, Body: 1 << 30, Sample: 1}); !admitted || !off.TakesForwarded() {
 		t.Error("a VM without a budget refuses")
 	}
 	off.Settle(0, Work{})
@@ -215,7 +215,7 @@
 	}
 }
 
-// An organisation that sent several times its usual load took the room of all others.
+// An organisation that sent several times its usual load took the headroom of all others.
 func TestAFloodCostsItsOrganisationOnly(t *testing.T) {
 	b := New(testRate)
 	random := rand.New(rand.NewPCG(5, 1))
@@ -229,7 +229,7 @@
 				count *= 6.5
 			}
 			for ; random.Float64() < count; count-- {
-				_, taken := b.Admit(Request{Organisation: string(rune('a' + o)), Weight: 1000, Rank: o % 2, Body: testBody, Chance: random.Float64()})
+				_, taken := b.Admit(Request{Organisation: string(rune('a' + o)), Weight: 1000, Rank: o % 2, Body: testBody, Sample: random.Float64()})
 				if window < 20 {
 					continue
 				}
--- a/core/linkbudget/share.go
+++ b/core/linkbudget/share.go
@@ -75,9 +75,9 @@
 	return o.total
 }
 
-// distribute divides the room among the organisations: a max-min share by their weights. What
+// distribute divides the headroom among the organisations: a max-min share by their weights. What
 // one doesn't use of its share goes to the others.
-func (b *Budget) distribute(room float64) {
+func (b *Budget) distribute(headroom float64) {
 	all := b.active()
 	weights := weightsOf(all)
 	need := func(o *organisation) float64 { return o.total / weights[o] }
@@ -87,8 +87,8 @@
 		left += weights[o]
 	}
 	for _, o := range all {
-		given := min(o.total, room*weights[o]/left)
-		room -= given
+		given := min(o.total, headroom*weights[o]/left)
+		headroom -= given
 		left -= weights[o]
 		next := shares(o.demand, o.total, given)
 		o.shares.Store(&next)
@@ -118,18 +118,19 @@
 	return weights
 }
 
-// shares returns the part of the requests of each rank that is admitted. Each rank gets a part
+// shares returns the part of the requests of each rank that is admitted, of a demand of which
+// so much is granted. Each rank gets a part
 // of the average; the rest goes to the most urgent ranks first.
-func shares(byRank [Ranks]float64, demand, room float64) (share [Ranks]float64) {
+func shares(byRank [Ranks]float64, demand, granted float64) (share [Ranks]float64) {
 	fits := 1.0
-	if demand > room {
-		fits = room / demand
+	if demand > granted {
+		fits = granted / demand
 	}
 	even := evenShare * fits
 	if fits == 1 {
 		even = 1
 	}
-	rest := room - even*demand
+	rest := granted - even*demand
 	for rank, offered := range byRank {
 		share[rank] = even
 		if offered > 0 {
--- a/io/front/link.go
+++ b/io/front/link.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	// linkReason is the reason of refusals as this VM's network link is full.
+	// linkReason is the reason of refusals because this VM's network link is full.
 	linkReason = "link_full"
 	// keptBody is the largest body that is read after a refusal so that its connection can be
 	// used again: such bodies have mostly arrived by then.
 	keptBody = 64 << 10 // bytes
-	// turnTime is the time in which each request with a prompt has its turn to be admitted
-	// while others are shed, and turnShare the part of the time until its end after which it
-	// should return.
-	turnTime  = 1200 * time.Millisecond
-	turnShare = 0.9
+	// samplePeriod is the time in which the sample of a request with a prompt falls from 1 to
+	// 0. One that is shed should return after returnShare of the rest of the period, when its
+	// sample is low.
+	samplePeriod = 1200 * time.Millisecond
+	returnShare  = 0.9
 )
 
 // linkUse is what a request takes of the link, over all its tries. A nil linkUse counts
@@ -53,7 +53,7 @@
 	}
 }
 
-// admitToLink refuses the request if the link has no room for its body and its answer. That
+// admitToLink refuses the request if the link has no headroom for its body and its answer. That
 // must be known before the body is read and before any other VM is asked.
 func (x *exchange) admitToLink() *refusal {
 	budget := x.server.Link
@@ -66,7 +66,7 @@
 		use.charge, admitted = budget.AdmitForwarded(body)
 	} else {
 		use.charge, admitted = budget.Admit(linkbudget.Request{
-			Organisation: x.organisation.Name, Weight: x.organisation.RatePerSecond, Rank: x.rank(), Body: body, Chance: x.linkChance(time.Now()),
+			Organisation: x.organisation.Name, Weight: x.organisation.RatePerSecond, Rank: x.rank(), Body: body, Sample: x.linkSample(time.Now()),
 		})
 	}
 	if !admitted {
@@ -76,18 +76,18 @@
 	return nil
 }
 
-// linkChance returns a number from 0 to 1 by which the request is admitted or shed. That of a
-// request with a prompt falls from 1 to 0 within turnTime, again and again: one that is shed is
-// told to return when it is low. So returning requests are spread evenly over time, and a
-// request that has waited is not shed again in favour of new ones.
-func (x *exchange) linkChance(now time.Time) float64 {
+// linkSample returns a number from 0 to 1; the lower, the rather the request is admitted. That of
+// a request with a prompt falls from 1 to 0 in each samplePeriod, with an offset by its own part
+// of the prompt. One that is shed is told to return when its sample is low, so that returning
+// requests are spread evenly over time, and are not shed again in favour of new ones.
+func (x *exchange) linkSample(now time.Time) float64 {
 	if len(x.demand.Parts) == 0 {
 		return rand.Float64()
 	}
 	own := xxhash.Sum64String(x.demand.Parts[len(x.demand.Parts)-1].ID)
-	offset := time.Duration(own % uint64(turnTime))
-	left := turnTime - (time.Duration(now.UnixNano()%int64(turnTime))+offset)%turnTime
-	return left.Seconds() / turnTime.Seconds()
+	offset := time.Duration(own % uint64(samplePeriod))
+	left := samplePeriod - (time.Duration(now.UnixNano()%int64(samplePeriod))+offset)%samplePeriod
+	return left.Seconds() / samplePeriod.Seconds()
 }
 
 func (x *exchange) linkRefusal(budget *linkbudget.Budget) *refusal {
@@ -97,7 +97,7 @@
 	after := budget.ReturnAfter()
 	after += time.Duration(rand.Int64N(int64(after)))
 	if len(x.demand.Parts) > 0 && x.from == "" {
-		after = time.Duration(x.linkChance(time.Now()) * turnShare * float64(turnTime))
+		after = time.Duration(x.linkSample(time.Now()) * returnShare * float64(samplePeriod))
 	}
 	after = min(after, time.Until(x.deadline)/retryAfterDivisor)
 	return &refusal{status: http.StatusServiceUnavailable, reason: linkReason, retryAfter: after, notRun: true}
--- a/io/front/link_test.go
+++ b/io/front/link_test.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// Guards against a budget that loses room with each request, whether it is served, refused by
+// Guards against a budget that loses headroom with each request, whether it is served, refused by
 // its target or broken off.
 func TestRequestsAreSettledWithTheLink(t *testing.T) {
 	for name, targets := range map[string][]*target{
@@ -77,7 +77,7 @@
 	}
 }
 
-// Guards against requests of other VMs that take the room of this VM's own callers. A busy
+// Guards against requests of other VMs that take the headroom of this VM's own callers. A busy
 // sender goes on forwarding: that takes no more of its link than a target of its own.
 func TestBusyLinkTakesNoRequestsOfOthers(t *testing.T) {
 	s := startTarget(t, status(200, "", "fine"))
@@ -104,14 +104,14 @@
 }
 
 // Guards against requests that are shed again when they return, in favour of new ones.
-func TestShedRequestsHaveTheirTurn(t *testing.T) {
+func TestShedRequestsReturnWithALowSample(t *testing.T) {
 	now := time.Now()
 	for i := range 1000 {
 		x := &exchange{demand: place.Demand{Parts: []place.Part{{ID: "shared"}, {ID: strconv.Itoa(i)}}}}
-		chance := x.linkChance(now)
-		back := x.linkChance(now.Add(time.Duration(chance * turnShare * float64(turnTime))))
-		if chance < 0 || chance > 1 || back > 0.11 || back > chance {
-			t.Fatalf("request %d: %.2f, and %.2f when it returns", i, chance, back)
+		sample := x.linkSample(now)
+		back := x.linkSample(now.Add(time.Duration(sample * returnShare * float64(samplePeriod))))
+		if sample < 0 || sample > 1 || back > 0.11 || back > sample {
+			t.Fatalf("request %d: %.2f, and %.2f when it returns", i, sample, back)
 		}
 	}
 }
