link: say what happens to requests of other VMs when the link fills

Cause: "room of the link for forwarded requests has changed" left the direction to a field, and Run's comment was broken off in the middle.

Change: two messages, as for shedding, without the field taken.

Tests: go test ./io/link.

--- a/io/link/monitor.go
+++ b/io/link/monitor.go
@@ -20,8 +20,8 @@
 	Log      *slog.Logger
 }
 
-// Run updates the budget until the tomb is dying. It logs when shedding begins, and when requests of other VMs are taken, begin
-// and end.
+// Run updates the budget until the tomb is dying. It logs when callers' requests begin or cease
+// to be shed, and when requests of other VMs begin or cease to be taken.
 func (m *Monitor) Run(t *tomb.Tomb) error {
 	ticker := time.NewTicker(linkbudget.Window)
 	defer ticker.Stop()
@@ -38,22 +38,25 @@
 func (m *Monitor) update(now time.Time) {
 	shedding, taking := m.Budget.Shedding(), m.Budget.TakesForwarded()
 	m.Budget.Update(m.Counters.Total(), now)
-	if m.Budget.TakesForwarded() != taking {
-		m.log("room of the link for forwarded requests has changed", "taken", !taking)
+	switch {
+	case m.Budget.TakesForwarded() == taking:
+	case taking:
+		m.log("link is nearly full; requests of other VMs are refused, and go elsewhere")
+	default:
+		m.log("link has headroom again; requests of other VMs are taken")
 	}
 	switch {
 	case m.Budget.Shedding() == shedding:
 	case shedding:
-		m.log("link has room again; shedding has ended")
+		m.log("link has headroom again; shedding has ended")
 	default:
 		m.log("link is full; requests of callers are shed")
 	}
 }
 
-func (m *Monitor) log(message string, args ...any) {
+func (m *Monitor) log(message string) {
 	b := m.Budget
-	fields := []any{"in_percent", b.Percent(linkbudget.In), "out_percent", b.Percent(linkbudget.Out), "excess", math.Round(100*b.Excess()) / 100, "shed", b.Shed.Load()}
-	m.Log.Info(message, append(fields, args...)...)
+	m.Log.Info(message, "in_percent", b.Percent(linkbudget.In), "out_percent", b.Percent(linkbudget.Out), "excess", math.Round(100*b.Excess())/100, "shed", b.Shed.Load())
 }
 
 // AddGauges adds the bytes by purpose and direction, the use of the link and the decisions.
