follow: name the remote source and the batched changes

Cause: source, news and collected needed explaining: a control VM of another region that sends catalogues, and changes that don't end a poll before 250 ms. Answer had one condition twice.

No change of behaviour.

Tests: go test ./io/follow passes.

--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -354,7 +354,7 @@
 	v.Metrics.Gauge("draws.failed", v.drawer.Failed.Load)
 	v.Metrics.Gauge("draws.rerouted", v.drawer.Rerouted.Load)
 	v.Metrics.Gauge("draws.unreached", v.drawer.Unreached.Load)
-	v.Metrics.Gauge("news_from_elsewhere", v.client.FromElsewhere)
+	v.Metrics.Gauge("catalogues_from_other_region", v.client.FromOtherRegion)
 	v.Metrics.Gauge("idle_dropped", v.client.Peers.Dropped)
 	v.Metrics.Gauge("coordinated_targets", v.placer.Coordinated)
 	v.Metrics.Gauge("engine_token_time_ns", func() int64 {
--- a/io/follow/client.go
+++ b/io/follow/client.go
@@ -73,22 +73,22 @@
 	// lacksOthers is set, it has just started and knows no others. It may be nil.
 	OnCrashes func(address string, rows []quarantine.Crash, lacksOthers bool)
 
-	mu        sync.Mutex
-	tomb      *tomb.Tomb
-	seeds     []string
-	polls     map[string]context.CancelFunc // by control VM's peer address
-	revision  uint64
-	confirmed time.Time       // when the last poll was sent that a control VM which isn't far has confirmed
-	unusable  error           // why the catalogue of this revision isn't in force as a whole
-	newer     chan struct{}   // closed when a newer catalogue arrives
-	confirms  map[string]bool // control VMs whose last answer was confirmed
-	source    string          // control VM that sends catalogues in place of those of this region, or empty
-	fleet     *instance.Fleet
-	entries   map[string]map[string]entry.VM // by control VM and id
-	reports   map[string]report              // by control VM
-	reachable []string                       // addresses of the control VMs that answer, those of this region first
-	near      map[string]bool                // addresses of the control VMs of this region
-	named     map[string][]string            // addresses of all control VMs, by the one that has named them
+	mu           sync.Mutex
+	tomb         *tomb.Tomb
+	seeds        []string
+	polls        map[string]context.CancelFunc // by control VM's peer address
+	revision     uint64
+	confirmed    time.Time       // when the last poll was sent that a control VM which isn't far has confirmed
+	unusable     error           // why the catalogue of this revision isn't in force as a whole
+	newer        chan struct{}   // closed when a newer catalogue arrives
+	confirms     map[string]bool // control VMs whose last answer was confirmed
+	remoteSource string          // control VM of another region that sends catalogues in place of those of this region; empty for none
+	fleet        *instance.Fleet
+	entries      map[string]map[string]entry.VM // by control VM and id
+	reports      map[string]report              // by control VM
+	reachable    []string                       // addresses of the control VMs that answer, those of this region first
+	near         map[string]bool                // addresses of the control VMs of this region
+	named        map[string][]string            // addresses of all control VMs, by the one that has named them
 }
 
 // Run starts goroutines in the tomb that poll the control VMs until it dies. The
@@ -234,10 +234,10 @@
 func (c *Client) pollOnce(ctx context.Context, address string, seen *cursor) error {
 	c.mu.Lock()
 	revision := c.revision
-	c.chooseSource()
-	isSource := c.source == address
-	newsFirst := isSource && c.Lease.Within(confirmedLately) // or else changes could keep confirmations away
-	revisionOnly := !seen.needsCatalogue && !isSource && len(c.reachable) > 0 && c.reachable[0] != address
+	c.chooseRemoteSource()
+	isRemoteSource := c.remoteSource == address
+	newsFirst := isRemoteSource && c.Lease.Within(confirmedLately) // or else changes could keep confirmations away
+	revisionOnly := !seen.needsCatalogue && !isRemoteSource && len(c.reachable) > 0 && c.reachable[0] != address
 	wait := c.setScope(address, seen)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
@@ -288,7 +288,7 @@
 func (c *Client) awaitRevision(ctx context.Context, revision uint64) (has bool) {
 	c.mu.Lock()
 	wait := catalogueWait
-	if c.source != "" {
+	if c.remoteSource != "" {
 		wait = overdueCatalogueWait
 	}
 	c.mu.Unlock()
--- a/io/follow/manycrashes_test.go
+++ b/io/follow/manycrashes_test.go
@@ -50,7 +50,7 @@
 		if share > 0.1 {
 			t.Errorf("crashes take %.0f%% of an entry VM's link, want at most 10%%", 100*share)
 		}
-		if most := int(lasting/newsInterval) * len(controls) * 3 / 2; polls > most {
+		if most := int(lasting/batchInterval) * len(controls) * 3 / 2; polls > most {
 			t.Errorf("%d polls in %v, want at most %d", polls, lasting, most)
 		}
 	})
--- a/io/follow/scope.go
+++ b/io/follow/scope.go
@@ -48,7 +48,7 @@
 		delete(c.entries, address)
 	}
 	switch {
-	case c.source != "":
+	case c.remoteSource != "":
 		return pollWait
 	case time.Since(c.confirmed) > confirmedLately:
 		return overdueWait
--- a/io/follow/server.go
+++ b/io/follow/server.go
@@ -27,10 +27,10 @@
 )
 
 const (
-	// newsInterval is how long a poll is held at least if only entry VMs or crashes of
-	// targets have changed. When many targets crash, each sound answer changes the crashes;
-	// polls that end at once would fill the links of all entry VMs.
-	newsInterval = 250 * time.Millisecond
+	// batchInterval is the least time for which changes of entry VMs and of crashes are
+	// collected before they end a poll. When many targets crash, each sound answer changes the
+	// crashes, and polls that end at once would fill the links of all entry VMs.
+	batchInterval = 250 * time.Millisecond
 	// maxCrashRows bounds the crashes in one answer. The next poll gets the others.
 	maxCrashRows = 64
 	// confirmTimeout bounds the wait for a majority in one poll. It covers two
@@ -145,18 +145,18 @@
 	confirmation := s.joinRound()
 	deadline := time.NewTimer(time.Duration(request.GetWaitNanoseconds()))
 	defer deadline.Stop()
-	if request.GetNewsFirst() && request.GetEpoch() == s.Epoch && !s.confirmedBeforeNews(request, confirmation) {
+	if request.GetNewsFirst() && request.GetEpoch() == s.Epoch && !s.confirmedBeforeCatalogue(request, confirmation) {
 		return s.newAnswer(request, false)
 	}
-	settled := time.NewTimer(newsInterval)
-	defer settled.Stop()
+	batchTimer := time.NewTimer(batchInterval)
+	defer batchTimer.Stop()
 	confirmed := s.awaitConfirmation(ctx, confirmation)
-	for collected := false; !s.hasUrgent(request) && !(collected && s.hasNews(request)); {
+	for batchDue := false; !s.mustAnswer(request, batchDue); {
 		targets, unknown := s.targetChanges(request)
 		entries := s.entryChanges(request)
 		_, crashes := s.VMState.Quarantine.Table.Version()
 		changed := s.VMState.Catalogue.Changed()
-		if s.hasUrgent(request) || collected && s.hasNews(request) {
+		if s.mustAnswer(request, batchDue) {
 			break
 		}
 		select {
@@ -164,30 +164,31 @@
 			return &vm.FollowResponse{}
 		case <-deadline.C:
 			return s.newAnswer(request, confirmed)
-		case <-settled.C:
-			collected = true
+		case <-batchTimer.C:
+			batchDue = true
 		case <-targets:
 		case <-unknown:
 		case <-changed:
-		case <-whenCollected(collected, entries):
-		case <-whenCollected(collected, crashes):
+		case <-whenDue(batchDue, entries):
+		case <-whenDue(batchDue, crashes):
 		}
 	}
 	return s.newAnswer(request, confirmed)
 }
 
-// whenCollected returns the channel if news of its kind ends a poll already.
-func whenCollected(collected bool, changes <-chan struct{}) <-chan struct{} {
-	if collected {
+// whenDue returns the channel of batched changes once they may end the poll, and before that
+// nil, which never does.
+func whenDue(batchDue bool, changes <-chan struct{}) <-chan struct{} {
+	if batchDue {
 		return changes
 	}
 	return nil
 }
 
-// confirmedBeforeNews waits until a round ends, for no longer than confirmTimeout, or this
-// VM has a newer catalogue than the entry VM, and reports whether the latter has not come
-// first. The next poll renews the lease of the entry VM then.
-func (s *Server) confirmedBeforeNews(request *vm.FollowRequest, confirmation *round) bool {
+// confirmedBeforeCatalogue waits until a round ends, for no longer than confirmTimeout, or this
+// VM has a newer catalogue than the entry VM. It reports false if the catalogue comes first: it
+// is then sent at once, and the next poll renews the lease of the entry VM.
+func (s *Server) confirmedBeforeCatalogue(request *vm.FollowRequest, confirmation *round) bool {
 	timer := time.NewTimer(confirmTimeout)
 	defer timer.Stop()
 	for {
@@ -231,6 +232,12 @@
 	}
 }
 
+// mustAnswer reports whether this VM has something newer that ends the poll. batchDue says that
+// batchInterval is over.
+func (s *Server) mustAnswer(request *vm.FollowRequest, batchDue bool) bool {
+	return s.hasUrgent(request) || batchDue && s.hasBatched(request)
+}
+
 // hasUrgent reports whether this VM has something newer than the versions in the poll that
 // must be known at once: a catalogue or a target.
 func (s *Server) hasUrgent(request *vm.FollowRequest) bool {
@@ -240,9 +247,9 @@
 	return s.targetsVersion(request) > request.GetTargetsVersion()
 }
 
-// hasNews reports whether this VM has newer entry VMs or crashes of targets than the versions
+// hasBatched reports whether this VM has newer entry VMs or crashes of targets than the versions
 // in the poll.
-func (s *Server) hasNews(request *vm.FollowRequest) bool {
+func (s *Server) hasBatched(request *vm.FollowRequest) bool {
 	entries, _ := s.entries.Version()
 	if !request.GetNoEntries() && entries > request.GetEntriesVersion() {
 		return true
--- a/io/follow/source.go
+++ b/io/follow/source.go
@@ -7,33 +7,33 @@
 
 // silentAfter is the age of the last confirmation of this region from which on there is
 // none, though its control VMs may not have answered the poll yet: that confirmation was
-// asked for a poll before.
+// requested by an earlier poll.
 const silentAfter = pollWait + confirmedLately
 
-// chooseSource decides which control VM of another region sends catalogues as soon as it
+// chooseRemoteSource decides which control VM of another region sends catalogues as soon as it
 // has them. None does while one of this region confirms: the catalogue is sent over links
 // between regions only where those of this region may be cut off from the leader, and lack
 // the newest one. The caller holds mu.
-func (c *Client) chooseSource() {
-	before := c.source
-	c.source = c.nextSource()
-	if c.source != before {
-		c.Log.Info("control VM of another region that sends catalogues has changed; none does while one of this region confirms",
-			"control", c.source, "before", before, "confirmed_here", time.Since(c.confirmed), "lease_left", c.Lease.Left())
+func (c *Client) chooseRemoteSource() {
+	before := c.remoteSource
+	c.remoteSource = c.nextRemoteSource()
+	if c.remoteSource != before {
+		c.Log.Info("control VM of another region that sends catalogues has changed; empty while one of this region confirms",
+			"control", c.remoteSource, "before", before, "confirmed_here", time.Since(c.confirmed), "lease_left", c.Lease.Left())
 	}
 }
 
-// nextSource keeps the source while it confirms. Before the first confirmation, and while no
+// nextRemoteSource keeps the source while it confirms. Before the first confirmation, and while no
 // confirmation comes from anywhere, there is none.
-func (c *Client) nextSource() string {
+func (c *Client) nextRemoteSource() string {
 	if !c.nearAnswers() || c.nearConfirms() || !c.Lease.Within(silentAfter) {
 		return ""
 	}
 	mayBe := func(address string) bool {
 		return !c.near[address] && c.confirms[address] && slices.Contains(c.reachable, address)
 	}
-	if mayBe(c.source) {
-		return c.source
+	if mayBe(c.remoteSource) {
+		return c.remoteSource
 	}
 	if i := slices.IndexFunc(c.reachable, mayBe); i >= 0 {
 		return c.reachable[i]
@@ -55,12 +55,12 @@
 	return false
 }
 
-// FromElsewhere returns 1 while a control VM of another region sends catalogues in place of
+// FromOtherRegion returns 1 while a control VM of another region sends catalogues in place of
 // those of this region, and otherwise 0.
-func (c *Client) FromElsewhere() int64 {
+func (c *Client) FromOtherRegion() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.source == "" {
+	if c.remoteSource == "" {
 		return 0
 	}
 	return 1
