quota: name the times of a shortage

Cause: until, paused, ends, noted and relieved didn't say which of three times or which event is meant, and two bounds of a pause were named after the shortage.

Change: available, pauseEnd, expires, afterRefusal, afterGrant, minShortagePause, maxShortagePause, repeatWindow, pausedShare. No change of behaviour.

Tests: go test ./core/quota ./core/preference pass.

--- a/core/preference/preference.go
+++ b/core/preference/preference.go
@@ -24,10 +24,9 @@
 )
 
 // Tracker remembers which peers failed last. A control VM that is cut off from the leader
-// fails each request until the partition ends, while 40 requests per second want to use it
-// and another one serves them. A peer that has failed isn't asked for a while, and then by
-// one request at a time until it answers. The zero value knows of no failure. It is safe
-// for concurrent use.
+// fails each request until the partition ends, while another one could serve them. A peer
+// that has failed isn't asked for a while, and then by one request at a time until it answers.
+// The zero value knows of no failure. It is safe for concurrent use.
 type Tracker[P comparable] struct {
 	mu     sync.Mutex
 	failed map[P]failure // peers that have failed since their last answer
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -190,7 +190,7 @@
 		a.drawn = 0
 		return false, order
 	}
-	if a.drawn < prefetch/2 && !a.drawPending && !now.Before(a.shortage.ends) {
+	if a.drawn < prefetch/2 && !a.drawPending && !now.Before(a.shortage.expires) {
 		a.drawPending = true
 		return true, Order{Want: prefetch - a.drawn}
 	}
@@ -208,7 +208,7 @@
 	a := l.account(organisation, limit, now)
 	a.drawn += order.aside + tokens
 	if tokens > 0 {
-		a.shortage = a.shortage.relieved(now)
+		a.shortage = a.shortage.afterGrant(now)
 	}
 	if order.Need == 0 {
 		a.drawPending = false
--- a/core/quota/shortage_test.go
+++ b/core/quota/shortage_test.go
@@ -74,7 +74,7 @@
 	if l.Wait("o", Limit{RatePerSecond: 200, Burst: 100}, 80, now) > 0 {
 		t.Error("the memory applies to another limit")
 	}
-	if l.Wait("o", limit, 80, now.Add(longestShortage)) > 0 {
+	if l.Wait("o", limit, 80, now.Add(maxShortagePause)) > 0 {
 		t.Error("the pool is not asked again in time")
 	}
 	l.Refund("o", 80)
