draw: one result struct instead of three results

Cause: drawAlone took the two fields of drawKey and returned the three of drawn, and its comment repeated Draw's. It filled more than a screen.

Change: drawAlone takes a drawKey and returns a drawn; askControls holds the loop over the control VMs. No change of behaviour.

Tests: go test ./io/draw passes.

--- a/io/draw/draw.go
+++ b/io/draw/draw.go
@@ -179,17 +179,26 @@
 	return &Client{Peers: peers, Limiter: limiter, Controls: controls, Log: log}
 }
 
-// drawAlone draws the tokens of an order from the first control VM that answers. The
-// tokens of an order without a need, which is for later requests, go to the limiter
-// as well. wait is how long the caller should wait if there were too few tokens.
-// reached tells whether a control VM has answered.
-func (c *Client) drawAlone(ctx context.Context, organisation string, limit quota.Limit, order quota.Order) (tokens float64, wait time.Duration, reached bool) {
+// drawAlone is Draw without other requests: it asks the control VMs one after the other until
+// one answers.
+func (c *Client) drawAlone(ctx context.Context, key drawKey, order quota.Order) drawn {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	result := c.askControls(ctx, key, order)
+	if !result.reached {
+		c.Unreached.Add(1)
+	}
+	if order.Need == 0 {
+		c.Limiter.AddDrawn(key.organisation, key.limit, order, 0, result.tokens, result.reached, time.Now())
+	}
+	return result
+}
+
+// askControls returns the answer of the first control VM that gives one in time.
+func (c *Client) askControls(ctx context.Context, key drawKey, order quota.Order) drawn {
 	request := &vm.DrawRequest{
-		Organisation: organisation, RatePerSecond: limit.RatePerSecond, Burst: limit.Burst, Need: order.Need, Want: order.Want,
+		Organisation: key.organisation, RatePerSecond: key.limit.RatePerSecond, Burst: key.limit.Burst, Need: order.Need, Want: order.Want,
 	}
-	wait = unreachableWait
 	controls := c.Controls()
 	candidates := c.preference.Order(controls, order.Need > 0, time.Now())
 	for i, address := range candidates {
@@ -199,23 +208,16 @@
 		}
 		answer, err := c.askControl(ctx, address, bound, i == len(candidates)-1, request)
 		if err == nil {
-			tokens, wait, reached = answer.GetGranted(), time.Duration(answer.GetWaitNanoseconds()), true
 			c.noteAnswer(address, controls[0])
-			break
+			return drawn{tokens: answer.GetGranted(), wait: time.Duration(answer.GetWaitNanoseconds()), reached: true}
 		}
 		c.Failed.Add(1)
-		c.Log.Warn("drawing tokens from a control VM failed; the next one is tried if time is left", "organisation", organisation, "control", address, "need", order.Need, "error", err)
+		c.Log.Warn("drawing tokens from a control VM failed; the next one is tried if time is left", "organisation", key.organisation, "control", address, "need", order.Need, "error", err)
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	if !reached {
-		c.Unreached.Add(1)
-	}
-	if order.Need == 0 {
-		c.Limiter.AddDrawn(organisation, limit, order, 0, tokens, reached, time.Now())
-	}
-	return tokens, wait, reached
+	return drawn{wait: unreachableWait}
 }
 
 // noteAnswer counts a draw that a control VM has answered, and logs where the tokens come
--- a/io/draw/shared.go
+++ b/io/draw/shared.go
@@ -91,12 +91,13 @@
 // limiter. wait is how long the caller should wait if there were too few tokens. reached tells
 // whether a control VM has answered.
 func (c *Client) Draw(ctx context.Context, organisation string, limit quota.Limit, order quota.Order) (tokens float64, wait time.Duration, reached bool) {
+	key := drawKey{organisation, limit}
 	if !c.sharedDraws.enabled || order.Need <= 0 {
-		return c.drawAlone(ctx, organisation, limit, order)
+		d := c.drawAlone(ctx, key, order)
+		return d.tokens, d.wait, d.reached
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	key := drawKey{organisation, limit}
 	w := &waiter{order: order, result: make(chan drawn, 1)}
 	c.join(key, w)
 	select {
@@ -155,13 +156,13 @@
 // call draws for a batch, and passes the tokens on in the order of arrival.
 func (c *Client) call(key drawKey, d *sharedDraw, batch []*waiter) {
 	order := combine(batch)
-	tokens, wait, reached := c.drawAlone(context.Background(), key.organisation, key.limit, order)
-	if reached && tokens == 0 && wait > 0 {
-		c.Limiter.NoteShortage(key.organisation, key.limit, order.Need, wait, time.Now())
+	total := c.drawAlone(context.Background(), key, order)
+	if total.reached && total.tokens == 0 && total.wait > 0 {
+		c.Limiter.NoteShortage(key.organisation, key.limit, order.Need, total.wait, time.Now())
 		batch = append(batch, c.takeRefused(d, order.Need)...)
 	}
 	c.end(key, d)
-	distribute(batch, drawn{tokens: tokens, wait: wait, reached: reached}, key.limit)
+	distribute(batch, total, key.limit)
 }
 
 // end starts the next call, or forgets the organisation if nobody waits.
