place, linkbudget, front: one definition of ranks and of long answers

Cause: the number of ranks stood in core/backlog, core/linkbudget and io/front, with three ways to bound a rank, and Request.IsLong only called Request.long.

Change: backlog.Ranks and backlog.Clamp everywhere; IsLong alone; Reason.LacksCapacity for IsForWantOfRoom. No change of behaviour.

Tests: go test ./core/backlog ./core/linkbudget ./core/place ./io/coordinator pass.

--- a/core/linkbudget/linkbudget.go
+++ b/core/linkbudget/linkbudget.go
@@ -18,6 +18,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"kingcuprill/core/backlog"
 )
 
 // Window is the time between two updates.
@@ -33,9 +35,6 @@
 // percent is the number of hundredths in a whole.
 const percent = 100
 
-// Ranks is the number of ranks of requests; 0 is the most urgent.
-const Ranks = 10
-
 const (
 	// targetShare is the part of the link's rate up to which work is taken. The rest is for
 	// bursts within a window and errors of the estimates.
@@ -134,7 +133,7 @@
 	if b == nil {
 		return 0, true
 	}
-	rank := min(max(0, r.Rank), Ranks-1)
+	rank := backlog.Clamp(r.Rank)
 	cost := b.cost(r.Body)
 	o := b.organisation(r.Organisation)
 	o.offer(rank, cost, r.Weight)
--- a/core/linkbudget/linkbudget_test.go
+++ b/core/linkbudget/linkbudget_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"kingcuprill/core/backlog"
 )
 
 const (
@@ -26,7 +28,7 @@
 	queue    [Directions]float64 // bytes
 	streams  []time.Time         // ends of answers
 	charges  []int64
-	byRank   [Ranks]struct{ offered, admitted float64 }
+	byRank   [backlog.Ranks]struct{ offered, admitted float64 }
 	refused  float64 // bytes
 	longest  time.Duration
 	requests int
@@ -144,7 +146,7 @@
 	r.run(4, 0, 2*time.Second)
 	clear(r.byRank[:])
 	r.run(4, 0, 20*time.Second)
-	var share [Ranks]float64
+	var share [backlog.Ranks]float64
 	offered, admitted := 0.0, 0.0
 	for rank, count := range r.byRank {
 		share[rank] = count.admitted / max(1, count.offered)
--- a/core/linkbudget/share.go
+++ b/core/linkbudget/share.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"sync/atomic"
+
+	"kingcuprill/core/backlog"
 )
 
 const (
@@ -18,13 +20,13 @@
 type organisation struct {
 	name    string
 	weight  atomic.Int64
-	offered [Ranks]atomic.Int64
-	shares  atomic.Pointer[[Ranks]float64] // of the requests of each rank that are admitted
+	offered [backlog.Ranks]atomic.Int64
+	shares  atomic.Pointer[[backlog.Ranks]float64] // of the requests of each rank that are admitted
 
 	// The rest is used by Update only.
-	demand [Ranks]float64 // bytes per second
-	total  float64        // of all ranks
-	quiet  int            // windows without requests
+	demand [backlog.Ranks]float64 // bytes per second
+	total  float64                // of all ranks
+	quiet  int                    // windows without requests
 }
 
 func (b *Budget) organisation(name string) *organisation {
@@ -32,7 +34,7 @@
 		return found.(*organisation)
 	}
 	o := &organisation{name: name}
-	all := [Ranks]float64{}
+	all := [backlog.Ranks]float64{}
 	for rank := range all {
 		all[rank] = 1
 	}
@@ -121,7 +123,7 @@
 // shares returns the part of the requests of each rank that is admitted, of a demand of which
 // so much is granted. Each rank gets a part
 // of the average; the rest goes to the most urgent ranks first.
-func shares(byRank [Ranks]float64, demand, granted float64) (share [Ranks]float64) {
+func shares(byRank [backlog.Ranks]float64, demand, granted float64) (share [backlog.Ranks]float64) {
 	fits := 1.0
 	if demand > granted {
 		fits = granted / demand
--- a/core/place/lateness.go
+++ b/core/place/lateness.go
@@ -17,11 +17,6 @@
 
 // IsLong reports whether a request is expected to have a long answer.
 func (r Request) IsLong() bool {
-	return r.long()
-}
-
-// long reports whether a request is expected to have a long answer.
-func (r Request) long() bool {
 	return r.EventTokens > 0 && r.Demand.Expected >= longEvents*r.EventTokens
 }
 
@@ -35,7 +30,7 @@
 // refusesLong reports whether a request is long and the target's streams are too slow
 // for it, or for the long ones in progress.
 func (t *Target) refusesLong(r Request) bool {
-	return r.long() && (t.endsLate(r) || t.streamsLate(r.Now))
+	return r.IsLong() && (t.endsLate(r) || t.streamsLate(r.Now))
 }
 
 // streamsLate reports whether the streams in progress at a target are so slow
--- a/core/place/request.go
+++ b/core/place/request.go
@@ -86,7 +86,7 @@
 	NoRetries Reason = "no_retries" // the retry budget of the service is used up
 )
 
-// IsForWantOfRoom reports whether there may be a place once others have ended.
-func (r Reason) IsForWantOfRoom() bool {
+// LacksCapacity reports whether there may be a place once others have ended.
+func (r Reason) LacksCapacity() bool {
 	return r == Full || r == Limited || r == Slow
 }
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -116,7 +116,7 @@
 		c.OnLimits(limits)
 	}
 	if answer.GetReservation() == 0 {
-		if refused := place.Reason(answer.GetReason()); backsOff && refused.IsForWantOfRoom() && !(plain && refused == place.Slow) {
+		if refused := place.Reason(answer.GetReason()); backsOff && refused.LacksCapacity() && !(plain && refused == place.Slow) {
 			c.full.Refused(coordinated, time.Now())
 		}
 		return nil, predicted, place.Reason(answer.GetReason()), nil
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"kingcuprill/core/backlog"
 	"kingcuprill/core/bytebudget"
 	"kingcuprill/core/place"
 	"kingcuprill/core/plan"
@@ -292,9 +293,6 @@
 	return header
 }
 
-// lowestRank is the least urgent priority at an engine.
-const lowestRank = 9
-
 // routePriorities is the number of priorities of routes that are told apart among requests
 // of organisations with the same priority.
 const routePriorities = 3
@@ -310,7 +308,7 @@
 	if x.server.ByRank {
 		priority = routePriorities*priority + min(max(0, x.route.Priority), routePriorities-1)
 	}
-	return min(max(0, priority), lowestRank)
+	return backlog.Clamp(priority)
 }
 
 // placementRank returns the rank by which the request is placed, 0 where all are placed
