--- a/core/linkbudget/share.go
+++ b/core/linkbudget/share.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"sync/atomic"
+
+	"kingcuprill/core/backlog"
 )
 
 const (
@@ -18,13 +20,13 @@
 type organisation struct {
 	name    string
 	weight  atomic.Int64
-	offered [Ranks]atomic.Int64
-	shares  atomic.Pointer[[Ranks]float64] // of the requests of each rank that are admitted
+	offered [backlog.Ranks]atomic.Int64
+	shares  atomic.Pointer[[backlog.Ranks]float64] // of the requests of each rank that are admitted
 
 	// The rest is used by Update only.
-	demand [Ranks]float64 // bytes per second
-	total  float64        // of all ranks
-	quiet  int            // windows without requests
+	demand [backlog.Ranks]float64 // bytes per second
+	total  float64                // of all ranks
+	quiet  int                    // windows without requests
 }
 
 func (b *Budget) organisation(name string) *organisation {
@@ -32,7 +34,7 @@
 		return found.(*organisation)
 	}
 	o := &organisation{name: name}
-	all := [Ranks]float64{}
+	all := [backlog.Ranks]float64{}
 	for rank := range all {
 		all[rank] = 1
 	}
@@ -75,9 +77,9 @@
 	return o.total
 }
 
-// distribute divides the room among the organisations: a max-min share by their weights. What
+// distribute divides the headroom among the organisations: a max-min share by their weights. What
 // one doesn't use of its share goes to the others.
-func (b *Budget) distribute(room float64) {
+func (b *Budget) distribute(headroom float64) {
 	all := b.active()
 	weights := weightsOf(all)
 	need := func(o *organisation) float64 { return o.total / weights[o] }
@@ -87,8 +89,8 @@
 		left += weights[o]
 	}
 	for _, o := range all {
-		given := min(o.total, room*weights[o]/left)
-		room -= given
+		given := min(o.total, headroom*weights[o]/left)
+		headroom -= given
 		left -= weights[o]
 		next := shares(o.demand, o.total, given)
 		o.shares.Store(&next)
@@ -118,18 +120,19 @@
 	return weights
 }
 
-// shares returns the part of the requests of each rank that is admitted. Each rank gets a part
+// shares returns the part of the requests of each rank that is admitted, of a demand of which
+// so much is granted. Each rank gets a part
 // of the average; the rest goes to the most urgent ranks first.
-func shares(byRank [Ranks]float64, demand, room float64) (share [Ranks]float64) {
+func shares(byRank [backlog.Ranks]float64, demand, granted float64) (share [backlog.Ranks]float64) {
 	fits := 1.0
-	if demand > room {
-		fits = room / demand
+	if demand > granted {
+		fits = granted / demand
 	}
 	even := evenShare * fits
 	if fits == 1 {
 		even = 1
 	}
-	rest := room - even*demand
+	rest := granted - even*demand
 	for rank, offered := range byRank {
 		share[rank] = even
 		if offered > 0 {
--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -118,7 +118,7 @@
 		c.OnLimits(limits)
 	}
 	if answer.GetReservation() == 0 {
-		if refused := place.Reason(answer.GetReason()); (plain || c.SaveCalls) && refused.IsForWantOfRoom() && !(plain && refused == place.Slow) {
+		if refused := place.Reason(answer.GetReason()); (plain || c.SaveCalls) && refused.LacksCapacity() && !(plain && refused == place.Slow) {
 			c.full.Refused(coordinated, time.Now())
 		}
 		return nil, predicted, place.Reason(answer.GetReason()), nil
