directory: another region helps only where the settings say so

The region that helps takes the flood, too.

Change: placement.spread_callers switches it on; the platform's template leaves it off.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -44,6 +44,8 @@
 	// on a VM that has just started or is cut off: it has heard of few entry VMs
 	// and can't know that a region has none.
 	AllowOtherRegions bool
+	// SpreadCallers lets regions with room help one whose links are full.
+	SpreadCallers bool
 	// HomeCount returns how many routes and organisations have a region among their
 	// home regions, the only ones that may serve them.
 	HomeCount func(region string) int
--- a/core/entry/help.go
+++ b/core/entry/help.go
@@ -26,7 +26,7 @@
 	for _, v := range vms {
 		byRegion[v.Region] = append(byRegion[v.Region], v)
 	}
-	if !d.AllowOtherRegions || share(byRegion[region], VM.linkFull) < needsHelp {
+	if !d.SpreadCallers || !d.AllowOtherRegions || share(byRegion[region], VM.linkFull) < needsHelp {
 		return addresses
 	}
 	helper, found := d.helper(byRegion, region)
--- a/core/entry/help_test.go
+++ b/core/entry/help_test.go
@@ -17,6 +17,7 @@
 		spare   bool           // those of region a aren't full
 		homes   map[string]int
 		unknown bool
+		off     bool
 		want    string // region that helps
 	}{
 		"calm":                     {homes: map[string]int{"a": 1, "b": 1, "c": 1}},
@@ -26,6 +27,7 @@
 		"the other is busy too":    {busy: map[string]int{"a": 4, "b": 2}, homes: map[string]int{"a": 1, "b": 1}},
 		"the other is no home":     {busy: map[string]int{"a": 4}, homes: map[string]int{"a": 2, "b": 1, "c": 1}},
 		"the third is a home":      {busy: map[string]int{"a": 4}, homes: map[string]int{"a": 1, "c": 1}, want: "c"},
+		"it is switched off":       {busy: map[string]int{"a": 4}, homes: map[string]int{"a": 1, "b": 1}, off: true},
 		"this VM has just started": {busy: map[string]int{"a": 4}, homes: map[string]int{"a": 1, "b": 1}, unknown: true},
 		"one of the other is busy": {busy: map[string]int{"a": 4, "b": 0, "c": 1}, homes: map[string]int{"a": 1, "c": 1}},
 		"all are":                  {busy: map[string]int{"a": 4, "b": 4, "c": 4}, homes: map[string]int{"a": 1, "b": 1, "c": 1}},
@@ -37,7 +39,7 @@
 				vms = append(vms, VM{ID: fmt.Sprint(region, i), Region: region, CallerAddress: fmt.Sprint(region, i), Ready: true, LinkBusy: i < test.busy[region], LinkFull: region == "a" && !test.spare && i < test.busy[region]})
 			}
 		}
-		d := Directory{VMs: vms, AllowOtherRegions: !test.unknown, HomeCount: func(region string) int { return test.homes[region] }, Stops: NewStops(0)}
+		d := Directory{VMs: vms, SpreadCallers: !test.off, AllowOtherRegions: !test.unknown, HomeCount: func(region string) int { return test.homes[region] }, Stops: NewStops(0)}
 		got := map[string]int{}
 		for _, address := range d.Resolve("a") {
 			got[strings.TrimRight(address, "0123456789")]++
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -305,7 +305,7 @@
 func (v *VM) Directory() entry.Directory {
 	d := entry.Directory{
 		VMs: *v.entries.Load(), AllowOtherRegions: v.lease.Valid() && time.Since(v.started) > discoveryTime, HomeCount: func(string) int { return 0 },
-		Stops: v.stops,
+		Stops: v.stops, SpreadCallers: v.Config.SpreadCallers,
 	}
 	if index := v.state.Read().Plan; index != nil {
 		d.HomeCount = index.HomeCount
--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -53,6 +53,8 @@
 	// LinkRate is the rate of the VM's network link in bytes per second in each direction; 0
 	// takes it as unlimited.
 	LinkRate float64
+	// SpreadCallers says that callers of a region with full links are sent to another one, too.
+	SpreadCallers bool
 	// ByRegion says that requests leave a busy region before it is full.
 	ByRegion bool
 }
@@ -90,6 +92,8 @@
 	Placement struct {
 		ByRank   bool `json:"by_rank"`
 		ByRegion bool `json:"by_region"`
+		// SpreadCallers concerns the directory's answers.
+		SpreadCallers bool `json:"spread_callers"`
 	} `json:"placement"`
 	Limits struct {
 		MemoryMB      float64 `json:"memory_mb"`
@@ -138,7 +142,7 @@
 		Heartbeat: units.Milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, MemoryBytes: int64(f.Limits.MemoryMB * mebibyte),
 		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), NewestWithin: units.Milliseconds(f.Limits.NewestMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
 		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: units.Milliseconds(f.Limits.DirectoryTTLS * 1000),
-		ByRank: f.Placement.ByRank, ByRegion: f.Placement.ByRegion, LinkRate: f.Limits.LinkMbps * bytesPerMegabit,
+		ByRank: f.Placement.ByRank, ByRegion: f.Placement.ByRegion, SpreadCallers: f.Placement.SpreadCallers, LinkRate: f.Limits.LinkMbps * bytesPerMegabit,
 	}
 	reject := func(format string, args ...any) {
 		errs = append(errs, fault.New(fault.Invalid, format, args...))
