coordinator: fewer calls only where the settings say so

Change: placement.save_calls switches it on, in place of a slow link; the platform's template leaves it off.

--- a/io/coordinator/client.go
+++ b/io/coordinator/client.go
@@ -58,7 +58,7 @@
 	// be nil.
 	OnLimits func(limits []place.TargetLimit)
 
-	// SaveCalls says that the VM's link is narrow: coordinators without a place for an
+	// SaveCalls is for VMs with narrow links: coordinators without a place for an
 	// engine's request aren't asked again at once, and reports are collected for longer.
 	SaveCalls bool
 
--- a/io/entryvm/entryvm.go
+++ b/io/entryvm/entryvm.go
@@ -55,9 +55,6 @@
 	// still counts among those that share the rate limits and the retry budget. Its
 	// lease has ended by then.
 	shareTimeout = 6 * time.Second
-	// narrowLink is the rate of a link below which calls between VMs are saved, in bytes per
-	// second.
-	narrowLink = 100_000_000 / 8
 	// memoryShare is the part of the VM's memory that is the soft memory limit of
 	// the garbage collector.
 	memoryShare = 0.7
@@ -135,7 +132,7 @@
 		Targets: upstream.NewClient(nil), Peers: newPeerClient(peers), Entries: &v.entries,
 		ByRank: c.ByRank, ByRegion: c.ByRegion, Starts: o.Starts, Metrics: v.Metrics, Log: o.Log,
 	}
-	v.front.Coordinators.SaveCalls = c.LinkRate > 0 && c.LinkRate < narrowLink
+	v.front.Coordinators.SaveCalls = c.SaveCalls
 	answers := bytebudget.New(int64(answerShare * float64(c.MemoryBytes)))
 	v.front.Targets.Budget, v.front.Peers.Budget = answers, answers
 	v.front.Bodies = bytebudget.NewForBodies(int64(bodyShare * float64(c.MemoryBytes)))
--- a/io/vmconfig/vmconfig.go
+++ b/io/vmconfig/vmconfig.go
@@ -53,6 +53,8 @@
 	// LinkRate is the rate of the VM's network link in bytes per second in each direction; 0
 	// takes it as unlimited.
 	LinkRate float64
+	// SaveCalls says that coordinators are asked less and get fewer reports.
+	SaveCalls bool
 	// SpreadCallers says that callers of a region with full links are sent to another one, too.
 	SpreadCallers bool
 	// ByRegion says that requests leave a busy region before it is full.
@@ -92,6 +94,8 @@
 	Placement struct {
 		ByRank   bool `json:"by_rank"`
 		ByRegion bool `json:"by_region"`
+		// SaveCalls concerns the calls to coordinators.
+		SaveCalls bool `json:"save_calls"`
 		// SpreadCallers concerns the directory's answers.
 		SpreadCallers bool `json:"spread_callers"`
 	} `json:"placement"`
@@ -142,7 +146,7 @@
 		Heartbeat: units.Milliseconds(f.Control.HeartbeatMS), Regions: f.Regions, MemoryBytes: int64(f.Limits.MemoryMB * mebibyte),
 		RevokeWithin: units.Milliseconds(f.Limits.RevokeMS), NewestWithin: units.Milliseconds(f.Limits.NewestMS), Grace: units.Milliseconds(f.Limits.GraceS * 1000),
 		RetryRatio: f.Limits.RetryRatio, RetrySlack: f.Limits.RetrySlack, DirectoryTTL: units.Milliseconds(f.Limits.DirectoryTTLS * 1000),
-		ByRank: f.Placement.ByRank, ByRegion: f.Placement.ByRegion, SpreadCallers: f.Placement.SpreadCallers, LinkRate: f.Limits.LinkMbps * bytesPerMegabit,
+		ByRank: f.Placement.ByRank, ByRegion: f.Placement.ByRegion, SpreadCallers: f.Placement.SpreadCallers, SaveCalls: f.Placement.SaveCalls, LinkRate: f.Limits.LinkMbps * bytesPerMegabit,
 	}
 	reject := func(format string, args ...any) {
 		errs = append(errs, fault.New(fault.Invalid, format, args...))
