--- a/cmd/kingcuprill/main.go
+++ b/cmd/kingcuprill/main.go
@@ -8,6 +8,7 @@
 
 	"kingcuprill/io/cli/factory"
 	"kingcuprill/io/cli/root"
+	"kingcuprill/platform/document"
 )
 
 func main() {
@@ -16,5 +17,6 @@
 	info, err := os.Stdout.Stat()
 	terminal := err == nil && info.Mode()&os.ModeCharDevice != 0
 	streams := factory.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Terminal: terminal}
-	os.Exit(root.Main(ctx, os.Args[1:], streams))
+	plans := factory.Plans{MaxBytes: document.MaxBytes, DecodeNew: document.DecodeNew, DecodeInForce: document.Decode}
+	os.Exit(root.Main(ctx, os.Args[1:], streams, factory.WithPlans(plans)))
 }
--- a/io/cli/command/command.go
+++ b/io/cli/command/command.go
@@ -16,6 +16,9 @@
 	Example string
 	// Flags declares the flags and positional values.
 	Flags func(*flaggy.Subcommand)
+	// WrongUsage tells that wrong arguments are a UsageError, which has an exit code of
+	// its own. For other commands they are errors like any.
+	WrongUsage bool
 	// Run executes the command after its flags were parsed.
 	Run func(ctx context.Context) error
 }
@@ -26,3 +29,14 @@
 	Short    string
 	Commands []*Command
 }
+
+// UsageError is an error in the arguments of a command, such as a file that can't be read.
+type UsageError struct {
+	Err error
+}
+
+// Error returns the text of the error.
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error in the arguments.
+func (e *UsageError) Unwrap() error { return e.Err }
--- a/io/cli/factory/factory.go
+++ b/io/cli/factory/factory.go
@@ -16,6 +16,7 @@
 	"github.com/twitchtv/twirp"
 
 	"kingcuprill/core/fault"
+	"kingcuprill/core/plan"
 	"kingcuprill/io/cli/dial"
 	"kingcuprill/io/cli/table"
 	"kingcuprill/io/peer"
@@ -47,6 +48,23 @@
 	Dial func(address, token string) operator.Operator
 	// DialQuarantines is like Dial, for the quarantine calls.
 	DialQuarantines func(address, token string) operator.Quarantines
+	// Plans reads configuration documents of the platform.
+	Plans Plans
+}
+
+// Plans reads configuration documents of the platform.
+type Plans struct {
+	MaxBytes      int                                  // of a document
+	DecodeNew     func(data []byte) (plan.Plan, error) // refuses what a control VM refuses
+	DecodeInForce func(data []byte) (plan.Plan, error)
+}
+
+// Option sets something in a factory.
+type Option func(*Factory)
+
+// WithPlans sets what reads configuration documents.
+func WithPlans(plans Plans) Option {
+	return func(f *Factory) { f.Plans = plans }
 }
 
 // New returns a factory with defaults from the environment variables.
--- a/io/cli/root/groups.go
+++ b/io/cli/root/groups.go
@@ -3,6 +3,7 @@
 import (
 	"kingcuprill/io/cli/command"
 	configapply "kingcuprill/io/cli/config/apply"
+	configcheck "kingcuprill/io/cli/config/check"
 	configdiff "kingcuprill/io/cli/config/diff"
 	configexport "kingcuprill/io/cli/config/export"
 	"kingcuprill/io/cli/factory"
@@ -43,7 +44,7 @@
 		{Name: "replica", Short: "Replicas of the control log", Commands: []*command.Command{replicaadd.New(f, nil), replicalist.New(f, nil), replicapromote.New(f, nil), replicaremove.New(f, nil)}},
 		{Name: "target", Short: "Targets", Commands: []*command.Command{targetlist.New(f, nil)}},
 		{Name: "quarantine", Short: "Requests that crash targets", Commands: []*command.Command{quarantinelift.New(f, nil), quarantinelist.New(f, nil)}},
-		{Name: "config", Short: "Whole configurations", Commands: []*command.Command{configapply.New(f, nil), configdiff.New(f, nil), configexport.New(f, nil)}},
+		{Name: "config", Short: "Whole configurations", Commands: []*command.Command{configapply.New(f, nil), configcheck.New(f, nil), configdiff.New(f, nil), configexport.New(f, nil)}},
 		{Name: "request", Short: "Requests of callers", Commands: []*command.Command{requestexplain.New(f, nil)}},
 		{Name: "status", Short: "State of the system", Commands: []*command.Command{statusshow.New(f, nil)}},
 		{Name: "report", Short: "Reports", Commands: []*command.Command{reportburn.New(f, nil)}},
--- a/io/cli/root/root.go
+++ b/io/cli/root/root.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/integrii/flaggy"
@@ -23,13 +24,18 @@
 	exitOK              = 0
 	exitFailed          = 1
 	exitCancelled       = 2
+	exitUsage           = 2
 	exitUnauthenticated = 4
 )
 
 // Main runs one command and returns the exit code of the process. It prints an
-// error to the standard error stream.
-func Main(ctx context.Context, args []string, streams factory.Streams) int {
+// error to the standard error stream. The options come from the program, for what no
+// package of the command line may import.
+func Main(ctx context.Context, args []string, streams factory.Streams, options ...factory.Option) int {
 	f := factory.New(streams)
+	for _, option := range options {
+		option(f)
+	}
 	err := run(ctx, f, args)
 	if err != nil && !errors.Is(err, errShown) {
 		fmt.Fprintln(streams.Err, err)
@@ -39,11 +45,14 @@
 
 func exitCode(ctx context.Context, err error) int {
 	var twirpErr twirp.Error
+	var usage *command.UsageError
 	switch {
 	case err == nil:
 		return exitOK
 	case ctx.Err() != nil:
 		return exitCancelled
+	case errors.As(err, &usage):
+		return exitUsage
 	case fault.CodeOf(err) == fault.Unauthenticated, errors.As(err, &twirpErr) && twirpErr.Code() == twirp.Unauthenticated:
 		return exitUnauthenticated
 	}
@@ -104,13 +113,47 @@
 			return nil
 		}
 	}
+	if err := parse(noun, c, parser, args); err != nil {
+		if c.WrongUsage {
+			return &command.UsageError{Err: err}
+		}
+		return err
+	}
+	return c.Run(ctx)
+}
+
+func parse(noun string, c *command.Command, parser *flaggy.Parser, args []string) error {
 	if err := checkPositionals(noun, c, parser, args); err != nil {
 		return err
 	}
 	if err := parser.ParseArgs(args); err != nil {
 		return fmt.Errorf("%w; see 'kingcuprill %s %s --help'", err, noun, c.Name)
 	}
-	return c.Run(ctx)
+	if !c.WrongUsage {
+		return nil
+	}
+	return checkNoMore(noun, c, parser, args)
+}
+
+// checkNoMore returns an error for an argument that the command doesn't have, which the
+// parser leaves out. All flags of the command must have values.
+func checkNoMore(noun string, c *command.Command, parser *flaggy.Parser, args []string) error {
+	positionals := 0
+	for i := 0; i < len(args); i++ {
+		name, isFlag := strings.CutPrefix(args[i], "--")
+		name, _, hasValue := strings.Cut(name, "=")
+		known := slices.ContainsFunc(parser.Flags, func(f *flaggy.Flag) bool { return f.LongName == name })
+		switch {
+		case isFlag && known && !hasValue:
+			i++ // its value
+		case !isFlag:
+			positionals++
+		}
+		if isFlag && !known || positionals > len(parser.PositionalFlags) {
+			return fmt.Errorf("%q is not an argument of '%s %s'; see 'kingcuprill %s %s --help'", args[i], noun, c.Name, noun, c.Name)
+		}
+	}
+	return nil
 }
 
 // checkPositionals returns an error for a missing positional value, for which the
