review: an acknowledged farewell of a target has no effect

A target that can't reach its own control VM for a moment says farewell to the next one. That one doesn't know its start and keeps start 0. Entry VMs prefer the row with the later start, which is the one of the first control VM and says ready.

--- a/review/second/runner.go
+++ b/review/second/runner.go
@@ -25,17 +25,23 @@
 	sequence atomic.Int64
 	state    atomic.Value // string
 	beats    atomic.Bool
-	home     int // control VM that it reports to
+	controls []string // addresses of the control VMs, as the runner reaches them
+	home     int      // the one that it reports to
 	handle   func(r *runner, w http.ResponseWriter, request *http.Request)
 
+	exit func()
+
 	mu   sync.Mutex
 	slow float64
 }
 
-func (w *world) addRunner(service, zone string, slots, number int, handle func(*runner, http.ResponseWriter, *http.Request)) (*runner, error) {
+func (w *world) addRunner(service, zone string, slots, number int, handle func(*runner, http.ResponseWriter, *http.Request), options ...func(*runner)) (*runner, error) {
 	r := &runner{
 		world: w, id: fmt.Sprintf("i-%s%02d", w.prefix, number), service: service, zone: zone, version: "v1", slots: slots,
-		address: fmt.Sprintf("%s.%d:%s", w.base, 100+number, runnerPort), born: time.Now().UnixMilli(), handle: handle, slow: 1, home: number,
+		address: fmt.Sprintf("%s.%d:%s", w.base, 100+number, runnerPort), born: time.Now().UnixMilli(), handle: handle, slow: 1, controls: w.seeds, home: number,
+	}
+	for _, set := range options {
+		set(r)
 	}
 	r.state.Store("ready")
 	r.beats.Store(true)
@@ -45,7 +51,8 @@
 	}
 	server := &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = server.Serve(l) }()
-	w.closers = append(w.closers, func() { server.Close() })
+	r.exit = func() { server.Close() }
+	w.closers = append(w.closers, r.exit)
 	go r.beat()
 	return r, nil
 }
@@ -64,7 +71,7 @@
 		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": r.state.Load(),
 		"coldRemainingMs": 0, "sequence": r.sequence.Add(1), "born": r.born,
 	})
-	if index, ok := r.world.call(r.home, "POST", "/api/Instances.Heartbeat/"+r.id, body); ok {
+	if index, ok := callOne(r.controls, r.home, "POST", "/api/Instances.Heartbeat/"+r.id, body); ok {
 		r.home = index
 	}
 }
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -235,13 +235,19 @@
 // call sends an operator's or a runner's call to the control VMs, one after the other, until one
 // acknowledges it. It returns the index of that one.
 func (w *world) call(first int, method, path string, body []byte) (index int, ok bool) {
-	for i := range w.seeds {
-		index = (first + i) % len(w.seeds)
-		request, err := http.NewRequest(method, "http://"+w.seeds[index]+path, bytes.NewReader(body))
+	return callOne(w.seeds, first, method, path, body)
+}
+
+func callOne(addresses []string, first int, method, path string, body []byte) (index int, ok bool) {
+	for i := range addresses {
+		index = (first + i) % len(addresses)
+		request, err := http.NewRequest(method, "http://"+addresses[index]+path, bytes.NewReader(body))
 		if err != nil {
 			return index, false
 		}
-		request.Header.Set("Content-Type", "application/json")
+		if len(body) > 0 {
+			request.Header.Set("Content-Type", "application/json")
+		}
 		answer, err := callClient.Do(request)
 		if err != nil {
 			continue
@@ -255,7 +261,7 @@
 	return index, false
 }
 
-var callClient = &http.Client{Timeout: time.Second}
+var callClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // configure has a configuration acknowledged.
 func (w *world) configure(document map[string]any, timeout time.Duration) error {
