review: a VM that is cut off runs by the old and the new plan in turn

An entry VM that can't hear of a new plan hands requests over to a VM that has it, and runs others itself by the old plan, for about a second.

--- a/review/second/regress.go
+++ b/review/second/regress.go
@@ -63,7 +63,9 @@
 		w.addVM("control", zone)
 	}
 	cut := w.addVM("entry", "kolkata-a")
-	w.addVM("entry", "siliguri-a")
+	for _, zone := range []string{"kolkata-a", "siliguri-a", "siliguri-a", "durgapur-a", "durgapur-a"} {
+		w.addVM("entry", zone)
+	}
 	var proxies []*proxy
 	for _, control := range w.vms[:3] {
 		p, err := w.newProxy(control.ip + ":" + peerPort)
@@ -80,7 +82,7 @@
 		return false, err
 	}
 	d := &desks{busy: map[string]int{}, waiting: map[string]int{}, sent: map[string]deskRun{}}
-	for i, zone := range []string{"kolkata-a", "siliguri-a"} {
+	for i, zone := range []string{"kolkata-a", "siliguri-a", "durgapur-a"} {
 		for j, service := range []string{"desk-old", "desk-new"} {
 			if _, err := w.addRunner(service, zone, deskSlots, 2*i+j, d.serve); err != nil {
 				return false, err
--- a/review/second/runner.go
+++ b/review/second/runner.go
@@ -45,16 +45,51 @@
 	}
 	r.state.Store("ready")
 	r.beats.Store(true)
+	if err := r.listen(); err != nil {
+		return nil, err
+	}
+	go r.beat()
+	return r, nil
+}
+
+func (r *runner) listen() error {
 	l, err := net.Listen("tcp", r.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = server.Serve(l) }()
 	r.exit = func() { server.Close() }
-	w.closers = append(w.closers, r.exit)
-	go r.beat()
-	return r, nil
+	r.world.closers = append(r.world.closers, r.exit)
+	return nil
+}
+
+// restart starts the runner again under its id, with another version of its software.
+func (r *runner) restart(version string) error {
+	r.mu.Lock()
+	r.born, r.version = time.Now().UnixMilli(), version
+	r.mu.Unlock()
+	r.sequence.Store(0)
+	r.world.line("runner %s starts again, with software %s", r.id, version)
+	if err := r.listen(); err != nil {
+		return err
+	}
+	r.beats.Store(true)
+	return nil
+}
+
+// crash ends the runner with all its connections.
+func (r *runner) crash() {
+	r.world.line("runner %s crashes", r.id)
+	r.beats.Store(false)
+	r.exit()
+}
+
+// start returns when the runner has started and its version.
+func (r *runner) start() (born int64, version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.born, r.version
 }
 
 func (r *runner) beat() {
@@ -67,9 +102,10 @@
 }
 
 func (r *runner) report() {
+	born, version := r.start()
 	body, _ := json.Marshal(map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": r.state.Load(),
-		"coldRemainingMs": 0, "sequence": r.sequence.Add(1), "born": r.born,
+		"service": r.service, "address": r.address, "zone": r.zone, "version": version, "slots": r.slots, "state": r.state.Load(),
+		"coldRemainingMs": 0, "sequence": r.sequence.Add(1), "born": born,
 	})
 	if index, ok := callOne(r.controls, r.home, "POST", "/api/Instances.Heartbeat/"+r.id, body); ok {
 		r.home = index
@@ -96,10 +132,11 @@
 		w.Header().Set("Kingcuprill-Instance-Id", r.id)
 		return
 	case "/api/report":
+		born, _ := r.start()
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{
 			"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "sequence": 0,
-			"waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 595690, "handles": 0, "born": r.born,
+			"waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 595690, "handles": 0, "born": born,
 		})
 		return
 	}
