--- a/review/second/order.go
+++ b/review/second/order.go
@@ -126,9 +126,9 @@
 	if err := r.restart("v2"); err != nil {
 		return err
 	}
-	time.Sleep(3500 * time.Millisecond)
+	time.Sleep(2 * time.Second)
 	r.crash()
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(3 * time.Second)
 	return r.restart("v2")
 }
 
--- a/review/second/twice.go
+++ b/review/second/twice.go
@@ -24,11 +24,11 @@
 	longEvents      = 10
 	shortDeadline   = 3 * time.Second
 	longDeadline    = 12 * time.Second
-	longShare       = 0.2
+	longShare       = 0.25
 	slowFactor      = 5
 	slowFor         = 6500 * time.Millisecond
 	overlapAllowed  = 400 * time.Millisecond
-	streamsPerSec   = 50
+	streamsPerSec   = 70
 	streamRunners   = 7
 	calmBefore      = 5 * time.Second
 	calmAfter       = 4 * time.Second
