engine: an answer with status 000 is no report of an engine's health

Cause: each client had its own check of the status, and the reports of engines (health, progress of an exchange) had none. An engine in trouble that answered a health check with 000 counted as reached, and its progress as sound, so that it went on getting requests.

Change: one check of heads, io/http1, for the client of targets and entry VMs and for all calls to engines and services; it replaces the three copies. The transport closes the connection of a malformed answer, since where that ends isn't known. It works for every call, as no client is left that reads heads without it, except between our own VMs.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -23,6 +23,7 @@
 	"kingcuprill/core/exchange"
 	"kingcuprill/core/fault"
 	"kingcuprill/core/target"
+	"kingcuprill/io/http1"
 	"kingcuprill/io/settings"
 )
 
@@ -51,11 +52,15 @@
 	return &Client{
 		timeouts: timeouts,
 		budget:   budget,
-		pooled:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true, MaxResponseHeaderBytes: maxHead}},
-		fresh:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead}},
+		pooled:   newHTTP(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true, MaxResponseHeaderBytes: maxHead}),
+		fresh:    newHTTP(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead}),
 	}
 }
 
+func newHTTP(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: http1.Transport{Transport: transport}}
+}
+
 // Job is one attempt of a generation at one engine.
 type Job struct {
 	ExchangeID   string
@@ -243,9 +248,6 @@
 // that was used before, an answer that doesn't name its exchange may be a copy of an
 // earlier one: it doesn't show that this job has not run.
 func (s *stream) statusFailure(response answer) error {
-	if response.StatusCode < http.StatusOK {
-		return &exchange.Failure{Err: fmt.Errorf("target %s answered status %d, which is that of no answer", s.target.ID, response.StatusCode)}
-	}
 	err := fault.New(fault.Overloaded, "target %s answered status %d", s.target.ID, response.StatusCode)
 	final := response.StatusCode >= 400 && response.StatusCode < 500 && response.StatusCode != http.StatusTooManyRequests
 	if final {
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -18,6 +18,7 @@
 	"kingcuprill/core/bytebudget"
 	"kingcuprill/core/exchange"
 	"kingcuprill/core/target"
+	"kingcuprill/io/http1"
 	"kingcuprill/io/settings"
 )
 
@@ -43,7 +44,7 @@
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHead}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		http:      &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		http:      &http.Client{Transport: http1.Transport{Transport: transport}, CheckRedirect: noRedirect},
 		maxAnswer: limits.MaxAnswerBytes,
 		budget:    budget,
 	}
@@ -81,9 +82,6 @@
 // read reads an answer of at most limits.max_answer_bytes. It counts against the budget until
 // the call's context ends.
 func (c *Client) read(ctx context.Context, targetID string, response *http.Response) (answer exchange.Answer, err error) {
-	if response.StatusCode < http.StatusOK {
-		return answer, &exchange.Failure{Err: fmt.Errorf("status %d is that of no answer", response.StatusCode)}
-	}
 	loan := c.budget.Open(targetID, func() { response.Body.Close() })
 	body, err := bytebudget.ReadWhole(response.Body, response.ContentLength, c.maxAnswer, loan)
 	if errors.Is(err, bytebudget.ErrTooLarge) {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -3,12 +3,13 @@
 import (
 	"bufio"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"kingcuprill/io/http1"
 )
 
 const (
@@ -91,15 +92,18 @@
 		if err != nil {
 			return nil, err
 		}
-		switch {
-		case head.StatusCode >= http.StatusOK:
-			return head, nil
-		case head.StatusCode < http.StatusContinue || head.StatusCode == http.StatusSwitchingProtocols:
-			return nil, fmt.Errorf("status %d is that of no answer", head.StatusCode)
+		if isInformational(head) {
+			continue
 		}
+		return head, http1.CheckHead(head)
 	}
 }
 
+// isInformational reports whether a final answer follows on the same connection.
+func isInformational(head *http.Response) bool {
+	return head.StatusCode/100 == 1 && head.StatusCode != http.StatusSwitchingProtocols
+}
+
 // expect must be called before a request is sent. It returns false if the
 // connection is broken.
 func (c *conn) expect() bool {
