http1: a head with a malformed field name is no answer

What callers saw: a target in trouble sent a head in which the name of a field held a blank, and callers got it as an answer with status 200: without that line, with that line at the end of the one before, or with the chunks' sizes in the body.

Cause: net/http keeps a name with a blank as it is. "Transfer-Encoding : chunked" is then no transfer encoding, and "Content-Length : 400" no length, so that the body ends with the connection, whole or not. A line that begins with a blank is joined to the one before and can't be seen after parsing. Control bytes and empty names fail in net/http already; the tests keep that.

Change: connections to targets and entry VMs check each head's bytes as they come, before net/http parses them. A name that is no token (RFC 9110, 5.1) and a line that begins with a blank (which RFC 9112, 5.2, lets a gateway refuse) fail the read, so that the try ends as one that may have run: 502, or another target where the route allows it. Why the bytes and not the parsed head: a joined line is lost in parsing.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -58,7 +58,7 @@
 }
 
 func newHTTP(transport *http.Transport) *http.Client {
-	return &http.Client{Transport: http1.Transport{Transport: transport}}
+	return &http.Client{Transport: http1.NewTransport(transport)}
 }
 
 // Job is one attempt of a generation at one engine.
--- a/io/front/malformed_test.go
+++ b/io/front/malformed_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"kingcuprill/core/plan"
@@ -13,10 +15,30 @@
 	for _, code := range []string{"000", "00", "0", "001", "099", "100", "101", "20", "2 00", "-20", "+20", "0200", "1000", "2x0"} {
 		answers["status "+code] = "HTTP/1.1 " + code + " OK\r\nId: ID\r\nSeal: x\r\nContent-Length: 4\r\n\r\nfine"
 	}
+	addMalformedNames(answers)
 	return answers
 }
 
-// A malformed answer is none, and the request may have run.
+// addMalformedNames adds answers in whose head the name of a field is empty or holds a blank or
+// a control byte.
+func addMalformedNames(answers map[string]string) {
+	for name, rest := range map[string]string{
+		"Seal":              "Seal: x\r\nContent-Length: 4\r\n\r\nfine",
+		"Content-Length":    "Seal: x\r\nContent-Length: 4\r\n\r\nfine",
+		"Transfer-Encoding": "Seal: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+	} {
+		for _, odd := range []string{" ", "\t", "\x00", "\x01", "\v", "\f", "\r", "\x1b", "\x1f", "\x7f"} {
+			for _, malformed := range []string{"", odd + name, name[:2] + odd + name[2:], name + odd} {
+				answers[fmt.Sprintf("name %q for %s", malformed, name)] = "HTTP/1.1 200 OK\r\nId: ID\r\nOther: y\r\n" + strings.Replace(rest, name+":", malformed+":", 1)
+			}
+		}
+	}
+}
+
+// Targets in trouble sent heads in which the name of a field held a blank. Callers got these as
+// answers, without that field or with it at the end of the one before, or with chunks as the
+// body, as they weren't known for chunks. A malformed answer is none, and the request may have
+// run.
 func TestMalformedAnswersAreNotDelivered(t *testing.T) {
 	for name, answer := range malformedAnswers() {
 		for door := range doors {
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -3,6 +3,7 @@
 package http1
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,16 +16,33 @@
 	*http.Transport
 }
 
+// NewTransport returns a transport that sends requests by base, over connections that base
+// opens with its DialContext. base must not be used otherwise.
+func NewTransport(base *http.Transport) Transport {
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(raw), nil
+	}
+	return Transport{Transport: base}
+}
+
 // RoundTrip sends a request and waits for the head of the answer.
 func (t Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
-	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	var conn *Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = info.Conn.(*Conn)
+		conn.ExpectHead()
+	}}
 	ctx := httptrace.WithClientTrace(request.Context(), trace)
 	response, err = t.Transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(response); err != nil {
+	if err := CheckStatus(response); err != nil {
 		response.Body.Close()
 		conn.Close() // where the answer ends isn't known
 		return nil, err
@@ -32,8 +50,9 @@
 	return response, nil
 }
 
-// CheckHead returns an error if a head is not that of a final answer (RFC 9110, section 15).
-func CheckHead(head *http.Response) error {
+// CheckStatus returns an error if the status of a head is not that of a final answer
+// (RFC 9110, section 15).
+func CheckStatus(head *http.Response) error {
 	if head.StatusCode < http.StatusOK {
 		return fmt.Errorf("status %d is that of no answer", head.StatusCode)
 	}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -44,7 +44,7 @@
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHead}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		http:      &http.Client{Transport: http1.Transport{Transport: transport}, CheckRedirect: noRedirect},
+		http:      &http.Client{Transport: http1.NewTransport(transport), CheckRedirect: noRedirect},
 		maxAnswer: limits.MaxAnswerBytes,
 		budget:    budget,
 	}
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -101,3 +101,19 @@
 		}
 	}
 }
+
+// Heads in which the name of a field is malformed counted as answers, of which chunks or a
+// length went unread.
+func TestMalformedHeadsAreFailures(t *testing.T) {
+	for _, fields := range []string{
+		"A b: c\r\nContent-Length: 4\r\n\r\nfine", "Content-Length : 400\r\n\r\nfine", "Transfer-Encoding : chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		" Content-Length: 400\r\n\r\nfine", ": c\r\nContent-Length: 4\r\n\r\nfine", "A\x01: c\r\nContent-Length: 4\r\n\r\nfine",
+	} {
+		address, calls := startService(t, "HTTP/1.1 200 OK\r\n"+idLine+"B: d\r\n"+fields, true)
+		answer, err := call(t, address)
+		var failure *exchange.Failure
+		if !errors.As(err, &failure) || failure.NotRun || calls.Load() != 1 {
+			t.Errorf("%q: answer %d %q, error %v after %d calls", fields, answer.Status, answer.Body, err, calls.Load())
+		}
+	}
+}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -330,7 +330,7 @@
 // write sends a request. The writer keeps the first error until Flush.
 func write(conn *conn, request Request) error {
 	w := conn.writer
-	w.Reset(conn.Conn)
+	w.Reset(conn.checked)
 	_, _ = w.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(w)
 	if request.Body.Size() > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -28,9 +28,10 @@
 // bytes are noticed before the next request is sent.
 type conn struct {
 	net.Conn
-	source *boundedReader // of reader
-	reader *bufio.Reader
-	writer *bufio.Writer
+	checked *http1.Conn    // of the same connection, for all that is read and written
+	source  *boundedReader // of reader
+	reader  *bufio.Reader
+	writer  *bufio.Writer
 
 	answered []string  // ids of the last requests that it has carried
 	asked    time.Time // when the peer was asked for its start last
@@ -45,9 +46,10 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	source := &boundedReader{source: raw, left: unbounded}
+	checked := http1.NewConn(raw)
+	source := &boundedReader{source: checked, left: unbounded}
 	c := &conn{
-		Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBuffer), writer: bufio.NewWriterSize(raw, writeBuffer),
+		Conn: raw, checked: checked, source: source, reader: bufio.NewReaderSize(source, readBuffer), writer: bufio.NewWriterSize(checked, writeBuffer),
 		arrived: make(chan error, 1), resume: make(chan struct{}, 1),
 	}
 	go c.watch()
@@ -95,7 +97,7 @@
 		if isInformational(head) {
 			continue
 		}
-		return head, http1.CheckHead(head)
+		return head, http1.CheckStatus(head)
 	}
 }
 
@@ -113,6 +115,7 @@
 		return false
 	}
 	c.expecting = true
+	c.checked.ExpectHead()
 	return true
 }
 
