http1: a reset while the request is sent is no end of an answer

What callers saw: a target answered a long upload at once with a 200 that had neither a length nor chunks, sent part of its body and reset the connection while the upload was still being written. Callers got that part as a whole answer.

Cause: the operating system reports a reset once. The goroutine that wrote the request got it; the one that read the answer then saw an end in order, which is all that ends such an answer.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -48,6 +48,7 @@
 type target struct {
 	start   atomic.Int64
 	told    func(conn net.Conn) // called when it has told its start; may be nil
+	early   bool                // it answers before it has read the body
 	mu      sync.Mutex
 	answers []func(conn net.Conn, request *http.Request)
 	seen    []*http.Request
@@ -90,7 +91,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+		if !s.early {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
 		if request.RequestURI == testStarts.URI {
 			status(200, "", strconv.FormatInt(s.start.Load(), 10))(conn, request)
 			if s.told != nil {
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 )
 
 // fedConn is a connection that reads from a source.
@@ -15,7 +16,8 @@
 	source io.Reader
 }
 
-func (c fedConn) Read(into []byte) (int, error) { return c.source.Read(into) }
+func (c fedConn) Read(into []byte) (int, error)    { return c.source.Read(into) }
+func (c fedConn) SetWriteDeadline(time.Time) error { return nil }
 
 // Heads come in parts of any length, and what follows a head is never taken for one.
 func TestHeadsAreCheckedHoweverTheyCome(t *testing.T) {
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -50,11 +50,16 @@
 }
 
 func call(t *testing.T, address string) (answer exchange.Answer, err error) {
+	t.Helper()
+	return callWithBody(t, address, nil)
+}
+
+func callWithBody(t *testing.T, address string, body []byte) (answer exchange.Answer, err error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	c := NewClient(settings.Timeouts{Dial: 20 * time.Second}, settings.Limits{MaxAnswerBytes: 1 << 20}, nil)
-	return c.Do(ctx, &target.Target{Announcement: target.Announcement{Address: address}}, "x1", "", exchange.Call{Method: http.MethodPost, URL: "/a"}, func(http.Header) {})
+	return c.Do(ctx, &target.Target{Announcement: target.Announcement{Address: address}}, "x1", "", exchange.Call{Method: http.MethodPost, URL: "/a", Body: body}, func(http.Header) {})
 }
 
 const idLine = exchange.IDHeader + ": ID\r\n"
@@ -117,3 +122,17 @@
 		}
 	}
 }
+
+// A service answered a long call at once and reset the connection while the call was still sent.
+// The part that had come counted as the whole answer.
+func TestAnswersResetInALongCallAreNotWhole(t *testing.T) {
+	body := make([]byte, 16<<20) // more than the buffers of a connection take
+	for range 20 {
+		address, _ := startService(t, "HTTP/1.1 200 OK\r\n"+idLine+"\r\npart", false)
+		answer, err := callWithBody(t, address, body)
+		var failure *exchange.Failure
+		if !errors.As(err, &failure) || failure.NotRun {
+			t.Errorf("answer %d %q, error %v", answer.Status, answer.Body, err)
+		}
+	}
+}
