peer: a malformed head of another VM refuses nothing

What callers saw: nothing yet; found while all places that read answers were checked. A VM answers a forwarded request with another status than 200 only before it runs it, so such a status counts as a refusal of a request that has not run. That held for status 000 and 101 and for heads with malformed names too, which no VM means: the request could run twice.

Evidence: TestMalformedHeadsAreNoRefusals failed for four heads of four on the code before ("vm vm-2 answered status 0").

Change: calls to VMs go through http1.Transport like those to targets. What is left without it: the operator's command line, whose calls fail at any status but 200 and are framed by our own servers, and the developers' rig.

--- a/io/forward/cut_test.go
+++ b/io/forward/cut_test.go
@@ -105,3 +105,17 @@
 		}
 	}
 }
+
+// A head of another VM that is none counted as a refusal of a request that has not run, so that
+// it could run twice.
+func TestMalformedHeadsAreNoRefusals(t *testing.T) {
+	client := &Client{VMState: vmstate.New(membership.Member{ID: "vm-1"}, time.Second), Peers: peer.NewUnsigned("vm-1")}
+	for _, head := range []string{"000 X\r\n", "101 X\r\n", "503 X\r\nA b: c\r\n", "503 X\r\nA: b\r\n C: d\r\n"} {
+		m, _ := startVM(t, []byte("HTTP/1.1 "+head+"\r\n"))
+		_, err := client.Call(t.Context(), m, exchange.Request{ID: "r", Deadline: time.Now().Add(time.Minute), Call: &exchange.Call{Method: http.MethodPost}})
+		var failure *exchange.Failure
+		if !errors.As(err, &failure) || failure.NotRun {
+			t.Errorf("head %q: %v", head, err)
+		}
+	}
+}
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -1,5 +1,5 @@
 // Package http1 tells answers of HTTP/1.1 peers from what net/http takes for answers though
-// it is malformed. It is for clients of targets, which may answer anything when they fail.
+// it is malformed or cut. Peers may answer anything when they fail.
 package http1
 
 import (
--- a/io/peer/pools.go
+++ b/io/peer/pools.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"kingcuprill/io/http1"
 )
 
 // dropInterval is the shortest time between two closures of the idle connections to one
@@ -24,7 +26,7 @@
 
 // pool holds the connections to one VM.
 type pool struct {
-	*http.Transport
+	http1.Transport
 	dropped *atomic.Int64
 
 	mu     sync.Mutex
@@ -49,14 +51,14 @@
 	if found, known := p.byPeer.Load(address); known {
 		return found.(*pool)
 	}
-	actual, _ := p.byPeer.LoadOrStore(address, &pool{dropped: &p.dropped, Transport: &http.Transport{
+	actual, _ := p.byPeer.LoadOrStore(address, &pool{dropped: &p.dropped, Transport: http1.NewTransport(&http.Transport{
 		DialContext:         p.dial,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: maxHead,
 		DisableCompression:     true, // catalogues are compressed already, all else is small
-	}})
+	})})
 	return actual.(*pool)
 }
 
