http1: chunks of an HTTP/1.0 answer are not its body

What callers would see: a target answers as HTTP/1.0 with chunks, and callers get status 200 with the chunks' sizes in the body. Found by a trial of heads that net/http accepts, while all places that read answers were checked.

Cause: net/http ignores Transfer-Encoding in such an answer and reads on to the end of the connection. RFC 9112, section 6.1, has the framing of such an answer treated as faulty.

Evidence, on the code before: in all three ways to the front, for both kinds of routes, status 200, body "4\r\nfine\r\n0\r\n\r\n".

Change: the check of heads refuses a transfer encoding below HTTP/1.1. Other answers of HTTP/1.0 pass as before.

Seen in the same trial and left, since callers get the status, fields and body that the target sent: "HTTP/2.0" in a status line, a malformed name after the last chunk (not passed on), status 999.

--- a/io/front/malformed_test.go
+++ b/io/front/malformed_test.go
@@ -15,6 +15,7 @@
 	for _, code := range []string{"000", "00", "0", "001", "099", "100", "101", "20", "2 00", "-20", "+20", "0200", "1000", "2x0"} {
 		answers["status "+code] = "HTTP/1.1 " + code + " OK\r\nId: ID\r\nSeal: x\r\nContent-Length: 4\r\n\r\nfine"
 	}
+	answers["chunks of HTTP/1.0"] = "HTTP/1.0 200 OK\r\nId: ID\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"
 	addMalformedNames(answers)
 	return answers
 }
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -33,6 +33,10 @@
 		"blank after informational": {"HTTP/1.1  103 X\r\n\r\nHTTP/1.1 200 OK\r\nA : c\r\n\r\n", ErrMalformedName},
 		"folded line":               {"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", ErrMalformedName},
 		"carriage return":           {"HTTP/1.1 200 OK\r\n\rA: b\r\n\r\n", ErrMalformedName},
+		"chunks":                    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", nil},
+		"chunks of HTTP/1.0":        {"HTTP/1.0 200 OK\r\nA: b\r\ntransfer-Encoding: chunked\r\n\r\n", ErrTransferEncoding},
+		"chunks of HTTP/0.9":        {"HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ErrTransferEncoding},
+		"HTTP/1.0":                  {"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\n\r\n", nil},
 		"byte above ASCII":          {"HTTP/1.1 200 OK\r\nA\xe9: b\r\n\r\n", ErrMalformedName},
 	} {
 		for way, source := range map[string]io.Reader{"whole": iotest.DataErrReader(strings.NewReader(test.answer)), "byte by byte": iotest.OneByteReader(strings.NewReader(test.answer))} {
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -3,18 +3,24 @@
 import (
 	"bytes"
 	"errors"
+	"net/http"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformedName is the error of a head in which the name of a field is empty or has a byte
-// that no name may have (RFC 9110, section 5.1), or in which a line begins with a blank.
-//
-// net/http takes a blank before the colon for a part of the name, so that it misses the length
-// or the chunks of the body, and joins a line that begins with a blank to the one before, which
-// RFC 9112, section 5.2, lets a gateway refuse.
-var ErrMalformedName = errors.New("the name of a field in the answer's head is malformed")
+var (
+	// ErrMalformedName is the error of a head in which the name of a field is empty or has a
+	// byte that no name may have (RFC 9110, section 5.1), or in which a line begins with a blank.
+	//
+	// net/http takes a blank before the colon for a part of the name, so that it misses the
+	// length or the chunks of the body, and joins a line that begins with a blank to the one
+	// before, which RFC 9112, section 5.2, lets a gateway refuse.
+	ErrMalformedName = errors.New("the name of a field in the answer's head is malformed")
+	// ErrTransferEncoding is the error of an answer older than HTTP/1.1 with a transfer encoding
+	// (RFC 9112, section 6.1). net/http takes its chunks, with their sizes, for the body.
+	ErrTransferEncoding = errors.New("an answer older than HTTP/1.1 can't have a transfer encoding")
+)
 
 // part is where in an answer the next byte belongs.
 type part uint8
@@ -28,13 +34,17 @@
 	fieldValue // from its colon to its line feed
 )
 
-// maxStatusLine is how much of a status line is kept, in bytes.
-const maxStatusLine = 64
+const (
+	// maxStatusLine is how much of a status line is kept, in bytes.
+	maxStatusLine    = 64
+	transferEncoding = "Transfer-Encoding"
+)
 
 // headScanner checks the heads before an answer's body, byte by byte as they come.
 type headScanner struct {
 	part   part
 	status []byte // begin of the status line
+	name   []byte // begin of the name of a field, longer than transferEncoding for longer names
 }
 
 // scan checks the next bytes, up to the body.
@@ -43,15 +53,15 @@
 		if s.part == body {
 			return nil
 		}
-		if !s.take(b) {
-			return ErrMalformedName
+		if err := s.take(b); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-// take moves on by one byte, and returns false if that can't come here.
-func (s *headScanner) take(b byte) bool {
+// take moves on by one byte.
+func (s *headScanner) take(b byte) error {
 	switch s.part {
 	case statusLine:
 		s.takeStatus(b)
@@ -59,21 +69,17 @@
 		return s.takeStart(b)
 	case blankLine:
 		if b != '\n' {
-			return false
+			return ErrMalformedName
 		}
 		s.endHead()
 	case fieldName:
-		if b == ':' {
-			s.part = fieldValue
-			return true
-		}
-		return isNameByte(b)
+		return s.takeName(b)
 	case fieldValue:
 		if b == '\n' {
 			s.part = lineStart
 		}
 	}
-	return true
+	return nil
 }
 
 func (s *headScanner) takeStatus(b byte) {
@@ -86,17 +92,44 @@
 	}
 }
 
-func (s *headScanner) takeStart(b byte) bool {
-	switch {
-	case b == '\r':
+func (s *headScanner) takeStart(b byte) error {
+	switch b {
+	case '\r':
 		s.part = blankLine
-	case b == '\n':
+	case '\n':
 		s.endHead()
+	case ':':
+		return ErrMalformedName
 	default:
-		s.part = fieldName
-		return isNameByte(b)
+		s.part, s.name = fieldName, s.name[:0]
+		return s.takeName(b)
 	}
-	return true
+	return nil
+}
+
+func (s *headScanner) takeName(b byte) error {
+	if b == ':' {
+		s.part = fieldValue
+		return s.checkEncoding()
+	}
+	if !httpguts.IsTokenRune(rune(b)) {
+		return ErrMalformedName
+	}
+	if len(s.name) <= len(transferEncoding) {
+		s.name = append(s.name, b)
+	}
+	return nil
+}
+
+func (s *headScanner) checkEncoding() error {
+	if !strings.EqualFold(string(s.name), transferEncoding) {
+		return nil
+	}
+	version, _, _ := strings.Cut(string(s.status), " ")
+	if major, minor, valid := http.ParseHTTPVersion(version); valid && (major < 1 || major == 1 && minor < 1) {
+		return ErrTransferEncoding
+	}
+	return nil
 }
 
 // endHead ends a head. Another one follows an informational one.
@@ -111,7 +144,3 @@
 func isInformational(code string) bool {
 	return strings.HasPrefix(code, "1") && code != "101"
 }
-
-func isNameByte(b byte) bool {
-	return httpguts.IsTokenRune(rune(b))
-}
