--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -33,7 +33,7 @@
 func (c *Conn) ExpectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = headScanner{part: statusLine}
+	c.head.begin()
 }
 
 // Read reads bytes that begin or continue an answer. It returns io.EOF only if the peer has
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -47,6 +47,11 @@
 	name   []byte // begin of the name of a field, longer than transferEncoding for longer names
 }
 
+// begin makes the next byte the first one of a head.
+func (s *headScanner) begin() {
+	s.part, s.status = statusLine, s.status[:0]
+}
+
 // scan checks the next bytes, up to the body.
 func (s *headScanner) scan(next []byte) error {
 	for _, b := range next {
@@ -136,9 +141,8 @@
 func (s *headScanner) endHead() {
 	s.part = body
 	if fields := bytes.Fields(s.status); len(fields) > 1 && isInformational(string(fields[1])) {
-		s.part = statusLine
+		s.begin()
 	}
-	s.status = s.status[:0]
 }
 
 func isInformational(code string) bool {
