--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -32,10 +32,12 @@
 
 // RoundTrip sends a request and waits for the head of the answer.
 func (t Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
-	var conn *Conn
+	var conn net.Conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info.Conn.(*Conn)
-		conn.ExpectHead()
+		conn = info.Conn
+		if checked, plain := conn.(*Conn); plain { // bytes of TLS can't be checked
+			checked.ExpectHead()
+		}
 	}}
 	ctx := httptrace.WithClientTrace(request.Context(), trace)
 	response, err = t.Transport.RoundTrip(request.WithContext(ctx))
