--- a/io/forward/cut_test.go
+++ b/io/forward/cut_test.go
@@ -106,8 +106,7 @@
 	}
 }
 
-// A head of another VM that is none counted as a refusal of a request that has not run, so that
-// it could run twice.
+// A malformed head of another VM must not count as a refusal of a request that has not run.
 func TestMalformedHeadsAreNoRefusals(t *testing.T) {
 	client := &Client{VMState: vmstate.New(membership.Member{ID: "vm-1"}, time.Second), Peers: peer.NewUnsigned("vm-1")}
 	for _, head := range []string{"000 X\r\n", "101 X\r\n", "503 X\r\nA b: c\r\n", "503 X\r\nA: b\r\n C: d\r\n"} {
--- a/io/front/malformed_test.go
+++ b/io/front/malformed_test.go
@@ -36,10 +36,7 @@
 	}
 }
 
-// Targets in trouble sent heads in which the name of a field held a blank. Callers got these as
-// answers, without that field or with it at the end of the one before, or with chunks as the
-// body, as they weren't known for chunks. A malformed answer is none, and the request may have
-// run.
+// A malformed answer must not be delivered, and its request counts as one that may have run.
 func TestMalformedAnswersAreNotDelivered(t *testing.T) {
 	for name, answer := range malformedAnswers() {
 		for door := range doors {
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -107,8 +107,7 @@
 	}
 }
 
-// Heads in which the name of a field is malformed counted as answers, of which chunks or a
-// length went unread.
+// A head with a malformed field name must count as a failure of a call that may have run.
 func TestMalformedHeadsAreFailures(t *testing.T) {
 	for _, fields := range []string{
 		"A b: c\r\nContent-Length: 4\r\n\r\nfine", "Content-Length : 400\r\n\r\nfine", "Transfer-Encoding : chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
@@ -123,8 +122,8 @@
 	}
 }
 
-// A service answered a long call at once and reset the connection while the call was still sent.
-// The part that had come counted as the whole answer.
+// The begin of an answer must not count as whole if the connection is reset while a long call is
+// sent.
 func TestAnswersResetInALongCallAreNotWhole(t *testing.T) {
 	body := make([]byte, 16<<20) // more than the buffers of a connection take
 	for range 20 {
