--- a/io/rig/rawpeer/rawpeer.go
+++ b/io/rig/rawpeer/rawpeer.go
@@ -3,10 +3,10 @@
 package rawpeer
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 )
@@ -28,32 +28,21 @@
 // Start starts the peer until the end of the test and returns its address.
 func (p Peer) Start(t testing.TB) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(conn)
-		}
-	}()
-	return listener.Addr().String()
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
 }
 
-func (p Peer) serve(conn net.Conn) {
-	defer conn.Close()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
+// ServeHTTP answers one request.
+func (p Peer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !p.Reset {
-		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
 	}
+	defer conn.Close()
 	_, _ = io.WriteString(conn, p.Answer)
 	if p.Reset {
 		time.Sleep(resetDelay)
