--- a/io/engine/malformed_test.go
+++ b/io/engine/malformed_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"kingcuprill/core/exchange"
+	"kingcuprill/core/target"
 	"kingcuprill/io/rig/rawpeer"
 	"kingcuprill/io/settings"
 )
@@ -23,6 +25,21 @@
 	}
 }
 
+// A stream that breaks off while its job is sent must count neither as whole nor as not run.
+func TestStreamsResetWhileTheJobIsSentAreNotWhole(t *testing.T) {
+	first, _, _ := strings.Cut(soundStream, "\n\n")
+	for range 5 {
+		address := rawpeer.Peer{Answer: rawpeer.Part + first + "\n\n", Reset: true}.Start(t)
+		client := NewClient(settings.Timeouts{Dial: 20 * time.Second, Silence: time.Minute, FirstToken: time.Minute}, nil)
+		job := Job{ExchangeID: "x", Generation: exchange.Generation{MaxTokens: 2, Prompt: strings.Repeat("x", rawpeer.LongBody)}}
+		_, err := client.Generate(t.Context(), &target.Target{Announcement: target.Announcement{ID: "t", Address: address}}, job, func(exchange.Token) error { return nil })
+		var failure *exchange.Failure
+		if !errors.As(err, &failure) || failure.NotRun {
+			t.Errorf("error %v", err)
+		}
+	}
+}
+
 const soundStream = `data: {"exchange_id":"x","index":0,"text":"a"}` + "\n\n" + `data: {"exchange_id":"x","done":true,"usage":{"completion_tokens":1}}` + "\n\n"
 
 const soundReport = `{"boot_id":"b","known":true,"generated":0}`
--- a/io/forward/cut_test.go
+++ b/io/forward/cut_test.go
@@ -17,6 +17,7 @@
 	"kingcuprill/core/membership"
 	"kingcuprill/core/vmstate"
 	"kingcuprill/io/peer"
+	"kingcuprill/io/rig/rawpeer"
 	"kingcuprill/rpc/vm"
 )
 
@@ -118,3 +119,19 @@
 		}
 	}
 }
+
+// An answer that breaks off while its request is sent must count neither as whole nor as not run.
+func TestAnswersResetWhileTheRequestIsSentAreNotWhole(t *testing.T) {
+	client := &Client{VMState: vmstate.New(membership.Member{ID: "vm-1"}, time.Second), Peers: peer.NewUnsigned("vm-1")}
+	_, frames, _ := bytes.Cut(answerOf(t, &vm.ForwardFrame{Status: 200, Body: []byte("fine")}), []byte("\r\n\r\n"))
+	_, frame, _ := bytes.Cut(frames, []byte("\r\n"))
+	for length := range frame {
+		m := membership.Member{ID: "vm-2", PeerAddress: rawpeer.Peer{Answer: rawpeer.Part + string(frame[:length]), Reset: true}.Start(t)}
+		call := &exchange.Call{Method: http.MethodPost, Body: make([]byte, rawpeer.LongBody)}
+		answer, err := client.Call(t.Context(), m, exchange.Request{ID: "r", Deadline: time.Now().Add(time.Minute), Call: call})
+		var failure *exchange.Failure
+		if !errors.As(err, &failure) || failure.NotRun {
+			t.Errorf("%d bytes: answer %d %q, error %v", length, answer.Status, answer.Body, err)
+		}
+	}
+}
