--- a/review/third/joined.go
+++ b/review/third/joined.go
@@ -11,19 +11,69 @@
 	"time"
 )
 
-// joinedVersions: a runner crashes, starts again under its id with other software, and crashes
-// again before its first late heartbeat has come. Clients take up the streams that had begun
-// there.
+// flap is a runner that crashes, starts again under its id, and crashes again before its first
+// late heartbeat has come, while streams begin there. Clients take them up.
+type flap struct {
+	versions []string // of the runners; the first one flaps
+	again    string   // version of its software after its first crash
+	streams  int
+	calm     time.Duration // from the begin of the case
+}
+
+// tried is a stream of a client.
+type tried struct {
+	id      string
+	events  []event // of all attempts
+	begun   bool    // the first attempt has brought an event
+	takenUp bool
+	goesOn  bool // the attempt that takes it up has brought the rest
+}
+
+const (
+	flapEvents = 14
+	flapGap    = 250 * time.Millisecond
+	flapDown   = 400 * time.Millisecond
+	flapLate   = 4 * time.Second // of the heartbeats after the first crash
+	flapAgain  = 1200 * time.Millisecond
+)
+
+// joinedVersions: the runner is back with other software, and the control machines have heard
+// of one version for a minute.
 func joinedVersions(s *system) (broken bool) {
-	const (
-		runners  = 6 // as in the largest region of the small deployment; one of them crashes
-		streams  = 72
-		events   = 14
-		gap      = 250 * time.Millisecond
-		late     = 4 * time.Second
-		allowed  = 2 // streams with events of two versions
-		calmTime = 66 * time.Second
-	)
+	const allowed = 2
+	joined, ids := 0, []string{}
+	all := s.playFlap(flap{versions: []string{"v1", "v1", "v1", "v1", "v1", "v1"}, again: "v2", streams: 72, calm: 66 * time.Second})
+	for _, t := range all {
+		if v := versions(t.events); strings.Contains(v, "v1") && strings.Contains(v, "v2") {
+			joined++
+			ids = append(ids, t.id)
+		}
+	}
+	s.note("%d of %d streams hold events of two software versions: %v", joined, len(all), ids)
+	return joined > allowed
+}
+
+// refusedRests: the runner is back with the same software, and two versions serve side by side.
+func refusedRests(s *system) (broken bool) {
+	const enough = 12 // streams that are taken up
+	begun, takenUp, goOn := 0, 0, 0
+	all := s.playFlap(flap{versions: []string{"v1", "v1", "v1", "v2", "v2", "v2"}, again: "v1", streams: 180, calm: 20 * time.Second})
+	for _, t := range all {
+		if t.begun {
+			begun++
+		}
+		if t.takenUp {
+			takenUp++
+		}
+		if t.goesOn {
+			goOn++
+		}
+	}
+	s.note("%d of %d new streams have begun; %d streams were taken up, of which %d have gone on", begun, len(all), takenUp, goOn)
+	return takenUp >= enough && float64(goOn)/float64(takenUp) < float64(begun)/float64(len(all))/2
+}
+
+func (s *system) playFlap(f flap) (all []tried) {
 	s.startAll()
 	s.put(map[string]any{
 		"version": 1,
@@ -31,94 +81,84 @@
 			"name": "r-stream", "host": host, "pathPrefix": "/lohu930/", "kind": "streaming", "timeoutMs": 12000, "targetLatencyMs": 1000, "priority": 1,
 			"service": "planner", "attempts": 2, "anonymous": false, "sticky": true, "canResume": true, "targetGapMs": 400, "homeRegions": []any{},
 		}},
-		"services": []any{map[string]any{
-			"name": "planner", "healthPath": "/health", "connectionLimit": 360, "protocol": "h1", "tls": false, "coldStartS": 0, "coldPerS": 0,
-			"engine": map[string]any{"slots": 64, "kvTokens": 595690, "kvTokenBytes": 35136, "linkMbps": 1500000.0, "moves": true, "backups": true, "stride": 7, "models": []any{map[string]any{"name": "m"}}},
-		}},
-		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "huka270", "apiKeys": []string{"key-1"}, "priority": 1, "unit": "tokens", "plainTokens": 200, "ratePerS": 5000000, "burst": 5000000, "homeRegions": []any{}}},
+		"services": []any{planner()},
+		"limits":   clientLimits(),
+		"tenants":  []any{tenant(5_000_000)},
 	})
-	stream := func(r *runner, w http.ResponseWriter, q *http.Request) {
-		r.mu.Lock()
-		version := r.version
-		r.mu.Unlock()
-		last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
-		s.note("runner %s (software %s) begins %s after event %d", r.id, version, q.Header.Get("Kingcuprill-Attempt-Id"), last)
-		w.Header().Set("Content-Type", "text/event-stream")
-		for id := last + 1; id <= events; id++ {
-			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, version)
-			w.(http.Flusher).Flush()
-			select {
-			case <-q.Context().Done():
-				return
-			case <-time.After(gap):
-			}
-		}
-	}
-	all := []*runner{}
-	for i := range runners {
+	runners := []*runner{}
+	for i, version := range f.versions {
 		r := s.newRunner(fmt.Sprintf("i-planner-%d", i+1), "planner", "kolkata-a", 31+i, 8080, 64)
-		r.serve = stream
-		r.start("v1")
-		all = append(all, r)
+		r.serve = slowStream
+		r.start(version)
+		runners = append(runners, r)
 	}
 	s.waitReady()
-	header := func(id string) map[string]string {
-		return map[string]string{
-			"Authorization": "Bearer key-1", "Kingcuprill-Model": "m", "Kingcuprill-Token-Counts": "400,98",
-			"Kingcuprill-Prompt-Prefix": fmt.Sprintf("%x:200,%x:200", "shared"+id, "own"+id),
-		}
-	}
-	// play sends a stream and takes it up once if it breaks off.
-	play := func(id string, first, second *node) (got []event, complete bool) {
-		a := s.attempt(first, http.MethodPost, "/lohu930/2f", id, 12*time.Second, header(id))
-		s.note("client: %s at %s: status %d, %d events of %s, complete %v", id, first.name, a.status, len(a.events), versions(a.events), a.complete)
-		if a.complete || len(a.events) == 0 {
-			return a.events, a.complete
-		}
-		again, h := id+"b", header(id)
-		h["Last-Event-Id"], h["Resumes"] = a.events[len(a.events)-1].id, id
-		b := s.attempt(second, http.MethodPost, "/lohu930/2f", again, 8*time.Second, h)
-		s.note("client: %s takes up %s after event %s at %s: status %d, %d events of %s, complete %v", again, id, h["Last-Event-Id"], second.name, b.status, len(b.events), versions(b.events), b.complete)
-		return append(a.events, b.events...), b.complete
-	}
 	kolkata := s.entries[:2]
-	// Calm traffic, until the control machines have heard of one version for a minute.
-	for s.until(8 * time.Second); time.Since(s.began) < calmTime; time.Sleep(2 * time.Second) {
-		id := fmt.Sprintf("calm-%d", s.ids.Add(1))
-		go play(id, kolkata[0], kolkata[1])
+	// Calm traffic, also so that the control machines hear of the versions for long enough.
+	for s.until(8 * time.Second); time.Since(s.began) < f.calm; time.Sleep(2 * time.Second) {
+		go s.playStream(fmt.Sprintf("calm-%d", s.ids.Add(1)), kolkata[0], kolkata[1])
 	}
 	time.Sleep(4 * time.Second)
-	flapping := all[0]
 	if s.trouble {
-		flapping.crash()
-		time.Sleep(400 * time.Millisecond)
-		flapping.late = late
-		flapping.start("v2")
+		runners[0].crash()
+		time.Sleep(flapDown)
+		runners[0].late = flapLate
+		runners[0].start(f.again)
 	}
 	var group sync.WaitGroup
 	var mu sync.Mutex
-	joined, two := 0, []string{}
-	for i := range streams {
+	for i := range f.streams {
 		group.Go(func() {
-			id := fmt.Sprintf("s-%d", s.ids.Add(1))
-			got, _ := play(id, kolkata[i%2], kolkata[(i+1)%2])
+			t := s.playStream(fmt.Sprintf("s-%d", s.ids.Add(1)), kolkata[i%2], kolkata[(i+1)%2])
 			mu.Lock()
 			defer mu.Unlock()
-			if v := versions(got); strings.Contains(v, "v1") && strings.Contains(v, "v2") {
-				joined++
-				two = append(two, id)
-			}
+			all = append(all, t)
 		})
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(1080 * time.Millisecond / time.Duration(f.streams))
 	}
 	if s.trouble {
-		time.Sleep(1200 * time.Millisecond)
-		flapping.crash()
+		time.Sleep(flapAgain)
+		runners[0].crash()
 	}
 	group.Wait()
-	s.note("%d of %d streams hold events of two software versions: %v", joined, streams, two)
-	return joined > allowed
+	return all
+}
+
+// slowStream answers with the events after the last one that the client has.
+func slowStream(r *runner, w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	version := r.version
+	r.mu.Unlock()
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	r.s.note("runner %s (software %s) begins %s after event %d", r.id, version, q.Header.Get("Kingcuprill-Attempt-Id"), last)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for id := last + 1; id <= flapEvents; id++ {
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, version)
+		w.(http.Flusher).Flush()
+		select {
+		case <-q.Context().Done():
+			return
+		case <-time.After(flapGap):
+		}
+	}
+}
+
+// playStream sends a stream to one entry machine and takes it up once at another one if it
+// breaks off.
+func (s *system) playStream(id string, first, second *node) (t tried) {
+	a := s.attempt(first, http.MethodPost, "/lohu930/2f", id, 12*time.Second, promptHeader(id, "400,98", 200, 200))
+	s.note("client: %s at %s: status %d, %d events of %s, complete %v", id, first.name, a.status, len(a.events), versions(a.events), a.complete)
+	t = tried{id: id, events: a.events, begun: len(a.events) > 0}
+	if a.complete || !t.begun {
+		return t
+	}
+	again, h := id+"b", promptHeader(id, "400,98", 200, 200)
+	h["Last-Event-Id"], h["Resumes"] = a.events[len(a.events)-1].id, id
+	b := s.attempt(second, http.MethodPost, "/lohu930/2f", again, 8*time.Second, h)
+	s.note("client: %s takes up %s after event %s at %s: status %d, %d events of %s, complete %v", again, id, h["Last-Event-Id"], second.name, b.status, len(b.events), versions(b.events), b.complete)
+	t.takenUp, t.goesOn = true, b.status == http.StatusOK && b.complete
+	t.events = append(t.events, b.events...)
+	return t
 }
 
 // versions names the versions of the events, in order.
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -26,6 +26,7 @@
 
 var cases = map[string]func(*system) (broken bool){
 	"joined-versions": joinedVersions,
+	"undone-return":   undoneReturn,
 }
 
 func main() {
