--- a/review/third/main.go
+++ b/review/third/main.go
@@ -26,6 +26,7 @@
 
 var cases = map[string]func(*system) (broken bool){
 	"joined-versions": joinedVersions,
+	"lost-farewell":   lostFarewell,
 	"refused-rests":   refusedRests,
 	"undone-return":   undoneReturn,
 }
