--- a/review/third/joined.go
+++ b/review/third/flap.go
@@ -37,22 +37,6 @@
 	flapAgain  = 1200 * time.Millisecond
 )
 
-// joinedVersions: the runner is back with other software, and the control machines have heard
-// of one version for a minute.
-func joinedVersions(s *system) (broken bool) {
-	const allowed = 2
-	joined, ids := 0, []string{}
-	all := s.playFlap(flap{versions: []string{"v1", "v1", "v1", "v1", "v1", "v1"}, again: "v2", streams: 72, calm: 66 * time.Second})
-	for _, t := range all {
-		if v := versions(t.events); strings.Contains(v, "v1") && strings.Contains(v, "v2") {
-			joined++
-			ids = append(ids, t.id)
-		}
-	}
-	s.note("%d of %d streams hold events of two software versions: %v", joined, len(all), ids)
-	return joined > allowed
-}
-
 // refusedRests: the runner is back with the same software, and two versions serve side by side.
 func refusedRests(s *system) (broken bool) {
 	const enough = 12 // streams that are taken up
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -25,7 +25,6 @@
 )
 
 var cases = map[string]func(*system) (broken bool){
-	"joined-versions":   joinedVersions,
 	"lost-farewell":     lostFarewell,
 	"kept-tokens":       keptTokens,
 	"refused-rests":     refusedRests,
