--- a/review/third/main.go
+++ b/review/third/main.go
@@ -29,6 +29,7 @@
 	"kept-tokens":       keptTokens,
 	"refused-rests":     refusedRests,
 	"undone-evacuation": undoneEvacuation,
+	"invalid-accepted":  invalidAccepted,
 }
 
 func main() {
