--- a/review/third/main.go
+++ b/review/third/main.go
@@ -12,7 +12,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -53,6 +55,13 @@
 			code = exitNotRun
 		}
 	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		s.close()
+		os.Exit(exitNotRun)
+	}()
 	timer := time.AfterFunc(longest, func() {
 		s.note("the case could not run: it takes longer than %v", longest)
 		s.close()
