--- a/review/third/evacuation.go
+++ b/review/third/evacuation.go
@@ -45,7 +45,9 @@
 func (l *heldLink) carry(from net.Conn) {
 	defer from.Close()
 	to, err := net.Dial("tcp", l.to)
-	must(err)
+	if err != nil {
+		return // the order is lost
+	}
 	defer to.Close()
 	sent, _ := io.ReadAll(from)
 	<-l.healed
@@ -53,14 +55,18 @@
 	time.Sleep(roundTrip)
 }
 
-// order sends an order of the operator and waits a second for its answer. address is where the
-// machine is reached.
-func (s *system) order(n *node, address, path string) (acknowledged bool) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+// order sends an order of the operator to a machine over a connection of its own.
+func (s *system) order(n *node, path string) (acknowledged bool) {
+	conn, err := net.DialTimeout("tcp", n.address(controlPort), time.Second)
 	if err != nil {
 		s.note("operator: POST %s to %s: %v", path, n.name, err)
 		return false
 	}
+	return s.orderOn(conn, n, path)
+}
+
+// orderOn sends an order over an open connection, waits a second for its answer and closes it.
+func (s *system) orderOn(conn net.Conn, n *node, path string) (acknowledged bool) {
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(time.Second))
 	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", path, n.address(controlPort))
@@ -153,7 +159,7 @@
 	mu.Unlock()
 	start, end := "/api/Evacuation.Start/"+zone, "/api/Evacuation.End/"+zone
 	first, second := s.controls[1], s.controls[0]
-	if !s.order(second, second.address(controlPort), start) {
+	if !s.order(second, start) {
 		panic("the first evacuation is not acknowledged")
 	}
 	time.Sleep(3 * time.Second)
@@ -162,14 +168,20 @@
 		link = newHeldLink(address)
 		defer link.listener.Close()
 		address = link.listener.Addr().String()
+	}
+	kept, err := net.DialTimeout("tcp", address, time.Second)
+	must(err)
+	s.note("the operator has an open connection to %s", first.name)
+	time.Sleep(200 * time.Millisecond)
+	if s.trouble {
 		s.note("the operator's way to %s is cut", first.name)
 	}
 	cutAt := time.Now()
-	if !s.order(first, address, end) && !s.order(second, second.address(controlPort), end) {
+	if !s.orderOn(kept, first, end) && !s.order(second, end) {
 		panic("the end of the evacuation is not acknowledged")
 	}
 	time.Sleep(time.Second)
-	if !s.order(second, second.address(controlPort), start) {
+	if !s.order(second, start) {
 		panic("the second evacuation is not acknowledged")
 	}
 	mu.Lock()
--- a/review/third/system.go
+++ b/review/third/system.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -80,12 +82,16 @@
 	if s.folder, err = os.MkdirTemp("", "review-3-"); err != nil {
 		return nil, err
 	}
+	found := false
 	for range 50 {
 		s.net = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
-		if s.free() {
+		if found = s.free(); found {
 			break
 		}
 	}
+	if !found {
+		return nil, errors.New("no free loopback addresses")
+	}
 	add := func(role, zone string, last int) *node {
 		n := &node{name: fmt.Sprintf("%s-%s-%d", role, zone, last), role: role, zone: zone, ip: fmt.Sprintf("%s.%d", s.net, last)}
 		n.folder = filepath.Join(s.folder, n.name)
@@ -171,6 +177,8 @@
 	command := exec.Command("target/kingcuprill-system", n.role)
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KINGCUPRILL_CONFIG=" + path}
 	command.Stdout, command.Stderr = output, output
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	runtime.LockOSThread() // Pdeathsig is sent when this thread ends
 	must(command.Start())
 	ended := make(chan struct{})
 	go func() {
