--- a/review/third/evacuation.go
+++ b/review/third/evacuation.go
@@ -122,7 +122,7 @@
 		}
 	}
 	for i, z := range []string{"kolkata-a", "siliguri-a", "durgapur-a"} {
-		r := s.newRunner(fmt.Sprintf("i-desk-%d", i+1), "desk", z, 31+i, 8080, 6)
+		r := s.newRunner(fmt.Sprintf("i-desk-%d", i+1), "desk", z, 31+i, runnerPort, 6)
 		r.serve = func(r *runner, w http.ResponseWriter, q *http.Request) {
 			ran(r, q.Header.Get("Kingcuprill-Attempt-Id"))
 			time.Sleep(15 * time.Millisecond)
--- a/review/third/farewell.go
+++ b/review/third/farewell.go
@@ -55,7 +55,7 @@
 	}
 	runners := []*runner{}
 	for i, zone := range []string{"kolkata-a", "siliguri-a", "durgapur-a"} {
-		r := s.newRunner(fmt.Sprintf("i-planner-%d", i+1), "planner", zone, 31+i, 8080, 64)
+		r := s.newRunner(fmt.Sprintf("i-planner-%d", i+1), "planner", zone, 31+i, runnerPort, 64)
 		r.serve = func(r *runner, w http.ResponseWriter, q *http.Request) {
 			begin(r, q.Header.Get("Kingcuprill-Attempt-Id"))
 			w.Header().Set("Content-Type", "text/event-stream")
--- a/review/third/flap.go
+++ b/review/third/flap.go
@@ -71,7 +71,7 @@
 	})
 	runners := []*runner{}
 	for i, version := range f.versions {
-		r := s.newRunner(fmt.Sprintf("i-planner-%d", i+1), "planner", "kolkata-a", 31+i, 8080, 64)
+		r := s.newRunner(fmt.Sprintf("i-planner-%d", i+1), "planner", "kolkata-a", 31+i, runnerPort, 64)
 		r.serve = slowStream
 		r.start(version)
 		runners = append(runners, r)
--- a/review/third/invalid.go
+++ b/review/third/invalid.go
@@ -38,7 +38,7 @@
 	var mu sync.Mutex
 	ran := map[string]int{} // by zone
 	for i, z := range []string{"kolkata-a", "siliguri-a", "durgapur-a"} {
-		r := s.newRunner(fmt.Sprintf("i-desk-%d", i+1), "desk", z, 31+i, 8080, 6)
+		r := s.newRunner(fmt.Sprintf("i-desk-%d", i+1), "desk", z, 31+i, runnerPort, 6)
 		r.serve = func(r *runner, w http.ResponseWriter, q *http.Request) {
 			mu.Lock()
 			ran[r.zone]++
--- a/review/third/system.go
+++ b/review/third/system.go
@@ -29,6 +29,13 @@
 	controlPort   = 8229
 	internalPort  = 7600
 	metricsPort   = 9100
+	runnerPort    = 8080
+)
+
+// Last bytes of the addresses that runners have, from the first to the last.
+const (
+	firstRunner = 31
+	lastRunner  = 42
 )
 
 // Bounds of the small deployments.
@@ -103,7 +110,7 @@
 	return s, nil
 }
 
-// free reports whether the ports of the machines can be bound.
+// free reports whether the ports of the machines and of the runners can be bound.
 func (s *system) free() bool {
 	for _, last := range []int{11, 12, 13, 21, 22, 23, 24} {
 		for _, port := range []int{frontPort, readyPort, directoryPort, controlPort, internalPort, metricsPort} {
@@ -114,6 +121,13 @@
 			l.Close()
 		}
 	}
+	for last := firstRunner; last <= lastRunner; last++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", s.net, last, runnerPort))
+		if err != nil {
+			return false
+		}
+		l.Close()
+	}
 	return true
 }
 
--- a/review/third/tokens.go
+++ b/review/third/tokens.go
@@ -47,7 +47,7 @@
 	last := 31
 	for zone, count := range map[string]int{"kolkata-a": 6, "siliguri-a": 4, "durgapur-a": 2} {
 		for range count {
-			r := s.newRunner(fmt.Sprintf("i-planner-%d", last), "planner", zone, last, 8080, 64)
+			r := s.newRunner(fmt.Sprintf("i-planner-%d", last), "planner", zone, last, runnerPort, 64)
 			last++
 			r.serve = func(r *runner, w http.ResponseWriter, q *http.Request) {
 				id := q.Header.Get("Kingcuprill-Attempt-Id")
